--- /dev/null
+++ b/cmake/Dependencies.cmake
@@ -0,0 +1,13 @@
+# Libraries from Debian's packages; .ci/run installs them by name.
+find_package(Threads REQUIRED)
+find_package(absl REQUIRED)
+find_package(CURL REQUIRED)
+find_package(docopt REQUIRED)
+find_package(tl-expected REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
+pkg_check_modules(MICROHTTPD REQUIRED IMPORTED_TARGET libmicrohttpd)
+pkg_check_modules(LOG4CXX REQUIRED IMPORTED_TARGET liblog4cxx)
+pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-memb)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
--- /dev/null
+++ b/src/daemon/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/transport/message_types.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace berylgauge {
+
+/// A request on one HTTP/2 stream between two processes of the system.
+struct StreamRequest {
+  std::string path;                                          ///< "/internal/..."
+  std::vector<std::pair<std::string, std::string>> headers;  ///< names in lower case, without pseudo-headers
+  std::string body;
+};
+
+/// The whole answer on that stream.
+struct StreamResponse {
+  int status = 0;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+};
+
+}  // namespace berylgauge
--- /dev/null
+++ b/tests/unit/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
