--- a/src/base/json_object_reader.cc
+++ b/src/base/json_object_reader.cc
@@ -103,6 +103,11 @@
   return strings;
 }
 
+nlohmann::json JsonObjectReader::Json(const std::string& key) {
+  const nlohmann::json* value = Find(key, true);
+  return value == nullptr ? nlohmann::json() : *value;
+}
+
 bool JsonObjectReader::Has(const std::string& key) const { return m_value.contains(key); }
 
 void JsonObjectReader::AddError(const std::string& key, std::string message) {
--- a/src/base/json_object_reader.h
+++ b/src/base/json_object_reader.h
@@ -62,6 +62,9 @@
   /// Reads a list of strings; absent and not required means empty.
   std::vector<std::string> Strings(const std::string& key, std::size_t max_count, bool required = true);
 
+  /// The value of a required key, unchecked; null if the key is absent.
+  nlohmann::json Json(const std::string& key);
+
   bool Has(const std::string& key) const;
 
   /// Reports a contradiction between values of this object.
--- /dev/null
+++ b/src/state/config_records.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <variant>
+
+#include "base/failure.h"
+#include "base/ids.h"
+
+namespace berylgauge {
+
+/// An operator's intent with its plan, waiting for confirmation.
+struct PlanProposed {
+  PlanId plan;
+  std::string operator_name;
+  std::int64_t proposed_unix_ms = 0;
+  ConfigVersion based_on = 0;  ///< version that the plan was computed from
+  nlohmann::json commands;     ///< list of encoded configuration commands
+
+  nlohmann::json ToJson() const;
+};
+
+/// The operator confirmed the plan; accepted only while the version is still `PlanProposed::based_on`.
+struct PlanConfirmed {
+  PlanId plan;
+  std::string operator_name;
+  std::int64_t confirmed_unix_ms = 0;
+};
+
+/// An owner has heard nothing of a worker: that incarnation of its agent must stop everything.
+struct WorkerRevoked {
+  WorkerId worker;
+  Incarnation agent_incarnation = 0;
+};
+
+using ConfigRecord = std::variant<PlanProposed, PlanConfirmed, WorkerRevoked>;
+
+nlohmann::json EncodeConfigRecord(const ConfigRecord& record);
+Result<ConfigRecord> DecodeConfigRecord(const nlohmann::json& document);
+
+}  // namespace berylgauge
