--- /dev/null
+++ b/src/daemon/messages/heartbeat_path.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace berylgauge {
+
+inline constexpr const char* kHeartbeatPath = "/internal/heartbeat";
+
+}  // namespace berylgauge
