--- a/src/platform/endpoint_client.h
+++ b/src/platform/endpoint_client.h
@@ -3,16 +3,12 @@
 #include <absl/time/time.h>
 
 #include <string>
-#include <utility>
-#include <vector>
 
 #include "base/failure.h"
+#include "platform/header_list.h"
 
 namespace berylgauge {
 
-/// Header fields in order; names in lower case.
-using HeaderList = std::vector<std::pair<std::string, std::string>>;
-
 /// A caller's request as it travels to an endpoint.
 struct EndpointRequest {
   std::string method;  ///< in capitals
