--- a/src/daemon/agent/agent_core.cc
+++ b/src/daemon/agent/agent_core.cc
@@ -1,5 +1,6 @@
 #include "daemon/agent/agent_core.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace berylgauge {
@@ -9,6 +10,10 @@
 /// their own, because the owner places a task again when the job's own grace has passed.
 constexpr absl::Duration kShortestOutageGrace = absl::Seconds(60);
 
+/// An older report does not prove that the list of attempts is complete: after a pause of this process another agent
+/// may have started attempts on the worker.
+constexpr absl::Duration kReportIsCurrent = absl::Seconds(2);
+
 ReportedAttemptState ToReport(AttemptState state) {
   switch (state) {
     case AttemptState::kAdmitted:
@@ -93,6 +98,7 @@
 void AgentCore::Reconcile(const WorkerReport& report, MonotonicTime requested_at, MonotonicTime now) {
   const absl::MutexLock lock(&m_mutex);
   m_table->Reconcile(report, requested_at, now);
+  m_last_report = std::max(m_last_report, requested_at);
 }
 
 std::vector<WorkerCommand> AgentCore::TakeCommands(MonotonicTime now) {
@@ -148,7 +154,7 @@
   const WorkerStanding& standing = m_table->standing();
   heartbeat.draining = standing.zone_drained || standing.worker_drained || standing.worker_revoked;
   heartbeat.leaving = m_leaving;
-  heartbeat.reconciled = m_table->IsReconciled();
+  heartbeat.reconciled = m_table->IsReconciled() && now - m_last_report <= kReportIsCurrent;
   heartbeat.config_version = m_table->config_version();
   for (const EndpointRecord* record : m_endpoints.Live(now)) {
     const EndpointAnnouncement& endpoint = record->last;
--- a/src/daemon/agent/agent_core.h
+++ b/src/daemon/agent/agent_core.h
@@ -84,6 +84,7 @@
   EndpointRegistry m_endpoints ABSL_GUARDED_BY(m_mutex);
   AgentRequestGate m_gate ABSL_GUARDED_BY(m_mutex);
   std::uint64_t m_sequence ABSL_GUARDED_BY(m_mutex) = 0;
+  MonotonicTime m_last_report ABSL_GUARDED_BY(m_mutex) = InfinitePast();
   bool m_leaving ABSL_GUARDED_BY(m_mutex) = false;
 };
 
--- /dev/null
+++ b/src/daemon/entry/agent_clients.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/rcu_cell.h"
+
+namespace berylgauge {
+
+class StreamClient;
+
+/// One connection to each agent, shared by requests and owners. Looking one up takes no lock once it exists.
+class AgentClients {
+ public:
+  using Factory = std::function<std::unique_ptr<StreamClient>(const std::string& address)>;
+
+  explicit AgentClients(Factory factory);
+  ~AgentClients();
+
+  /// The connection to an agent, made on first use.
+  std::shared_ptr<StreamClient> For(const std::string& address);
+
+  /// Drops the connections to all addresses but those given; requests under way keep theirs.
+  void Retain(const std::vector<std::string>& addresses);
+
+ private:
+  using Table = absl::flat_hash_map<std::string, std::shared_ptr<StreamClient>>;
+
+  const Factory m_factory;
+  absl::Mutex m_writer_mutex;
+  RcuCell<Table> m_table;
+};
+
+}  // namespace berylgauge
--- /dev/null
+++ b/src/daemon/entry/config_stream.cc
@@ -0,0 +1,23 @@
+#include "daemon/entry/config_stream.h"
+
+#include <utility>
+
+#include "daemon/streams/append_and_wait.h"
+
+namespace berylgauge {
+
+ConfigStream::ConfigStream(LogClient& log, const Clock& clock, const std::string& writer, Incarnation incarnation,
+                           std::function<void()> on_change)
+    : m_state(std::move(on_change)),
+      m_follower(log, clock, m_state, {.stream = kConfigStream, .snapshot_stream = kConfigSnapshotStream}),
+      m_writer(log, {.stream = kConfigStream, .writer = writer, .incarnation = incarnation},
+               [this] { return m_state.Position(); }) {}
+
+Result<Offset> ConfigStream::AppendAndWait(const std::vector<ConfigRecord>& records, absl::Duration timeout) {
+  std::vector<nlohmann::json> encoded;
+  encoded.reserve(records.size());
+  for (const ConfigRecord& record : records) encoded.push_back(EncodeConfigRecord(record));
+  return berylgauge::AppendAndWait(m_writer, m_follower, std::move(encoded), timeout);
+}
+
+}  // namespace berylgauge
--- /dev/null
+++ b/src/daemon/entry/share_controller.cc
@@ -0,0 +1,368 @@
+#include "daemon/entry/share_controller.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "schedule/placer.h"
+#include "state/config_state.h"
+#include "state/jobs_state.h"
+
+namespace berylgauge {
+namespace {
+
+/// Added to the outage grace before a silent worker's tasks count as ended: covers the drift between the clocks of
+/// agent and owner and the time that the agent needs to stop them.
+constexpr double kGraceMargin = 1.05;
+
+/// Tasks considered for placement in one step; bounds the time of a step when many wait.
+constexpr std::size_t kMaxPlacementsPerStep = 200;
+
+constexpr int kMaxBackoffDoublings = 8;
+
+AttemptOutcome ToOutcome(ReportedAttemptOutcome outcome) {
+  switch (outcome) {
+    case ReportedAttemptOutcome::kSucceeded:
+      return AttemptOutcome::kSucceeded;
+    case ReportedAttemptOutcome::kFailed:
+      return AttemptOutcome::kFailed;
+    case ReportedAttemptOutcome::kStopped:
+    case ReportedAttemptOutcome::kLeaseExpired:
+      return AttemptOutcome::kStopped;
+    case ReportedAttemptOutcome::kNotRun:
+      return AttemptOutcome::kNotRun;
+    case ReportedAttemptOutcome::kWorkerLost:
+      break;
+  }
+  return AttemptOutcome::kLost;
+}
+
+/// Refills a token bucket that holds at most one second's worth, or one token.
+void Refill(double per_second, MonotonicTime now, double& tokens, MonotonicTime& at) {
+  const double capacity = std::max(1.0, per_second);
+  const bool first = at == InfinitePast();
+  tokens = first ? capacity : std::min(capacity, tokens + per_second * absl::ToDoubleSeconds(now - at));
+  at = now;
+}
+
+}  // namespace
+
+ShareController::ShareController(ShareControllerOptions options, Placer& placer)
+    : m_options(std::move(options)), m_placer(placer) {}
+
+bool ShareController::IsOwner(const JobsState& jobs) const {
+  return jobs.epoch() > 0 && !jobs.released() && jobs.owner() == m_options.entry &&
+         jobs.owner_incarnation() == m_options.incarnation;
+}
+
+std::string ShareController::WaitReason(const TaskId& task) const {
+  const auto it = m_wait_reasons.find(task);
+  return it == m_wait_reasons.end() ? "" : it->second;
+}
+
+ShareDecisions ShareController::Step(const ShareInputs& inputs, MonotonicTime now, absl::BitGenRef random) {
+  ShareDecisions decisions;
+  m_epoch = inputs.jobs.epoch();
+  m_ended.clear();
+  // Without the tail of the log, what this entry knows may be out of date, and it could write nothing anyway.
+  if (!inputs.log_is_fresh) return decisions;
+  DecideOwnership(inputs, now, decisions);
+  if (IsOwner(inputs.jobs) && decisions.records.empty()) StepAsOwner(inputs, now, random, decisions);
+  return decisions;
+}
+
+void ShareController::DecideOwnership(const ShareInputs& inputs, MonotonicTime now, ShareDecisions& decisions) {
+  if (!IsOwner(inputs.jobs)) {
+    m_owner_since.reset();
+    m_other_preferred_since.reset();
+    if (!inputs.leaving && MayClaim(inputs)) {
+      decisions.records.emplace_back(ShareClaimed{.entry = m_options.entry,
+                                                  .entry_incarnation = m_options.incarnation,
+                                                  .previous_epoch = inputs.jobs.epoch()});
+    }
+    return;
+  }
+  if (!m_owner_since) m_owner_since = now;
+  const bool other_preferred = inputs.preferred_entry && *inputs.preferred_entry != m_options.entry;
+  if (!other_preferred) m_other_preferred_since.reset();
+  if (other_preferred && !m_other_preferred_since) m_other_preferred_since = now;
+  const bool handover = other_preferred && now - *m_other_preferred_since >= m_options.handover_after;
+  if (inputs.leaving || handover) decisions.records.emplace_back(ShareReleased{.epoch = m_epoch});
+}
+
+bool ShareController::MayClaim(const ShareInputs& inputs) const {
+  const bool is_vacant = inputs.jobs.epoch() == 0 || inputs.jobs.released() || !inputs.owner_is_live;
+  if (!is_vacant || !inputs.preferred_entry) return false;
+  if (*inputs.preferred_entry == m_options.entry) return true;
+  // The preferred entry has not claimed the share for a second lease, so it may be unable to.
+  return inputs.owner_silence && *inputs.owner_silence >= 2 * m_options.share_lease;
+}
+
+void ShareController::StepAsOwner(const ShareInputs& inputs, MonotonicTime now, absl::BitGenRef random,
+                                  ShareDecisions& decisions) {
+  HandleAnswers(inputs, now, decisions);
+  for (const Heartbeat& heartbeat : inputs.heartbeats) HandleHeartbeat(inputs, heartbeat, now, decisions);
+  FollowAttempts(inputs, now, decisions);
+  PlaceWaiting(inputs, now, random, decisions);
+}
+
+void ShareController::HandleAnswers(const ShareInputs& inputs, MonotonicTime now, ShareDecisions& decisions) {
+  for (const StartAnswer& answer : inputs.answers) {
+    const Task* task = inputs.jobs.FindTask(answer.key.task);
+    if (task == nullptr || !task->HasLiveAttempt() || task->attempt != answer.key.attempt) continue;
+    const AnswerKind kind = answer.answer.kind;
+    if (kind == AnswerKind::kStarted || kind == AnswerKind::kRunning) {
+      m_placer.RecordStarted(answer.key, now);
+      continue;
+    }
+    const bool not_run = kind == AnswerKind::kNotRun ||
+                         (kind == AnswerKind::kRefused && answer.answer.verdict == Verdict::kNotRun);
+    // Any other answer leaves open whether the attempt runs; the agent's heartbeats will tell.
+    if (!not_run) continue;
+    m_placer.RecordRefused(answer.key, answer.worker, now);
+    End(answer.key.task, *task, AttemptOutcome::kNotRun, "",
+        "refused by " + answer.worker.value() + ": " + std::string(kRefusalReasonNames.NameOf(answer.answer.reason)),
+        decisions);
+  }
+}
+
+void ShareController::HandleHeartbeat(const ShareInputs& inputs, const Heartbeat& heartbeat, MonotonicTime now,
+                                      ShareDecisions& decisions) {
+  std::set<AttemptKey> listed;
+  for (const RunningAttemptReport& running : heartbeat.running) {
+    listed.insert({.task = running.task, .attempt = running.attempt});
+    HandleRunning(inputs, heartbeat, running, now, decisions);
+  }
+  for (const EndedAttemptReport& ended : heartbeat.ended) {
+    listed.insert({.task = ended.task, .attempt = ended.attempt});
+    const Task* task = inputs.jobs.FindTask(ended.task);
+    if (task == nullptr || !task->HasLiveAttempt() || task->attempt != ended.attempt) continue;
+    if (task->worker != heartbeat.worker) continue;
+    End(ended.task, *task, ToOutcome(ended.outcome), ended.checkpoint, ended.detail, decisions);
+  }
+  if (heartbeat.reconciled) HandleMissing(inputs, heartbeat, listed, decisions);
+}
+
+void ShareController::HandleRunning(const ShareInputs& inputs, const Heartbeat& heartbeat,
+                                    const RunningAttemptReport& running, MonotonicTime now,
+                                    ShareDecisions& decisions) {
+  const Task* task = inputs.jobs.FindTask(running.task);
+  if (task == nullptr) return;
+  const AttemptKey key{.task = running.task, .attempt = running.attempt};
+  const bool is_current =
+      task->HasLiveAttempt() && task->attempt == running.attempt && task->worker == heartbeat.worker;
+  if (!is_current) {
+    AttemptTimes& times = m_times[key];
+    if (now < times.next_stop) return;
+    times.next_stop = now + m_options.stop_repeat;
+    const EndCommand end{.key = key,
+                         .share = static_cast<std::uint32_t>(m_options.share),
+                         .agent_incarnation = heartbeat.incarnation};
+    decisions.stops.push_back({.worker = heartbeat.worker, .message = {.end = end, .with_checkpoint = false}});
+    return;
+  }
+  if (task->state == TaskState::kPlaced && running.state == ReportedAttemptState::kRunning) {
+    decisions.records.emplace_back(TaskStarted{.epoch = m_epoch, .task = running.task, .attempt = running.attempt});
+  }
+  const auto sent = std::make_pair(key, heartbeat.incarnation);
+  if (heartbeat.incarnation == task->agent_incarnation || now < m_terms_sent[sent] + m_options.stop_repeat) return;
+  m_terms_sent[sent] = now;
+  JobId job_id;
+  std::size_t index = 0;
+  if (!ParseTaskId(running.task, &job_id, &index)) return;
+  decisions.terms.push_back(
+      {.worker = heartbeat.worker, .message = {.key = key, .terms = TermsOf(*inputs.jobs.FindJob(job_id))}});
+}
+
+void ShareController::HandleMissing(const ShareInputs& inputs, const Heartbeat& heartbeat,
+                                    const std::set<AttemptKey>& listed, ShareDecisions& decisions) {
+  for (const TaskId& id : inputs.jobs.live()) {
+    const Task* task = inputs.jobs.FindTask(id);
+    if (task->worker != heartbeat.worker || task->agent_incarnation == heartbeat.incarnation) continue;
+    if (listed.contains({.task = id, .attempt = task->attempt})) continue;
+    // The agent has a later incarnation, so it refuses this attempt, and its worker does not list it.
+    End(id, *task, AttemptOutcome::kLost, "", "not on the worker after a restart of its agent", decisions);
+  }
+}
+
+void ShareController::FollowAttempts(const ShareInputs& inputs, MonotonicTime now, ShareDecisions& decisions) {
+  for (const TaskId& id : inputs.jobs.live()) {
+    JobId job_id;
+    std::size_t index = 0;
+    if (!ParseTaskId(id, &job_id, &index)) continue;
+    const Job* job = inputs.jobs.FindJob(job_id);
+    FollowAttempt(inputs, id, *job, job->tasks[index], now, decisions);
+  }
+}
+
+void ShareController::FollowAttempt(const ShareInputs& inputs, const TaskId& id, const Job& job, const Task& task,
+                                    MonotonicTime now, ShareDecisions& decisions) {
+  const AttemptKey key{.task = id, .attempt = task.attempt};
+  if (m_ended.contains(key)) return;
+  if (inputs.config.WorkerState(task.worker) == AvailabilityState::kLost) {
+    End(id, task, AttemptOutcome::kLost, "", "operators declared the worker lost", decisions);
+    return;
+  }
+  const absl::Duration owner_for = now - *m_owner_since;
+  const absl::Duration silence = std::min(owner_for, inputs.silence_of(task.worker).value_or(owner_for));
+  if (silence >= m_options.worker_silent) {
+    FollowSilentWorker(inputs, id, job, task, now, decisions);
+    return;
+  }
+  AttemptTimes& times = m_times[key];
+  const bool drained = inputs.config.ZoneState(task.availability_zone) != AvailabilityState::kOpen ||
+                       inputs.config.WorkerState(task.worker) != AvailabilityState::kOpen;
+  if (job.cancelled || drained) {
+    if (now < times.next_stop) return;
+    if (!job.cancelled && !TakeEvictionToken(inputs, now)) return;
+    times.next_stop = now + m_options.stop_repeat;
+    const EndCommand end{.key = key,
+                         .share = static_cast<std::uint32_t>(m_options.share),
+                         .offset = task.placed_at,
+                         .agent_incarnation = task.agent_incarnation};
+    decisions.stops.push_back({.worker = task.worker, .message = {.end = end, .with_checkpoint = !job.cancelled}});
+    return;
+  }
+  if (task.state != TaskState::kPlaced || now < times.next_start) return;
+  times.next_start = now + m_options.start_repeat;
+  decisions.starts.push_back({.worker = task.worker, .message = MakeStart(inputs, id, job, task)});
+}
+
+void ShareController::FollowSilentWorker(const ShareInputs& inputs, const TaskId& id, const Job& job, const Task& task,
+                                         MonotonicTime now, ShareDecisions& decisions) {
+  const auto key = std::make_pair(task.worker, task.agent_incarnation);
+  if (inputs.config.RevokedIncarnation(task.worker) != task.agent_incarnation) {
+    m_revoked_since.erase(key);
+    decisions.revocations.push_back({.worker = task.worker, .agent_incarnation = task.agent_incarnation});
+    return;
+  }
+  // Counted from when this owner first read the revocation back, which is never before the agent had to obey it.
+  const MonotonicTime since = m_revoked_since.try_emplace(key, now).first->second;
+  if (now - since < GraceOf(job) * kGraceMargin) return;
+  End(id, task, AttemptOutcome::kLost, "", "worker silent beyond the outage grace", decisions);
+}
+
+bool ShareController::TakeEvictionToken(const ShareInputs& inputs, MonotonicTime now) {
+  const double per_minute = static_cast<double>(inputs.config.Limit(LimitName::kEvictionsPerMinute));
+  Refill(per_minute / 60, now, m_eviction_tokens, m_eviction_tokens_at);
+  if (m_eviction_tokens < 1) return false;
+  m_eviction_tokens -= 1;
+  return true;
+}
+
+void ShareController::PlaceWaiting(const ShareInputs& inputs, MonotonicTime now, absl::BitGenRef random,
+                                   ShareDecisions& decisions) {
+  Refill(static_cast<double>(inputs.config.Limit(LimitName::kStartsPerSecond)), now, m_start_tokens,
+         m_start_tokens_at);
+  std::vector<std::pair<std::int64_t, TaskId>> order;
+  for (const TaskId& id : inputs.jobs.waiting()) {
+    JobId job_id;
+    std::size_t index = 0;
+    if (!ParseTaskId(id, &job_id, &index)) continue;
+    order.emplace_back(-inputs.jobs.FindJob(job_id)->spec.importance, id);
+  }
+  const std::size_t count = std::min(order.size(), kMaxPlacementsPerStep);
+  std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count), order.end());
+  for (std::size_t i = 0; i < count && m_start_tokens >= 1; ++i) {
+    JobId job_id;
+    std::size_t index = 0;
+    ParseTaskId(order[i].second, &job_id, &index);
+    const Job* job = inputs.jobs.FindJob(job_id);
+    PlaceTask(inputs, order[i].second, *job, job->tasks[index], now, random, decisions);
+  }
+}
+
+void ShareController::PlaceTask(const ShareInputs& inputs, const TaskId& id, const Job& job, const Task& task,
+                                MonotonicTime now, absl::BitGenRef random, ShareDecisions& decisions) {
+  if (task.failures >= m_options.max_failures) {
+    decisions.records.emplace_back(TaskParked{
+        .epoch = m_epoch, .task = id, .detail = "failed " + std::to_string(task.failures) + " times: " + task.detail});
+    return;
+  }
+  if (IsBackingOff(id, task, now)) {
+    m_wait_reasons[id] = "backing-off";
+    return;
+  }
+  const PlacementRequest request{
+      .key = {.task = id, .attempt = task.attempt + 1},
+      .team = job.spec.team,
+      .job_class = job.spec.job_class,
+      .resources = job.spec.resources,
+      .importance = static_cast<int>(job.spec.importance),
+      .urgent = job.spec.IsUrgent(),
+  };
+  const PlacementDecision decision = m_placer.Place(request, now, random);
+  if (IsNever(decision.reason)) {
+    decisions.records.emplace_back(
+        TaskParked{.epoch = m_epoch,
+                   .task = id,
+                   .detail = "can never run: " + std::string(kPlacementReasonNames.NameOf(decision.reason))});
+    return;
+  }
+  if (!decision.placed()) {
+    m_wait_reasons[id] = std::string(kPlacementReasonNames.NameOf(decision.reason));
+    return;
+  }
+  m_wait_reasons.erase(id);
+  m_start_tokens -= 1;
+  decisions.records.emplace_back(TaskPlaced{.epoch = m_epoch,
+                                            .task = id,
+                                            .attempt = request.key.attempt,
+                                            .worker = decision.worker,
+                                            .availability_zone = inputs.zone_of(decision.worker),
+                                            .agent_incarnation = decision.agent_incarnation,
+                                            .reason = std::string(kPlacementReasonNames.NameOf(decision.reason))});
+}
+
+bool ShareController::IsBackingOff(const TaskId& id, const Task& task, MonotonicTime now) {
+  if (task.failures == 0) return false;
+  const int doublings = std::min<int>(static_cast<int>(task.failures) - 1, kMaxBackoffDoublings);
+  const MonotonicTime retry_at =
+      m_retry_at.try_emplace(id, now + m_options.failure_backoff * (1 << doublings)).first->second;
+  if (now < retry_at) return true;
+  m_retry_at.erase(id);
+  return false;
+}
+
+void ShareController::End(const TaskId& id, const Task& task, AttemptOutcome outcome, std::string checkpoint,
+                          std::string detail, ShareDecisions& decisions) {
+  const AttemptKey key{.task = id, .attempt = task.attempt};
+  if (!m_ended.insert(key).second) return;
+  m_placer.RecordEnded(key);
+  m_times.erase(key);
+  decisions.records.emplace_back(TaskEnded{.epoch = m_epoch,
+                                           .task = id,
+                                           .attempt = task.attempt,
+                                           .outcome = outcome,
+                                           .checkpoint = std::move(checkpoint),
+                                           .detail = std::move(detail)});
+}
+
+StartCommand ShareController::MakeStart(const ShareInputs& inputs, const TaskId& id, const Job& job,
+                                        const Task& task) const {
+  return {.key = {.task = id, .attempt = task.attempt},
+          .worker = task.worker,
+          .resources = job.spec.resources,
+          .terms = TermsOf(job),
+          .share = static_cast<std::uint32_t>(m_options.share),
+          .epoch = m_epoch,
+          .offset = task.placed_at,
+          .agent_incarnation = task.agent_incarnation,
+          .config_version = inputs.config.offset(),
+          .checkpoint = task.checkpoint,
+          .command = job.spec.command};
+}
+
+AttemptTerms ShareController::TermsOf(const Job& job) const {
+  return {.kind = TaskKind::kBatch,
+          .job_class = job.spec.job_class,
+          .importance = static_cast<int>(job.spec.importance),
+          .task_lease = m_options.task_lease,
+          .outage_grace = GraceOf(job)};
+}
+
+absl::Duration ShareController::GraceOf(const Job& job) const {
+  return job.spec.outage_grace_ms == 0 ? m_options.outage_grace : absl::Milliseconds(job.spec.outage_grace_ms);
+}
+
+}  // namespace berylgauge
--- /dev/null
+++ b/src/daemon/entry/share_runner.cc
@@ -0,0 +1,203 @@
+#include "daemon/entry/share_runner.h"
+
+#include <utility>
+
+#include "base/clock.h"
+#include "base/event_log.h"
+#include "daemon/entry/agent_clients.h"
+#include "daemon/entry/config_stream.h"
+#include "daemon/entry/entry_directory.h"
+#include "daemon/entry/worker_directory.h"
+#include "daemon/streams/append_and_wait.h"
+#include "daemon/streams/snapshot_writer.h"
+#include "schedule/placer.h"
+#include "transport/stream_client.h"
+
+namespace berylgauge {
+namespace {
+
+constexpr absl::Duration kStepInterval = absl::Milliseconds(100);
+constexpr absl::Duration kMessageTimeout = absl::Seconds(2);
+
+/// One wait for the log; it is repeated until the records are folded or the runner stops.
+constexpr absl::Duration kAppendWait = absl::Seconds(1);
+
+}  // namespace
+
+ShareRunner::ShareRunner(const ShareRunnerContext& context, ShareRunnerOptions options)
+    : m_context(context),
+      m_options(std::move(options)),
+      m_stream("jobs-" + std::to_string(m_options.controller.share)),
+      m_controller(m_options.controller, context.placer) {
+  m_follower = std::make_unique<StreamFollower>(
+      context.log, context.clock, m_state,
+      StreamFollowerOptions{.stream = m_stream, .snapshot_stream = "snapshot-" + m_stream});
+  m_writer = std::make_unique<StreamWriter>(context.log,
+                                            StreamWriterOptions{.stream = m_stream,
+                                                                .writer = m_options.controller.entry.value(),
+                                                                .incarnation = m_options.controller.incarnation},
+                                            [this] { return m_state.Position(); });
+  m_thread = std::make_shared<PeriodicThread>(kStepInterval, [this] { Step(); });
+}
+
+ShareRunner::~ShareRunner() {
+  {
+    const absl::MutexLock lock(&m_mutex);
+    m_stopping = true;
+  }
+  m_thread.reset();
+  m_writer.reset();
+  m_follower.reset();
+}
+
+void ShareRunner::Deliver(const Heartbeat& heartbeat) {
+  const absl::MutexLock lock(&m_mutex);
+  m_heartbeats[heartbeat.worker] = heartbeat;
+}
+
+Result<Offset> ShareRunner::AppendAndWait(std::vector<JobsRecord> records, absl::Duration timeout) {
+  std::vector<nlohmann::json> encoded;
+  encoded.reserve(records.size());
+  for (const JobsRecord& record : records) encoded.push_back(EncodeJobsRecord(record));
+  return berylgauge::AppendAndWait(*m_writer, *m_follower, std::move(encoded), timeout);
+}
+
+bool ShareRunner::IsOwner() const {
+  return m_state.Read([this](const JobsState& state) {
+    return state.epoch() > 0 && !state.released() && state.owner() == m_options.controller.entry &&
+           state.owner_incarnation() == m_options.controller.incarnation;
+  });
+}
+
+std::string ShareRunner::WaitReason(const TaskId& task) const {
+  const absl::MutexLock lock(&m_controller_mutex);
+  return m_controller.WaitReason(task);
+}
+
+void ShareRunner::BeginLeaving() {
+  const absl::MutexLock lock(&m_mutex);
+  m_leaving = true;
+}
+
+void ShareRunner::Step() {
+  const MonotonicTime now = m_context.clock.Now();
+  const ShareDecisions decisions = Decide(now);
+  if (!CarryOut(decisions)) return;
+  SendMessages(decisions);
+  if (IsOwner()) WriteSnapshotIfDue(now);
+}
+
+bool ShareRunner::IsLogFresh(MonotonicTime now) const {
+  const MonotonicTime oldest = now - m_options.fresh_for;
+  return m_follower->TailProofNow().at >= oldest && m_context.config.TailProofNow().at >= oldest &&
+         m_context.members.TailProofNow().at >= oldest;
+}
+
+ShareDecisions ShareRunner::Decide(MonotonicTime now) {
+  std::vector<Heartbeat> heartbeats;
+  std::vector<StartAnswer> answers;
+  bool leaving = false;
+  {
+    const absl::MutexLock lock(&m_mutex);
+    for (auto& [worker, heartbeat] : m_heartbeats) heartbeats.push_back(std::move(heartbeat));
+    m_heartbeats.clear();
+    answers.swap(m_answers);
+    leaving = m_leaving;
+  }
+  const int share = m_options.controller.share;
+  const absl::MutexLock controller_lock(&m_controller_mutex);
+  const absl::MutexLock placer_lock(&m_context.placer_mutex);
+  return m_context.config.state().Read([&](const ConfigState& config) {
+    return m_state.Read([&](const JobsState& jobs) {
+      const ShareInputs inputs{
+          .jobs = jobs,
+          .config = config,
+          .log_is_fresh = IsLogFresh(now),
+          .owner_is_live = m_context.entries.IsLive(jobs.owner(), jobs.owner_incarnation(), now),
+          .owner_silence = m_context.entries.SilenceOf(jobs.owner(), now),
+          .preferred_entry = m_context.entries.PreferredEntry(share, now),
+          .leaving = leaving,
+          .heartbeats = std::move(heartbeats),
+          .answers = std::move(answers),
+          .zone_of = [this](const WorkerId& worker) { return m_context.workers.ZoneOf(worker); },
+          .silence_of = [this, now](const WorkerId& worker) { return m_context.workers.SilenceOf(worker, now); },
+      };
+      return m_controller.Step(inputs, now, m_random);
+    });
+  });
+}
+
+bool ShareRunner::CarryOut(const ShareDecisions& decisions) {
+  for (const WorkerRevoked& revoked : decisions.revocations) {
+    LogEvent(LogLevel::kWarning, "worker_revoked", {{"worker", revoked.worker.value()}});
+    m_context.config.AppendAndWait({revoked}, kAppendWait);
+  }
+  if (decisions.records.empty()) return true;
+  std::vector<nlohmann::json> encoded;
+  for (const JobsRecord& record : decisions.records) encoded.push_back(EncodeJobsRecord(record));
+  Result<Offset> offset = berylgauge::AppendAndWait(*m_writer, *m_follower, std::move(encoded), kAppendWait);
+  while (!offset) {
+    // The writer still holds the records; deciding again before they are folded would decide twice.
+    if (m_writer->Flush(kAppendWait)) break;
+    const absl::MutexLock lock(&m_mutex);
+    if (m_stopping) return false;
+  }
+  return offset.has_value();
+}
+
+void ShareRunner::SendMessages(const ShareDecisions& decisions) {
+  for (const AgentMessage<StartCommand>& start : decisions.starts) SendStart(start);
+  for (const AgentMessage<StopMessage>& stop : decisions.stops) {
+    const std::string address = m_context.workers.AddressOf(stop.worker);
+    if (address.empty()) continue;
+    LogEvent(LogLevel::kInfo, "stop_sent",
+             {{"task", stop.message.end.key.task.value()}, {"worker", stop.worker.value()}});
+    m_context.agents.For(address)->Send({.path = kStopPath, .headers = {}, .body = EncodeStopMessage(stop.message)},
+                                        kMessageTimeout, [](const Result<StreamResponse>&) {});
+  }
+  for (const AgentMessage<TermsMessage>& terms : decisions.terms) {
+    const std::string address = m_context.workers.AddressOf(terms.worker);
+    if (address.empty()) continue;
+    m_context.agents.For(address)->Send({.path = kTermsPath, .headers = {}, .body = EncodeTermsMessage(terms.message)},
+                                        kMessageTimeout, [](const Result<StreamResponse>&) {});
+  }
+}
+
+void ShareRunner::SendStart(const AgentMessage<StartCommand>& start) {
+  const std::string address = m_context.workers.AddressOf(start.worker);
+  if (address.empty()) return;
+  const AttemptKey key = start.message.key;
+  StreamRequest request{.path = kStartPath, .headers = {}, .body = EncodeStartCommand(start.message)};
+  const std::weak_ptr<PeriodicThread> thread = m_thread;
+  m_context.agents.For(address)->Send(std::move(request), kMessageTimeout,
+                                      [this, thread, key, worker = start.worker](Result<StreamResponse> response) {
+                                        const std::shared_ptr<PeriodicThread> alive = thread.lock();
+                                        if (!alive || !response || response->status != 200) return;
+                                        Result<AttemptAnswer> answer = DecodeAttemptAnswer(response->body);
+                                        if (!answer) return;
+                                        {
+                                          const absl::MutexLock lock(&m_mutex);
+                                          m_answers.push_back(
+                                              {.key = key, .worker = worker, .answer = std::move(*answer)});
+                                        }
+                                        alive->Wake();
+                                      });
+}
+
+void ShareRunner::WriteSnapshotIfDue(MonotonicTime now) {
+  if (m_last_snapshot == InfinitePast()) {
+    m_last_snapshot = now;
+    m_last_snapshot_offset = m_state.Position();
+  }
+  const std::int64_t since = m_state.Position() - m_last_snapshot_offset;
+  const bool due = since >= m_options.snapshot_every_records ||
+                   (since > 0 && now - m_last_snapshot >= m_options.snapshot_interval);
+  if (!due) return;
+  m_last_snapshot = now;
+  m_last_snapshot_offset = m_state.Position();
+  WriteSnapshot(m_context.log, "snapshot-" + m_stream, m_options.controller.entry.value(), m_state);
+  if (m_options.controller.share != 0) return;
+  WriteSnapshot(m_context.log, kConfigSnapshotStream, m_options.controller.entry.value(), m_context.config.state());
+}
+
+}  // namespace berylgauge
--- /dev/null
+++ b/src/daemon/entry/share_runner.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <absl/random/random.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "daemon/common/periodic_thread.h"
+#include "daemon/entry/share_controller.h"
+#include "daemon/streams/shared_state.h"
+#include "daemon/streams/stream_follower.h"
+#include "daemon/streams/stream_writer.h"
+#include "state/jobs_state.h"
+
+namespace berylgauge {
+
+class AgentClients;
+class Clock;
+class ConfigStream;
+class EntryDirectory;
+class LogClient;
+class WorkerDirectory;
+
+/// What a `ShareRunner` works with; all of it outlives the runner.
+struct ShareRunnerContext {
+  LogClient& log;
+  const Clock& clock;
+  ConfigStream& config;
+  const EntryDirectory& entries;
+  const StreamFollower& members;
+  const WorkerDirectory& workers;
+  AgentClients& agents;
+  Placer& placer;
+  absl::Mutex& placer_mutex;
+};
+
+struct ShareRunnerOptions {
+  ShareControllerOptions controller;
+  absl::Duration fresh_for = absl::Seconds(2);  ///< age up to which the tail of a stream counts as known
+  absl::Duration snapshot_interval = absl::Minutes(15);
+  std::int64_t snapshot_every_records = 20'000;
+};
+
+/// Follows one `jobs-K` stream and, while this entry owns the share, carries out the controller's decisions.
+///
+/// One thread does one step after the other: decide, append, wait until the records are folded, send the messages.
+class ShareRunner {
+ public:
+  ShareRunner(const ShareRunnerContext& context, ShareRunnerOptions options);
+  ~ShareRunner();
+
+  /// Passes a heartbeat on to the next step.
+  void Deliver(const Heartbeat& heartbeat);
+
+  /// Appends records of callers (submission, cancellation) and waits until they are folded.
+  Result<Offset> AppendAndWait(std::vector<JobsRecord> records, absl::Duration timeout);
+
+  const SharedState<JobsState>& state() const { return m_state; }
+  TailProof TailProofNow() const { return m_follower->TailProofNow(); }
+  bool IsOwner() const;
+  std::string WaitReason(const TaskId& task) const;
+
+  /// Gives the share up as soon as possible and never claims it again.
+  void BeginLeaving();
+
+ private:
+  void Step();
+  ShareDecisions Decide(MonotonicTime now);
+  bool CarryOut(const ShareDecisions& decisions);
+  void SendMessages(const ShareDecisions& decisions);
+  void SendStart(const AgentMessage<StartCommand>& start);
+  bool IsLogFresh(MonotonicTime now) const;
+  void WriteSnapshotIfDue(MonotonicTime now);
+
+  const ShareRunnerContext m_context;
+  const ShareRunnerOptions m_options;
+  const std::string m_stream;
+  SharedState<JobsState> m_state;
+  std::unique_ptr<StreamFollower> m_follower;
+  std::unique_ptr<StreamWriter> m_writer;
+
+  mutable absl::Mutex m_mutex;
+  std::map<WorkerId, Heartbeat> m_heartbeats ABSL_GUARDED_BY(m_mutex);
+  std::vector<StartAnswer> m_answers ABSL_GUARDED_BY(m_mutex);
+  bool m_leaving ABSL_GUARDED_BY(m_mutex) = false;
+  bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
+
+  mutable absl::Mutex m_controller_mutex;
+  ShareController m_controller ABSL_GUARDED_BY(m_controller_mutex);
+  absl::BitGen m_random;
+  MonotonicTime m_last_snapshot = InfinitePast();
+  Offset m_last_snapshot_offset = kNoOffset;
+  std::shared_ptr<PeriodicThread> m_thread;
+};
+
+}  // namespace berylgauge
--- a/src/daemon/streams/stream_follower.cc
+++ b/src/daemon/streams/stream_follower.cc
@@ -1,5 +1,6 @@
 #include "daemon/streams/stream_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/clock.h"
@@ -54,15 +55,26 @@
 }
 
 bool StreamFollower::Bootstrap() {
-  if (m_options.snapshot_stream.empty() || LoadSnapshot()) return true;
+  if (m_options.tail_records > 0 ? SkipToTail() : LoadSnapshot()) return true;
   PauseAfterFailure();
   return false;
 }
 
+bool StreamFollower::SkipToTail() {
+  const Result<LogBounds> bounds = m_log.Bounds(m_options.stream, m_options.read_timeout);
+  if (!bounds) return false;
+  const Offset from = std::max(bounds->first_offset, bounds->next_offset - m_options.tail_records);
+  if (from - 1 > m_target.Position()) m_target.Skip(from - 1);
+  return true;
+}
+
 bool StreamFollower::LoadSnapshot() {
+  if (m_options.snapshot_stream.empty()) return true;
+  const Result<LogBounds> bounds = m_log.Bounds(m_options.snapshot_stream, m_options.read_timeout);
+  if (!bounds) return false;
   SnapshotAssembler assembler;
-  Offset from = kNoOffset;
-  for (;;) {
+  Offset from = bounds->first_offset;
+  while (from < bounds->next_offset) {
     const auto page =
         m_log.Read(m_options.snapshot_stream, from, kRecordsPerRead, absl::ZeroDuration(), m_options.read_timeout);
     if (!page) return false;
@@ -74,7 +86,6 @@
     }
     if (page->records.empty()) break;
     from = page->records.back().offset + 1;
-    if (from >= page->next_offset) break;
   }
   if (!assembler.state() || assembler.covers() <= m_target.Position()) return true;
   const Result<void> restored = m_target.Restore(*assembler.state());
@@ -98,7 +109,7 @@
         LogEvent(LogLevel::kError, "stream_gap", {{"stream", m_options.stream}, {"next_offset", from}});
       }
       m_gap_reported = true;
-      LoadSnapshot();
+      Bootstrap();
     } else if (!m_failure_reported) {
       LogEvent(LogLevel::kWarning, "stream_read_failed",
                {{"stream", m_options.stream}, {"reason", page.error().message}});
--- a/src/daemon/streams/stream_follower.h
+++ b/src/daemon/streams/stream_follower.h
@@ -20,6 +20,7 @@
 struct StreamFollowerOptions {
   std::string stream;
   std::string snapshot_stream;  ///< empty if the stream has no snapshots
+  Offset tail_records = 0;      ///< above 0: begin with the newest records and skip gaps, for streams of heartbeats
   absl::Duration poll_wait = absl::Milliseconds(300);  ///< longest wait of one read for new records
   absl::Duration read_timeout = absl::Seconds(2);
   absl::Duration retry_delay = absl::Milliseconds(100);  ///< after a failed read
@@ -45,6 +46,7 @@
  private:
   void Run();
   bool Bootstrap();
+  bool SkipToTail();
   bool LoadSnapshot();
   void ReadOnce();
   void Fold(Offset offset, const std::string& payload);
--- a/src/platform/http_log_client.cc
+++ b/src/platform/http_log_client.cc
@@ -94,4 +94,17 @@
   return page;
 }
 
+Result<LogBounds> HttpLogClient::Bounds(const std::string& stream, absl::Duration timeout) {
+  if (const Result<void> checked = CheckStreamName(stream); !checked) return tl::make_unexpected(checked.error());
+  const Result<HttpResponse> response = m_http.Call({.method = "GET", .url = m_url + stream}, timeout);
+  if (!response) return tl::make_unexpected(response.error());
+  LogBounds bounds;
+  const Result<void> read = ReadJsonAnswer(*response, [&](JsonObjectReader& answer) {
+    bounds.first_offset = answer.Integer("first_offset");
+    bounds.next_offset = answer.Integer("next_offset", {.min = bounds.first_offset});
+  });
+  if (!read) return tl::make_unexpected(read.error());
+  return bounds;
+}
+
 }  // namespace berylgauge
--- a/src/platform/http_log_client.h
+++ b/src/platform/http_log_client.h
@@ -22,6 +22,8 @@
   Result<LogPage> Read(const std::string& stream, Offset from, int max_records, absl::Duration wait,
                        absl::Duration timeout) override;
 
+  Result<LogBounds> Bounds(const std::string& stream, absl::Duration timeout) override;
+
  private:
   HttpClient& m_http;
   const std::string m_url;
--- a/src/platform/log_client.h
+++ b/src/platform/log_client.h
@@ -23,6 +23,12 @@
   Offset next_offset = 0;          ///< offset that the next append will get
 };
 
+/// Range of the offsets of a stream that can be read.
+struct LogBounds {
+  Offset first_offset = 0;  ///< oldest offset that is still retained
+  Offset next_offset = 0;   ///< offset that the next append will get
+};
+
 /// The platform's append-only log with offsets.
 ///
 /// All calls block for at most the given time and may be made from several threads.
@@ -38,6 +44,9 @@
   /// written is empty and has `next_offset` 0. Fails with `FailureCode::kExpired` if `from` is no longer retained.
   virtual Result<LogPage> Read(const std::string& stream, Offset from, int max_records, absl::Duration wait,
                                absl::Duration timeout) = 0;
+
+  /// Range of the retained offsets; both are 0 for a stream that was never written.
+  virtual Result<LogBounds> Bounds(const std::string& stream, absl::Duration timeout) = 0;
 };
 
 }  // namespace berylgauge
--- a/src/state/job_spec.cc
+++ b/src/state/job_spec.cc
@@ -9,6 +9,8 @@
 constexpr std::int64_t kMaxTasks = 1'000;
 constexpr std::int64_t kMaxRunSeconds = 30 * 24 * 3600;
 constexpr std::int64_t kMaxGraceMs = 24 * 3600 * 1000;
+/// Attempts that a restarted agent took over run under this grace until their owner tells the one of the job.
+constexpr std::int64_t kMinGraceMs = 60 * 1000;
 constexpr std::size_t kMaxCommandBytes = 4'096;
 
 }  // namespace
@@ -35,6 +37,9 @@
   spec.task_count = reader.Integer("task_count", {.default_value = 1, .min = 1, .max = kMaxTasks});
   spec.run_estimate_s = reader.Integer("run_estimate_s", {.default_value = 60, .min = 1, .max = kMaxRunSeconds});
   spec.outage_grace_ms = reader.Integer("outage_grace_ms", {.default_value = 0, .max = kMaxGraceMs});
+  if (spec.outage_grace_ms != 0 && spec.outage_grace_ms < kMinGraceMs) {
+    reader.AddError("outage_grace_ms", "must be 0 or at least " + std::to_string(kMinGraceMs));
+  }
   spec.resources = ReadResources(reader.Object("resources"));
   spec.job_class = reader.String("class", {.default_value = "batch", .max_length = 100});
   spec.command = reader.String("command", {.default_value = "", .min_length = 0, .max_length = kMaxCommandBytes});
