--- /dev/null
+++ b/src/daemon/entry/request_router.cc
@@ -0,0 +1,211 @@
+#include "daemon/entry/request_router.h"
+
+#include <absl/random/random.h>
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "daemon/entry/agent_clients.h"
+#include "daemon/entry/config_stream.h"
+#include "daemon/entry/worker_directory.h"
+#include "daemon/messages/request_messages.h"
+#include "routing/endpoint_reservation.h"
+#include "routing/request_key.h"
+#include "transport/stream_client.h"
+#include "web/json_error_response.h"
+
+namespace berylgauge {
+namespace {
+
+constexpr const char* kRequestsHelp = "Callers' requests by verdict.";
+
+absl::BitGen& ThreadRandom() {
+  static thread_local absl::BitGen generator;
+  return generator;
+}
+
+/// Splits "/service/rest?query" into the service and the path that its endpoints see.
+bool SplitPath(const WebRequest& request, ServiceId* service, std::string* path) {
+  const std::size_t end = request.path.find('/', 1);
+  const std::string name = request.path.substr(1, end == std::string::npos ? end : end - 1);
+  if (name.empty()) return false;
+  *service = ServiceId(name);
+  *path = end == std::string::npos ? "/" : request.path.substr(end);
+  if (!request.query.empty()) *path += "?" + request.query;
+  return true;
+}
+
+FailureCode CodeOf(PickRefusal refusal) {
+  return refusal == PickRefusal::kUnknownService ? FailureCode::kNotFound : FailureCode::kOverloaded;
+}
+
+}  // namespace
+
+/// One caller's request until it is answered.
+struct RequestRouter::Exchange {
+  ServiceId service;
+  RequestPolicy policy;
+  MonotonicTime deadline;
+  EndpointRequest request;
+  WebServer::Responder responder;
+  int attempts = 0;
+  Verdict verdict = Verdict::kNotRun;  ///< of all attempts so far
+  std::vector<RoutedEndpointPtr> tried;
+  std::optional<EndpointReservation> reservation;
+};
+
+RequestRouter::RequestRouter(RequestRouterOptions options, const Clock& clock, const WorkerDirectory& workers,
+                             AgentClients& agents, const ConfigStream& config, MetricsRegistry& metrics)
+    : m_options(options),
+      m_clock(clock),
+      m_workers(workers),
+      m_agents(agents),
+      m_config(config),
+      m_picker(EndpointPicker::Options{}),
+      m_budget(options.budget, clock.Now()),
+      m_answered(metrics.GetCounter("berylgauge_requests_total", kRequestsHelp, "verdict=\"ran\"")),
+      m_not_run(metrics.GetCounter("berylgauge_requests_total", kRequestsHelp, "verdict=\"not-run\"")),
+      m_may_have_run(metrics.GetCounter("berylgauge_requests_total", kRequestsHelp, "verdict=\"may-have-run\"")),
+      m_retries(metrics.GetCounter("berylgauge_request_retries_total", "Further attempts of callers' requests.")) {}
+
+void RequestRouter::Handle(WebRequest request, const WebServer::Responder& responder) {
+  const MonotonicTime now = m_clock.Now();
+  const auto exchange = std::make_shared<Exchange>();
+  exchange->responder = responder;
+  m_outstanding.fetch_add(1, std::memory_order_acq_rel);
+  std::string path;
+  if (!SplitPath(request, &exchange->service, &path)) {
+    Fail(exchange, FailureCode::kNotFound, "the path must begin with the name of a service");
+    return;
+  }
+  const Result<RequestPolicy> policy = RequestPolicyOf(request.method, request.headers, m_options.policy);
+  if (!policy) {
+    Respond(exchange, JsonErrorResponse(policy.error()));
+    return;
+  }
+  exchange->policy = *policy;
+  if (const std::optional<ServiceConfig> service = FindService(exchange->service)) {
+    exchange->policy.timeout =
+        std::min(exchange->policy.timeout, absl::Milliseconds(service->request_timeout_ms));
+  }
+  exchange->deadline = now + exchange->policy.timeout;
+  exchange->request = {.method = std::move(request.method),
+                       .path = std::move(path),
+                       .headers = std::move(request.headers),
+                       .body = std::move(request.body)};
+  m_budget.AddRequest();
+  StartAttempt(exchange);
+}
+
+std::optional<ServiceConfig> RequestRouter::FindService(const ServiceId& service) const {
+  return m_config.state().Read([&](const ConfigState& config) -> std::optional<ServiceConfig> {
+    const auto it = config.services().find(service);
+    if (it == config.services().end()) return std::nullopt;
+    return it->second;
+  });
+}
+
+void RequestRouter::StartAttempt(const std::shared_ptr<Exchange>& exchange) {
+  const MonotonicTime now = m_clock.Now();
+  if (now >= exchange->deadline) {
+    Fail(exchange, FailureCode::kDeadlineExceeded, "the deadline has passed");
+    return;
+  }
+  auto picked = m_workers.table().Read([&](const RoutingTable& table) {
+    return m_picker.Pick(table, exchange->service, exchange->tried, now, ThreadRandom());
+  });
+  if (!picked) {
+    Fail(exchange, CodeOf(picked.error()),
+         "no endpoint of " + exchange->service.value() + ": " + std::string(kPickRefusalNames.NameOf(picked.error())));
+    return;
+  }
+  ++exchange->attempts;
+  exchange->reservation.emplace(std::move(*picked));
+  const RoutedEndpoint& endpoint = exchange->reservation->endpoint();
+  const RequestId id = FormatRequestId(
+      {.entry_incarnation = m_options.incarnation, .number = m_next_number.fetch_add(1, std::memory_order_relaxed)});
+  const absl::Duration left = exchange->deadline - now;
+  ForwardedRequest forwarded{.id = id,
+                             .agent_incarnation = endpoint.agent_incarnation,
+                             .service = exchange->service,
+                             .endpoint_address = endpoint.address,
+                             .timeout = std::max(left, absl::Milliseconds(1)),
+                             .request = exchange->request};
+  forwarded.request.headers.emplace_back("berylgauge-request-id", id.value());
+  m_agents.For(endpoint.agent_address)
+      ->Send(EncodeForwardedRequest(std::move(forwarded)), left + m_options.answer_margin,
+             [this, exchange, id](Result<StreamResponse> result) {
+               HandleResult(exchange, id, std::move(result));
+             });
+}
+
+void RequestRouter::HandleResult(const std::shared_ptr<Exchange>& exchange, const RequestId& id,
+                                 Result<StreamResponse> result) {
+  exchange->tried.push_back(exchange->reservation->shared_endpoint());
+  exchange->reservation.reset();
+  if (!result) {
+    RetryOrFail(exchange, result.error().verdict, result.error().code, result.error().message);
+    return;
+  }
+  Result<ForwardedResponse> response = DecodeForwardedResponse(std::move(*result), id);
+  if (!response) {
+    RetryOrFail(exchange, response.error().verdict, response.error().code, response.error().message);
+    return;
+  }
+  if (response->verdict != Verdict::kRan) {
+    RetryOrFail(exchange, response->verdict, FailureCode::kUnavailable, response->reason);
+    return;
+  }
+  exchange->verdict = Verdict::kRan;
+  WebResponse answer{.status = response->response.status,
+                     .headers = std::move(response->response.headers),
+                     .body = std::move(response->response.body)};
+  answer.headers.emplace_back(std::string(kVerdictHeader), std::string(kVerdictNames.NameOf(Verdict::kRan)));
+  Respond(exchange, std::move(answer));
+}
+
+void RequestRouter::RetryOrFail(const std::shared_ptr<Exchange>& exchange, Verdict verdict, FailureCode code,
+                                const std::string& reason) {
+  exchange->verdict = CombineVerdicts(exchange->verdict, verdict);
+  const RetryDecision decision = DecideRetry({.verdict = exchange->verdict,
+                                              .is_idempotent = exchange->policy.is_idempotent,
+                                              .attempts = exchange->attempts,
+                                              .deadline = exchange->deadline},
+                                             m_options.retries, m_budget, m_clock.Now());
+  if (decision.is_retry) {
+    m_retries.Add();
+    StartAttempt(exchange);
+    return;
+  }
+  const FailureCode final_code = decision.reason == RetryReason::kDeadline ? FailureCode::kDeadlineExceeded : code;
+  Fail(exchange, final_code, reason + " (not retried: " + std::string(kRetryReasonNames.NameOf(decision.reason)) + ")");
+}
+
+void RequestRouter::Fail(const std::shared_ptr<Exchange>& exchange, FailureCode code, const std::string& reason) {
+  WebResponse response = JsonErrorResponse({.code = code, .verdict = exchange->verdict, .message = reason, .field = {}});
+  if (code == FailureCode::kOverloaded || code == FailureCode::kUnavailable) {
+    response.headers.emplace_back("Retry-After", "1");
+  }
+  Respond(exchange, std::move(response));
+}
+
+void RequestRouter::Respond(const std::shared_ptr<Exchange>& exchange, WebResponse response) {
+  switch (exchange->verdict) {
+    case Verdict::kRan:
+      m_answered.Add();
+      break;
+    case Verdict::kNotRun:
+      m_not_run.Add();
+      break;
+    case Verdict::kMayHaveRun:
+      m_may_have_run.Add();
+      break;
+  }
+  exchange->responder(std::move(response));
+  m_outstanding.fetch_sub(1, std::memory_order_acq_rel);
+}
+
+}  // namespace berylgauge
--- a/src/daemon/entry/share_controller.cc
+++ b/src/daemon/entry/share_controller.cc
@@ -348,7 +348,7 @@
           .epoch = m_epoch,
           .offset = task.placed_at,
           .agent_incarnation = task.agent_incarnation,
-          .config_version = inputs.config.offset(),
+          .config_version = inputs.config.offset() + 1,
           .checkpoint = task.checkpoint,
           .command = job.spec.command};
 }
--- /dev/null
+++ b/src/daemon/entry/share_map.cc
@@ -0,0 +1,33 @@
+#include "daemon/entry/share_map.h"
+
+#include <utility>
+
+#include "base/stable_hash.h"
+
+namespace berylgauge {
+
+ShareMap::ShareMap(std::vector<std::unique_ptr<ShareRunner>> runners) : m_runners(std::move(runners)) {}
+
+std::size_t ShareMap::ShareOf(const JobId& job) const { return StableHash64(job.value()) % m_runners.size(); }
+
+ShareRunner& ShareMap::RunnerOf(const JobId& job) const { return *m_runners[ShareOf(job)]; }
+
+void ShareMap::Deliver(const Heartbeat& heartbeat) const {
+  for (const std::unique_ptr<ShareRunner>& runner : m_runners) {
+    if (runner->IsOwner()) runner->Deliver(heartbeat);
+  }
+}
+
+bool ShareMap::IsEndRecorded(const TaskId& task, AttemptNumber attempt) const {
+  JobId job;
+  std::size_t index = 0;
+  if (!ParseTaskId(task, &job, &index)) return false;
+  return RunnerOf(job).state().Read([&](const JobsState& state) {
+    const Task* found = state.FindTask(task);
+    // An unknown task may be one that this entry has not read yet.
+    if (found == nullptr || found->attempt < attempt) return false;
+    return found->attempt > attempt || !found->HasLiveAttempt();
+  });
+}
+
+}  // namespace berylgauge
--- a/src/daemon/entry/share_runner.cc
+++ b/src/daemon/entry/share_runner.cc
@@ -1,5 +1,7 @@
 #include "daemon/entry/share_runner.h"
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "base/clock.h"
@@ -28,6 +30,7 @@
     : m_context(context),
       m_options(std::move(options)),
       m_stream("jobs-" + std::to_string(m_options.controller.share)),
+      m_inbox(std::make_shared<ShareInbox>()),
       m_controller(m_options.controller, context.placer) {
   m_follower = std::make_unique<StreamFollower>(
       context.log, context.clock, m_state,
@@ -37,23 +40,17 @@
                                                                 .writer = m_options.controller.entry.value(),
                                                                 .incarnation = m_options.controller.incarnation},
                                             [this] { return m_state.Position(); });
-  m_thread = std::make_shared<PeriodicThread>(kStepInterval, [this] { Step(); });
+  m_thread = std::thread([this] { Run(); });
 }
 
 ShareRunner::~ShareRunner() {
-  {
-    const absl::MutexLock lock(&m_mutex);
-    m_stopping = true;
-  }
-  m_thread.reset();
+  m_inbox->Stop();
+  m_thread.join();
   m_writer.reset();
   m_follower.reset();
 }
 
-void ShareRunner::Deliver(const Heartbeat& heartbeat) {
-  const absl::MutexLock lock(&m_mutex);
-  m_heartbeats[heartbeat.worker] = heartbeat;
-}
+void ShareRunner::Deliver(const Heartbeat& heartbeat) { m_inbox->Deliver(heartbeat); }
 
 Result<Offset> ShareRunner::AppendAndWait(std::vector<JobsRecord> records, absl::Duration timeout) {
   std::vector<nlohmann::json> encoded;
@@ -74,36 +71,27 @@
   return m_controller.WaitReason(task);
 }
 
-void ShareRunner::BeginLeaving() {
-  const absl::MutexLock lock(&m_mutex);
-  m_leaving = true;
+void ShareRunner::BeginLeaving() { m_inbox->BeginLeaving(); }
+
+void ShareRunner::Run() {
+  while (std::optional<ShareInbox::Content> content = m_inbox->Take(kStepInterval)) Step(std::move(*content));
 }
 
-void ShareRunner::Step() {
+void ShareRunner::Step(ShareInbox::Content content) {
   const MonotonicTime now = m_context.clock.Now();
-  const ShareDecisions decisions = Decide(now);
+  const ShareDecisions decisions = Decide(std::move(content), now);
   if (!CarryOut(decisions)) return;
   SendMessages(decisions);
   if (IsOwner()) WriteSnapshotIfDue(now);
 }
 
 bool ShareRunner::IsLogFresh(MonotonicTime now) const {
-  const MonotonicTime oldest = now - m_options.fresh_for;
+  const MonotonicTime oldest = std::max(m_decide_after, now - m_options.fresh_for);
   return m_follower->TailProofNow().at >= oldest && m_context.config.TailProofNow().at >= oldest &&
          m_context.members.TailProofNow().at >= oldest;
 }
 
-ShareDecisions ShareRunner::Decide(MonotonicTime now) {
-  std::vector<Heartbeat> heartbeats;
-  std::vector<StartAnswer> answers;
-  bool leaving = false;
-  {
-    const absl::MutexLock lock(&m_mutex);
-    for (auto& [worker, heartbeat] : m_heartbeats) heartbeats.push_back(std::move(heartbeat));
-    m_heartbeats.clear();
-    answers.swap(m_answers);
-    leaving = m_leaving;
-  }
+ShareDecisions ShareRunner::Decide(ShareInbox::Content content, MonotonicTime now) {
   const int share = m_options.controller.share;
   const absl::MutexLock controller_lock(&m_controller_mutex);
   const absl::MutexLock placer_lock(&m_context.placer_mutex);
@@ -116,9 +104,9 @@
           .owner_is_live = m_context.entries.IsLive(jobs.owner(), jobs.owner_incarnation(), now),
           .owner_silence = m_context.entries.SilenceOf(jobs.owner(), now),
           .preferred_entry = m_context.entries.PreferredEntry(share, now),
-          .leaving = leaving,
-          .heartbeats = std::move(heartbeats),
-          .answers = std::move(answers),
+          .leaving = content.leaving,
+          .heartbeats = std::move(content.heartbeats),
+          .answers = std::move(content.answers),
           .zone_of = [this](const WorkerId& worker) { return m_context.workers.ZoneOf(worker); },
           .silence_of = [this, now](const WorkerId& worker) { return m_context.workers.SilenceOf(worker, now); },
       };
@@ -138,11 +126,13 @@
   Result<Offset> offset = berylgauge::AppendAndWait(*m_writer, *m_follower, std::move(encoded), kAppendWait);
   while (!offset) {
     // The writer still holds the records; deciding again before they are folded would decide twice.
-    if (m_writer->Flush(kAppendWait)) break;
-    const absl::MutexLock lock(&m_mutex);
-    if (m_stopping) return false;
+    if (m_writer->Flush(kAppendWait)) {
+      m_decide_after = m_context.clock.Now();
+      return false;
+    }
+    if (m_inbox->IsStopped()) return false;
   }
-  return offset.has_value();
+  return true;
 }
 
 void ShareRunner::SendMessages(const ShareDecisions& decisions) {
@@ -168,20 +158,14 @@
   if (address.empty()) return;
   const AttemptKey key = start.message.key;
   StreamRequest request{.path = kStartPath, .headers = {}, .body = EncodeStartCommand(start.message)};
-  const std::weak_ptr<PeriodicThread> thread = m_thread;
-  m_context.agents.For(address)->Send(std::move(request), kMessageTimeout,
-                                      [this, thread, key, worker = start.worker](Result<StreamResponse> response) {
-                                        const std::shared_ptr<PeriodicThread> alive = thread.lock();
-                                        if (!alive || !response || response->status != 200) return;
-                                        Result<AttemptAnswer> answer = DecodeAttemptAnswer(response->body);
-                                        if (!answer) return;
-                                        {
-                                          const absl::MutexLock lock(&m_mutex);
-                                          m_answers.push_back(
-                                              {.key = key, .worker = worker, .answer = std::move(*answer)});
-                                        }
-                                        alive->Wake();
-                                      });
+  // The answer may arrive after this runner was destroyed, so the callback holds the inbox alone.
+  m_context.agents.For(address)->Send(
+      std::move(request), kMessageTimeout,
+      [inbox = m_inbox, key, worker = start.worker](const Result<StreamResponse>& response) {
+        if (!response || response->status != 200) return;
+        Result<AttemptAnswer> answer = DecodeAttemptAnswer(response->body);
+        if (answer) inbox->Answer({.key = key, .worker = worker, .answer = std::move(*answer)});
+      });
 }
 
 void ShareRunner::WriteSnapshotIfDue(MonotonicTime now) {
--- a/src/daemon/entry/share_runner.h
+++ b/src/daemon/entry/share_runner.h
@@ -4,14 +4,13 @@
 #include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 
-#include <functional>
-#include <map>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
-#include "daemon/common/periodic_thread.h"
 #include "daemon/entry/share_controller.h"
+#include "daemon/entry/share_inbox.h"
 #include "daemon/streams/shared_state.h"
 #include "daemon/streams/stream_follower.h"
 #include "daemon/streams/stream_writer.h"
@@ -69,8 +68,9 @@
   void BeginLeaving();
 
  private:
-  void Step();
-  ShareDecisions Decide(MonotonicTime now);
+  void Run();
+  void Step(ShareInbox::Content content);
+  ShareDecisions Decide(ShareInbox::Content content, MonotonicTime now);
   bool CarryOut(const ShareDecisions& decisions);
   void SendMessages(const ShareDecisions& decisions);
   void SendStart(const AgentMessage<StartCommand>& start);
@@ -84,18 +84,16 @@
   std::unique_ptr<StreamFollower> m_follower;
   std::unique_ptr<StreamWriter> m_writer;
 
-  mutable absl::Mutex m_mutex;
-  std::map<WorkerId, Heartbeat> m_heartbeats ABSL_GUARDED_BY(m_mutex);
-  std::vector<StartAnswer> m_answers ABSL_GUARDED_BY(m_mutex);
-  bool m_leaving ABSL_GUARDED_BY(m_mutex) = false;
-  bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
+  const std::shared_ptr<ShareInbox> m_inbox;
 
   mutable absl::Mutex m_controller_mutex;
   ShareController m_controller ABSL_GUARDED_BY(m_controller_mutex);
   absl::BitGen m_random;
   MonotonicTime m_last_snapshot = InfinitePast();
   Offset m_last_snapshot_offset = kNoOffset;
-  std::shared_ptr<PeriodicThread> m_thread;
+  /// Set when records were acknowledged without being folded; nothing is decided before the tail is known again.
+  MonotonicTime m_decide_after = InfinitePast();
+  std::thread m_thread;
 };
 
 }  // namespace berylgauge
