Add stand-ins for the log, a worker and an endpoint

Tests need the platform with faults that can be switched while it runs, and a record of what truly happened.

One thread for each connection was chosen over suspended connections: a few connections suffice in tests, and handlers may wait for faults, service times and long polls.

--- /dev/null
+++ b/tests/standins/standin_service.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "base/json_object_reader.h"
+#include "standin_message.h"
+
+namespace berylgauge {
+
+/// What distinguishes one stand-in from the others. Called on several threads at once; calls may block.
+class StandinService {
+ public:
+  virtual ~StandinService() = default;
+
+  virtual StandinResponse Handle(const StandinRequest& request) = 0;
+
+  /// Handles a request to a path under /control/ that all stand-ins do not share.
+  virtual StandinResponse HandleControl(const StandinRequest& request) {
+    return StandinResponse::Error(404, "no such path: " + request.path);
+  }
+
+  /// Reads the service's own faults; an absent key keeps its present value. The values take effect in `ApplyFaults`.
+  virtual void ReadFaults(JsonObjectReader& reader) = 0;
+
+  /// Applies what was read last, after the whole document was found valid.
+  virtual void ApplyFaults() = 0;
+
+  /// The service's own faults as an object.
+  virtual nlohmann::json Faults() const = 0;
+
+  /// Called before the server stops, while it still answers. Finishes what is under way.
+  virtual void Drain() {}
+
+  /// Ends every call that blocks.
+  virtual void Stop() = 0;
+};
+
+}  // namespace berylgauge
