--- a/src/schedule/placer.cc
+++ b/src/schedule/placer.cc
@@ -286,6 +286,24 @@
   return found == m_team_use.end() ? Resources{} : found->second;
 }
 
+double Placer::TeamShare(const TeamId& team) const {
+  Resources whole;
+  for (const auto& [capacity, count] : m_capacities) {
+    const auto& [cpu, memory, accelerators, slots] = capacity;
+    whole += {.cpu_millis = cpu * count,
+              .memory_mb = memory * count,
+              .accelerators = accelerators * count,
+              .slots = slots * count};
+  }
+  if (const auto quota = m_quotas.find(team); quota != m_quotas.end()) {
+    if (quota->second.cpu_millis >= 0) whole.cpu_millis = quota->second.cpu_millis;
+    if (quota->second.memory_mb >= 0) whole.memory_mb = quota->second.memory_mb;
+    if (quota->second.accelerators >= 0) whole.accelerators = quota->second.accelerators;
+    if (quota->second.slots >= 0) whole.slots = quota->second.slots;
+  }
+  return LoadOf(TeamUse(team), whole);
+}
+
 std::optional<PlacementReason> Placer::QuotaRefusal(const PlacementRequest& request) const {
   const auto quota = m_quotas.find(request.team);
   if (quota == m_quotas.end()) return std::nullopt;
--- a/src/schedule/placer.h
+++ b/src/schedule/placer.h
@@ -79,6 +79,8 @@
   // Queries.
   std::size_t worker_count() const { return m_index.size(); }
   Resources TeamUse(const TeamId& team) const;
+  /// Largest part of its quota that a team uses in any dimension, of all workers' capacity where it has no limit.
+  double TeamShare(const TeamId& team) const;
   /// Free amounts of a worker as the index has them; nothing if the worker is not known.
   std::optional<Resources> FreeOf(const WorkerId& worker) const;
 
--- /dev/null
+++ b/src/schedule/worker_quarantine.cc
@@ -0,0 +1,71 @@
+#include "schedule/worker_quarantine.h"
+
+#include <algorithm>
+
+namespace berylgauge {
+
+WorkerQuarantine::WorkerQuarantine(WorkerQuarantineOptions options) : m_options(options) {}
+
+bool WorkerQuarantine::RecordFailure(const WorkerId& worker, const JobId& job, MonotonicTime now) {
+  Record& record = m_records[worker];
+  record.failed_jobs.insert(job);
+  if (record.quarantined) {
+    // Attempts that were placed before the quarantine may still fail; only the trial counts.
+    if (!record.trial_running) return false;
+    record.trial_running = false;
+    record.pause = std::min(record.pause * 2, m_options.longest_pause);
+    record.trial_at = now + record.pause;
+    return true;
+  }
+  if (record.failed_jobs.size() < m_options.failed_jobs) return false;
+  record.quarantined = true;
+  record.pause = m_options.first_pause;
+  record.trial_at = now + record.pause;
+  return true;
+}
+
+void WorkerQuarantine::RecordSuccess(const WorkerId& worker) { m_records.erase(worker); }
+
+void WorkerQuarantine::RecordPlaced(const WorkerId& worker, MonotonicTime now) {
+  const auto found = m_records.find(worker);
+  if (found == m_records.end() || !found->second.quarantined || now < found->second.trial_at) return;
+  found->second.trial_running = true;
+}
+
+void WorkerQuarantine::RecordTrialAborted(const WorkerId& worker) {
+  const auto found = m_records.find(worker);
+  if (found != m_records.end()) found->second.trial_running = false;
+}
+
+void WorkerQuarantine::DiscountJob(const JobId& job) {
+  for (auto& [worker, record] : m_records) {
+    if (record.failed_jobs.erase(job) == 0) continue;
+    if (record.quarantined && record.failed_jobs.size() < m_options.failed_jobs) {
+      record.quarantined = false;
+      record.trial_running = false;
+    }
+  }
+  absl::erase_if(m_records, [](const auto& item) { return item.second.failed_jobs.empty(); });
+}
+
+void WorkerQuarantine::Forget(const WorkerId& worker) { m_records.erase(worker); }
+
+QuarantineState WorkerQuarantine::StateOf(const WorkerId& worker, MonotonicTime now) const {
+  const auto found = m_records.find(worker);
+  if (found == m_records.end() || !found->second.quarantined) return QuarantineState::kOpen;
+  if (found->second.trial_running) return QuarantineState::kTrialRunning;
+  return now < found->second.trial_at ? QuarantineState::kQuarantined : QuarantineState::kTrialDue;
+}
+
+bool WorkerQuarantine::MayPlace(const WorkerId& worker, MonotonicTime now) const {
+  const QuarantineState state = StateOf(worker, now);
+  return state == QuarantineState::kOpen || state == QuarantineState::kTrialDue;
+}
+
+std::vector<JobId> WorkerQuarantine::Evidence(const WorkerId& worker) const {
+  const auto found = m_records.find(worker);
+  if (found == m_records.end()) return {};
+  return {found->second.failed_jobs.begin(), found->second.failed_jobs.end()};
+}
+
+}  // namespace berylgauge
--- /dev/null
+++ b/src/schedule/worker_quarantine.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <cstddef>
+#include <set>
+#include <vector>
+
+#include "base/enum_names.h"
+#include "base/ids.h"
+#include "base/monotonic_time.h"
+
+namespace berylgauge {
+
+struct WorkerQuarantineOptions {
+  /// Different jobs that must fail in a row. One job alone never suffices, because the job may be at fault.
+  std::size_t failed_jobs = 3;
+  absl::Duration first_pause = absl::Minutes(1);  ///< until the first trial; doubles with each failed trial
+  absl::Duration longest_pause = absl::Minutes(30);
+};
+
+enum class QuarantineState {
+  kOpen,
+  kQuarantined,
+  kTrialDue,      ///< one attempt may be placed
+  kTrialRunning,  ///< that attempt was placed; nothing else may be
+};
+
+inline constexpr auto kQuarantineStateNames = MakeEnumNames<QuarantineState>({
+    {QuarantineState::kOpen, "open"},
+    {QuarantineState::kQuarantined, "quarantined"},
+    {QuarantineState::kTrialDue, "trial-due"},
+    {QuarantineState::kTrialRunning, "trial-running"},
+});
+
+/// Takes workers out that fail everything, and lets them back in by trial.
+///
+/// A worker is taken out when `failed_jobs` different jobs failed on it without a success in between.
+class WorkerQuarantine {
+ public:
+  explicit WorkerQuarantine(WorkerQuarantineOptions options = {});
+
+  /// An attempt failed by itself; stops, evictions and lost workers are no failures. Returns true if the worker is
+  /// taken out by this, or stays out because its trial failed.
+  bool RecordFailure(const WorkerId& worker, const JobId& job, MonotonicTime now);
+
+  /// An attempt succeeded, or a service replica has become ready.
+  void RecordSuccess(const WorkerId& worker);
+
+  /// An attempt was placed on the worker; in quarantine it is the trial.
+  void RecordPlaced(const WorkerId& worker, MonotonicTime now);
+
+  /// The trial ended without a result, for example because it was cancelled; another one may be placed.
+  void RecordTrialAborted(const WorkerId& worker);
+
+  /// The job fails everywhere, so its failures are no evidence against workers. Workers that were taken out because of
+  /// it are let back in.
+  void DiscountJob(const JobId& job);
+
+  /// The worker is gone or was replaced.
+  void Forget(const WorkerId& worker);
+
+  QuarantineState StateOf(const WorkerId& worker, MonotonicTime now) const;
+  bool MayPlace(const WorkerId& worker, MonotonicTime now) const;
+  /// Jobs that failed on the worker since its last success.
+  std::vector<JobId> Evidence(const WorkerId& worker) const;
+
+ private:
+  struct Record {
+    std::set<JobId> failed_jobs;
+    bool quarantined = false;
+    bool trial_running = false;
+    MonotonicTime trial_at;
+    absl::Duration pause = absl::ZeroDuration();
+  };
+
+  WorkerQuarantineOptions m_options;
+  absl::flat_hash_map<WorkerId, Record> m_records;  ///< of workers with failures since their last success
+};
+
+}  // namespace berylgauge
