--- a/src/daemon/agent/agent_core.cc
+++ b/src/daemon/agent/agent_core.cc
@@ -192,8 +192,7 @@
   m_table->ApplyConfig(reply.config_version, standing);
   if (reply.proof_age) {
     // The entry computed the age after this heartbeat was sent, so this instant is never later than the true one.
-    m_table->ApplyProof(
-        {.version = reply.config_version, .offset = reply.offset, .at = sent_at - *reply.proof_age});
+    m_table->ApplyProof({.version = reply.config_version, .offset = reply.offset, .at = sent_at - *reply.proof_age});
   }
   for (const AttemptAcknowledgement& acknowledged : reply.acknowledged) {
     m_table->AcknowledgeEnded({.task = acknowledged.task, .attempt = acknowledged.attempt});
--- a/src/daemon/agent/agent_core.h
+++ b/src/daemon/agent/agent_core.h
@@ -60,13 +60,15 @@
   // Entries.
   Heartbeat NextHeartbeat(MonotonicTime now);
 
-  /// Takes in the reply to a heartbeat that the run `incarnation` sent at `sent_at`; replies to former runs are dropped.
+  /// Takes in the reply to a heartbeat that the run `incarnation` sent at `sent_at`; replies to former runs are
+  /// dropped.
   void ApplyReply(Incarnation incarnation, const HeartbeatReply& reply, MonotonicTime sent_at);
 
   /// From now on heartbeats say that the agent is leaving and new requests and tasks are refused.
   void BeginLeaving();
 
-  /// After a revocation was carried out to the end, begins a new run that may start tasks again. Returns true if it did.
+  /// After a revocation was carried out to the end, begins a new run that may start tasks again. Returns true if it
+  /// did.
   bool RenewIncarnationIfRevoked(Incarnation next, MonotonicTime now);
 
   Incarnation incarnation() const;
--- a/src/daemon/agent/attempt_service.cc
+++ b/src/daemon/agent/attempt_service.cc
@@ -9,9 +9,7 @@
 namespace berylgauge {
 namespace {
 
-StreamResponse BadRequest(const Failure& failure) {
-  return {.status = 400, .headers = {}, .body = failure.message};
-}
+StreamResponse BadRequest(const Failure& failure) { return {.status = 400, .headers = {}, .body = failure.message}; }
 
 StreamResponse Answer(const AttemptAnswer& answer) {
   return {.status = 200, .headers = {}, .body = EncodeAttemptAnswer(answer)};
--- a/src/daemon/agent/heartbeat_sender.cc
+++ b/src/daemon/agent/heartbeat_sender.cc
@@ -70,18 +70,19 @@
   }
   peer.in_flight = true;
   StreamRequest request{.path = kHeartbeatPath, .headers = {}, .body = *body};
-  peer.client->Send(std::move(request), m_options.timeout, [this, address, incarnation, now](Result<StreamResponse> response) {
-    {
-      const absl::MutexLock callback_lock(&m_mutex);
-      const auto it = m_peers.find(address);
-      if (it != m_peers.end()) it->second.in_flight = false;
-    }
-    if (!response || response->status != 200) return;
-    const Result<HeartbeatReply> reply = DecodeHeartbeatReply(response->body);
-    if (!reply) return;
-    m_core.ApplyReply(incarnation, *reply, now);
-    NoteReply(address, *reply);
-  });
+  peer.client->Send(std::move(request), m_options.timeout,
+                    [this, address, incarnation, now](Result<StreamResponse> response) {
+                      {
+                        const absl::MutexLock callback_lock(&m_mutex);
+                        const auto it = m_peers.find(address);
+                        if (it != m_peers.end()) it->second.in_flight = false;
+                      }
+                      if (!response || response->status != 200) return;
+                      const Result<HeartbeatReply> reply = DecodeHeartbeatReply(response->body);
+                      if (!reply) return;
+                      m_core.ApplyReply(incarnation, *reply, now);
+                      NoteReply(address, *reply);
+                    });
 }
 
 void HeartbeatSender::NoteReply(const std::string& address, const HeartbeatReply& reply) {
--- a/src/daemon/agent/heartbeat_sender.h
+++ b/src/daemon/agent/heartbeat_sender.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "base/monotonic_time.h"
 #include "daemon/common/periodic_thread.h"
 #include "membership/heartbeat_reply.h"
 
--- a/src/daemon/agent/request_forwarder.cc
+++ b/src/daemon/agent/request_forwarder.cc
@@ -71,8 +71,7 @@
   responder(EncodeForwardedResponse(std::move(answer_message)));
 }
 
-void RequestForwarder::Refuse(const RequestId& id, const GateAnswer& answer,
-                              const StreamServer::Responder& responder) {
+void RequestForwarder::Refuse(const RequestId& id, const GateAnswer& answer, const StreamServer::Responder& responder) {
   m_refused.Add();
   responder(EncodeForwardedResponse({.id = id,
                                      .verdict = answer.verdict,
--- a/src/daemon/agent/request_forwarder.h
+++ b/src/daemon/agent/request_forwarder.h
@@ -7,9 +7,11 @@
 #include <memory>
 #include <string>
 
+#include "base/monotonic_time.h"
 #include "daemon/common/thread_pool.h"
 #include "daemon/messages/request_messages.h"
 #include "platform/endpoint_client.h"
+#include "routing/agent_request_gate.h"
 #include "transport/stream_server.h"
 
 namespace berylgauge {
--- a/src/daemon/entry/agent_clients.h
+++ b/src/daemon/entry/agent_clients.h
@@ -28,11 +28,15 @@
   /// Drops the connections to all addresses but those given; requests under way keep theirs.
   void Retain(const std::vector<std::string>& addresses);
 
+  /// Closes all connections, which completes the requests under way; later ones fail with `not run`.
+  void Close();
+
  private:
   using Table = absl::flat_hash_map<std::string, std::shared_ptr<StreamClient>>;
 
   const Factory m_factory;
   absl::Mutex m_writer_mutex;
+  bool m_closed ABSL_GUARDED_BY(m_writer_mutex) = false;
   RcuCell<Table> m_table;
 };
 
--- a/src/daemon/entry/heartbeat_service.cc
+++ b/src/daemon/entry/heartbeat_service.cc
@@ -49,8 +49,7 @@
   }
   if (outcome.decision != HeartbeatDecision::kRefreshed) {
     LogEvent(LogLevel::kInfo, "worker_announced",
-             {{"worker", heartbeat->worker.value()},
-              {"decision", kHeartbeatDecisionNames.NameOf(outcome.decision)}});
+             {{"worker", heartbeat->worker.value()}, {"decision", kHeartbeatDecisionNames.NameOf(outcome.decision)}});
   }
   m_listener(*heartbeat, outcome, now);
   const Result<std::string> reply = EncodeHeartbeatReply(MakeReply(*heartbeat, now));
--- a/src/daemon/entry/request_router.cc
+++ b/src/daemon/entry/request_router.cc
@@ -9,11 +9,11 @@
 #include "base/clock.h"
 #include "base/metrics.h"
 #include "daemon/entry/agent_clients.h"
-#include "daemon/entry/config_stream.h"
 #include "daemon/entry/worker_directory.h"
 #include "daemon/messages/request_messages.h"
 #include "routing/endpoint_reservation.h"
 #include "routing/request_key.h"
+#include "state/config_state.h"
 #include "transport/stream_client.h"
 #include "web/json_error_response.h"
 
@@ -58,14 +58,14 @@
 };
 
 RequestRouter::RequestRouter(RequestRouterOptions options, const Clock& clock, const WorkerDirectory& workers,
-                             AgentClients& agents, const ConfigStream& config, MetricsRegistry& metrics)
+                             AgentClients& agents, MetricsRegistry& metrics)
     : m_options(options),
       m_clock(clock),
       m_workers(workers),
       m_agents(agents),
-      m_config(config),
       m_picker(EndpointPicker::Options{}),
       m_budget(options.budget, clock.Now()),
+      m_services(std::make_unique<const ServiceTable>()),
       m_answered(metrics.GetCounter("berylgauge_requests_total", kRequestsHelp, "verdict=\"ran\"")),
       m_not_run(metrics.GetCounter("berylgauge_requests_total", kRequestsHelp, "verdict=\"not-run\"")),
       m_may_have_run(metrics.GetCounter("berylgauge_requests_total", kRequestsHelp, "verdict=\"may-have-run\"")),
@@ -88,8 +88,7 @@
   }
   exchange->policy = *policy;
   if (const std::optional<ServiceConfig> service = FindService(exchange->service)) {
-    exchange->policy.timeout =
-        std::min(exchange->policy.timeout, absl::Milliseconds(service->request_timeout_ms));
+    exchange->policy.timeout = std::min(exchange->policy.timeout, absl::Milliseconds(service->request_timeout_ms));
   }
   exchange->deadline = now + exchange->policy.timeout;
   exchange->request = {.method = std::move(request.method),
@@ -100,10 +99,16 @@
   StartAttempt(exchange);
 }
 
+void RequestRouter::UpdateServices(const ConfigState& config) {
+  auto next = std::make_unique<ServiceTable>();
+  for (const auto& [id, service] : config.services()) next->emplace(id, service);
+  m_services.Publish(std::move(next));
+}
+
 std::optional<ServiceConfig> RequestRouter::FindService(const ServiceId& service) const {
-  return m_config.state().Read([&](const ConfigState& config) -> std::optional<ServiceConfig> {
-    const auto it = config.services().find(service);
-    if (it == config.services().end()) return std::nullopt;
+  return m_services.Read([&](const ServiceTable& services) -> std::optional<ServiceConfig> {
+    const auto it = services.find(service);
+    if (it == services.end()) return std::nullopt;
     return it->second;
   });
 }
@@ -137,9 +142,7 @@
   forwarded.request.headers.emplace_back("berylgauge-request-id", id.value());
   m_agents.For(endpoint.agent_address)
       ->Send(EncodeForwardedRequest(std::move(forwarded)), left + m_options.answer_margin,
-             [this, exchange, id](Result<StreamResponse> result) {
-               HandleResult(exchange, id, std::move(result));
-             });
+             [this, exchange, id](Result<StreamResponse> result) { HandleResult(exchange, id, std::move(result)); });
 }
 
 void RequestRouter::HandleResult(const std::shared_ptr<Exchange>& exchange, const RequestId& id,
@@ -185,7 +188,8 @@
 }
 
 void RequestRouter::Fail(const std::shared_ptr<Exchange>& exchange, FailureCode code, const std::string& reason) {
-  WebResponse response = JsonErrorResponse({.code = code, .verdict = exchange->verdict, .message = reason, .field = {}});
+  WebResponse response =
+      JsonErrorResponse({.code = code, .verdict = exchange->verdict, .message = reason, .field = {}});
   if (code == FailureCode::kOverloaded || code == FailureCode::kUnavailable) {
     response.headers.emplace_back("Retry-After", "1");
   }
--- a/src/daemon/entry/request_router.h
+++ b/src/daemon/entry/request_router.h
@@ -1,22 +1,27 @@
 #pragma once
 
+#include <absl/container/flat_hash_map.h>
+
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/ids.h"
+#include "base/rcu_cell.h"
 #include "routing/endpoint_picker.h"
 #include "routing/request_policy.h"
 #include "routing/retry_budget.h"
 #include "routing/retry_decision.h"
 #include "state/service_config.h"
+#include "transport/message_types.h"
 #include "web/web_server.h"
 
 namespace berylgauge {
 
 class AgentClients;
 class Clock;
-class ConfigStream;
+class ConfigState;
 class Counter;
 class MetricsRegistry;
 class WorkerDirectory;
@@ -33,8 +38,8 @@
 /// Carries callers' requests to endpoints and their answers back.
 class RequestRouter {
  public:
-  RequestRouter(RequestRouterOptions options, const Clock& clock, const WorkerDirectory& workers,
-                AgentClients& agents, const ConfigStream& config, MetricsRegistry& metrics);
+  RequestRouter(RequestRouterOptions options, const Clock& clock, const WorkerDirectory& workers, AgentClients& agents,
+                const ConfigStream& config, MetricsRegistry& metrics);
 
   /// Handles one request of a caller; does not block. The first segment of the path names the service.
   void Handle(WebRequest request, const WebServer::Responder& responder);
@@ -44,6 +49,7 @@
 
  private:
   struct Exchange;
+  using ServiceTable = absl::flat_hash_map<ServiceId, ServiceConfig>;
 
   void StartAttempt(const std::shared_ptr<Exchange>& exchange);
   void HandleResult(const std::shared_ptr<Exchange>& exchange, const RequestId& id, Result<StreamResponse> result);
@@ -57,9 +63,9 @@
   const Clock& m_clock;
   const WorkerDirectory& m_workers;
   AgentClients& m_agents;
-  const ConfigStream& m_config;
   const EndpointPicker m_picker;
   RetryBudget m_budget;
+  RcuCell<ServiceTable> m_services;
   std::atomic<std::uint64_t> m_next_number{1};
   std::atomic<int> m_outstanding{0};
   Counter& m_answered;
--- a/src/daemon/entry/share_controller.cc
+++ b/src/daemon/entry/share_controller.cc
@@ -76,9 +76,8 @@
     m_owner_since.reset();
     m_other_preferred_since.reset();
     if (!inputs.leaving && MayClaim(inputs)) {
-      decisions.records.emplace_back(ShareClaimed{.entry = m_options.entry,
-                                                  .entry_incarnation = m_options.incarnation,
-                                                  .previous_epoch = inputs.jobs.epoch()});
+      decisions.records.emplace_back(ShareClaimed{
+          .entry = m_options.entry, .entry_incarnation = m_options.incarnation, .previous_epoch = inputs.jobs.epoch()});
     }
     return;
   }
@@ -115,8 +114,8 @@
       m_placer.RecordStarted(answer.key, now);
       continue;
     }
-    const bool not_run = kind == AnswerKind::kNotRun ||
-                         (kind == AnswerKind::kRefused && answer.answer.verdict == Verdict::kNotRun);
+    const bool not_run =
+        kind == AnswerKind::kNotRun || (kind == AnswerKind::kRefused && answer.answer.verdict == Verdict::kNotRun);
     // Any other answer leaves open whether the attempt runs; the agent's heartbeats will tell.
     if (!not_run) continue;
     m_placer.RecordRefused(answer.key, answer.worker, now);
@@ -144,8 +143,7 @@
 }
 
 void ShareController::HandleRunning(const ShareInputs& inputs, const Heartbeat& heartbeat,
-                                    const RunningAttemptReport& running, MonotonicTime now,
-                                    ShareDecisions& decisions) {
+                                    const RunningAttemptReport& running, MonotonicTime now, ShareDecisions& decisions) {
   const Task* task = inputs.jobs.FindTask(running.task);
   if (task == nullptr) return;
   const AttemptKey key{.task = running.task, .attempt = running.attempt};
@@ -155,9 +153,8 @@
     AttemptTimes& times = m_times[key];
     if (now < times.next_stop) return;
     times.next_stop = now + m_options.stop_repeat;
-    const EndCommand end{.key = key,
-                         .share = static_cast<std::uint32_t>(m_options.share),
-                         .agent_incarnation = heartbeat.incarnation};
+    const EndCommand end{
+        .key = key, .share = static_cast<std::uint32_t>(m_options.share), .agent_incarnation = heartbeat.incarnation};
     decisions.stops.push_back({.worker = heartbeat.worker, .message = {.end = end, .with_checkpoint = false}});
     return;
   }
@@ -252,8 +249,7 @@
 
 void ShareController::PlaceWaiting(const ShareInputs& inputs, MonotonicTime now, absl::BitGenRef random,
                                    ShareDecisions& decisions) {
-  Refill(static_cast<double>(inputs.config.Limit(LimitName::kStartsPerSecond)), now, m_start_tokens,
-         m_start_tokens_at);
+  Refill(static_cast<double>(inputs.config.Limit(LimitName::kStartsPerSecond)), now, m_start_tokens, m_start_tokens_at);
   std::vector<std::pair<std::int64_t, TaskId>> order;
   for (const TaskId& id : inputs.jobs.waiting()) {
     JobId job_id;
--- a/src/daemon/entry/share_controller.h
+++ b/src/daemon/entry/share_controller.h
@@ -31,8 +31,8 @@
   absl::Duration outage_grace = absl::Milliseconds(3'900'000);
   absl::Duration start_repeat = absl::Seconds(1);  ///< a start command without effect is sent again after this
   absl::Duration stop_repeat = absl::Seconds(5);
-  absl::Duration handover_after = absl::Seconds(5);  ///< another entry must be preferred for this long
-  std::uint32_t max_failures = 3;                    ///< a task that failed this often is parked
+  absl::Duration handover_after = absl::Seconds(5);   ///< another entry must be preferred for this long
+  std::uint32_t max_failures = 3;                     ///< a task that failed this often is parked
   absl::Duration failure_backoff = absl::Seconds(1);  ///< after the first failure; doubles with each further one
 };
 
--- a/src/daemon/entry/share_runner.cc
+++ b/src/daemon/entry/share_runner.cc
@@ -174,8 +174,8 @@
     m_last_snapshot_offset = m_state.Position();
   }
   const std::int64_t since = m_state.Position() - m_last_snapshot_offset;
-  const bool due = since >= m_options.snapshot_every_records ||
-                   (since > 0 && now - m_last_snapshot >= m_options.snapshot_interval);
+  const bool due =
+      since >= m_options.snapshot_every_records || (since > 0 && now - m_last_snapshot >= m_options.snapshot_interval);
   if (!due) return;
   m_last_snapshot = now;
   m_last_snapshot_offset = m_state.Position();
--- a/src/daemon/messages/attempt_messages.cc
+++ b/src/daemon/messages/attempt_messages.cc
@@ -117,9 +117,8 @@
 }
 
 std::string EncodeTermsMessage(const TermsMessage& message) {
-  return ToCbor({{"task", message.key.task.value()},
-                 {"attempt", message.key.attempt},
-                 {"terms", TermsToJson(message.terms)}});
+  return ToCbor(
+      {{"task", message.key.task.value()}, {"attempt", message.key.attempt}, {"terms", TermsToJson(message.terms)}});
 }
 
 Result<TermsMessage> DecodeTermsMessage(const std::string& bytes) {
--- a/src/daemon/streams/stream_writer.cc
+++ b/src/daemon/streams/stream_writer.cc
@@ -87,8 +87,7 @@
     if (offset) return offset;
     may_have_run = may_have_run || offset.error().verdict == Verdict::kMayHaveRun;
     if (!reported) {
-      LogEvent(LogLevel::kWarning, "append_failed",
-               {{"stream", m_options.stream}, {"reason", offset.error().message}});
+      LogEvent(LogLevel::kWarning, "append_failed", {{"stream", m_options.stream}, {"reason", offset.error().message}});
       reported = true;
     }
     const absl::MutexLock lock(&m_mutex);
--- a/src/state/config_state.cc
+++ b/src/state/config_state.cc
@@ -61,6 +61,7 @@
 
 nlohmann::json AuditRecord::ToJson() const {
   return {{"version", version},
+          {"plan", plan.value()},
           {"offset", offset},
           {"operator", operator_name},
           {"at_unix_ms", confirmed_unix_ms},
@@ -107,6 +108,7 @@
   for (const std::unique_ptr<ConfigCommand>& command : commands) {
     m_audit.push_back({.version = m_version,
                        .offset = offset,
+                       .plan = record.plan,
                        .operator_name = record.operator_name,
                        .confirmed_unix_ms = record.confirmed_unix_ms,
                        .target = command->Target(),
@@ -228,6 +230,7 @@
     AuditRecord record;
     record.version = item.Integer("version");
     record.offset = item.Integer("offset");
+    record.plan = PlanId(item.String("plan"));
     record.operator_name = item.String("operator");
     record.confirmed_unix_ms = item.Integer("at_unix_ms");
     record.target = item.String("target");
--- a/src/state/config_state.h
+++ b/src/state/config_state.h
@@ -25,6 +25,7 @@
 struct AuditRecord {
   ConfigVersion version = 0;
   Offset offset = kNoOffset;
+  PlanId plan;
   std::string operator_name;
   std::int64_t confirmed_unix_ms = 0;
   std::string target;
