--- a/src/transport/message_types.h
+++ b/src/transport/message_types.h
@@ -7,6 +7,8 @@
 namespace berylgauge {
 
 /// A request on one HTTP/2 stream between two processes of the system.
+///
+/// The transport sends the content-length of each body itself and checks it, so received headers don't contain it.
 struct StreamRequest {
   std::string path;                                          ///< "/internal/..."
   std::vector<std::pair<std::string, std::string>> headers;  ///< names in lower case, without pseudo-headers
