--- a/tests/unit/transport/raw_peer.h
+++ b/tests/unit/transport/raw_peer.h
@@ -16,6 +16,7 @@
 inline constexpr std::uint8_t kResetFrame = 3;
 inline constexpr std::uint8_t kSettingsFrame = 4;
 inline constexpr std::uint8_t kGoawayFrame = 7;
+inline constexpr std::uint8_t kWindowUpdateFrame = 8;
 inline constexpr std::uint8_t kEndStream = 1;
 inline constexpr std::uint8_t kEndHeaders = 4;
 inline constexpr std::uint32_t kRefusedStreamCode = 7;
--- a/tests/unit/transport/stream_roundtrip_test.cc
+++ b/tests/unit/transport/stream_roundtrip_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/metrics.h"
+#include "held_responders.h"
 #include "test_endpoints.h"
 #include "transport/header_rules.h"
 
@@ -63,14 +64,8 @@
   constexpr int kRequests = kConnections * kStreamsPerConnection;
   EventLoop loop;
   MetricsRegistry metrics;
-  std::vector<StreamServer::Responder> held;
-  const TestServer server(
-      [&](const StreamRequest&, StreamServer::Responder responder) {
-        held.push_back(std::move(responder));
-        if (held.size() < kRequests) return;
-        for (const StreamServer::Responder& waiting : held) waiting({.status = 200, .headers = {}, .body = {}});
-      },
-      {.max_concurrent_streams = kStreamsPerConnection});
+  HeldResponders held;
+  const TestServer server(held.handler(), {.max_concurrent_streams = kStreamsPerConnection});
   const auto client = MakeTestClient(loop, server.port, {.max_connections = kConnections, .metrics = &metrics});
   std::atomic<int> answered{0};
   absl::BlockingCounter done(kRequests);
@@ -80,6 +75,8 @@
       done.DecrementCount();
     });
   }
+  held.WaitForCount(kRequests);
+  held.AnswerAll({.status = 200, .headers = {}, .body = {}});
   done.Wait();
   CHECK(answered.load() == kRequests);
   CHECK(metrics.GetCounter("berylgauge_transport_connections_opened_total", "", "side=\"client\"").value() ==
