--- a/src/schedule/attempt_table.cc
+++ b/src/schedule/attempt_table.cc
@@ -136,7 +136,10 @@
   if (command.agent_incarnation != m_options.incarnation) {
     return AttemptAnswer{.reason = RefusalReason::kWrongIncarnation, .verdict = Verdict::kMayHaveRun};
   }
-  if (const auto past = FindPast(command.key, command.share, command.offset)) return AnswerForEnded(past->verdict);
+  // The floor says nothing about what a former agent has run.
+  const bool placed_here = command.placed_incarnation == m_options.incarnation;
+  const Offset offset = placed_here ? command.offset : kNoOffset;
+  if (const auto past = FindPast(command.key, command.share, offset)) return AnswerForEnded(past->verdict);
   if (m_attempts.contains(command.key)) return std::nullopt;
   if (command.key.task.empty() || command.key.attempt == 0 || command.offset < 0) {
     return AttemptAnswer{.reason = RefusalReason::kInvalidCommand, .verdict = Verdict::kMayHaveRun};
@@ -151,8 +154,11 @@
 AttemptAnswer AttemptTable::EndBeforeStart(const EndCommand& command) {
   m_attempts.erase(command.key);
   m_ledger.Release(command.key);
-  AddTombstone(command.key, command.share, command.offset, Verdict::kNotRun);
-  return AnswerForEnded(Verdict::kNotRun);
+  // A former agent may have run it to its end, of which this one knows only that it does not run any more.
+  const bool placed_here = command.placed_incarnation == m_options.incarnation;
+  const Verdict verdict = placed_here ? Verdict::kNotRun : Verdict::kMayHaveRun;
+  AddTombstone(command.key, command.share, command.offset, verdict);
+  return AnswerForEnded(verdict);
 }
 
 AttemptAnswer AttemptTable::HandleWithdraw(const EndCommand& command, MonotonicTime /*now*/) {
@@ -161,7 +167,10 @@
   if (found == m_attempts.end()) return EndBeforeStart(command);
   if (found->second.state == AttemptState::kAdmitted) {
     const StartCommand& placed = found->second.command;
-    return EndBeforeStart({.key = command.key, .share = placed.share, .offset = placed.offset});
+    return EndBeforeStart({.key = command.key,
+                           .share = placed.share,
+                           .offset = placed.offset,
+                           .placed_incarnation = placed.agent_incarnation});
   }
   return {.kind = AnswerKind::kRunning, .verdict = Verdict::kMayHaveRun};
 }
@@ -172,7 +181,10 @@
   if (found == m_attempts.end()) return EndBeforeStart(command);
   if (found->second.state == AttemptState::kAdmitted) {
     const StartCommand& placed = found->second.command;
-    return EndBeforeStart({.key = command.key, .share = placed.share, .offset = placed.offset});
+    return EndBeforeStart({.key = command.key,
+                           .share = placed.share,
+                           .offset = placed.offset,
+                           .placed_incarnation = placed.agent_incarnation});
   }
   RequestStop(found->second, StopReason::kRequested, with_checkpoint, now);
   return {.kind = AnswerKind::kStopping, .verdict = Verdict::kMayHaveRun};
--- a/src/schedule/start_command.h
+++ b/src/schedule/start_command.h
@@ -40,8 +40,9 @@
 struct EndCommand {
   AttemptKey key;
   std::uint32_t share = 0;
-  Offset offset = kNoOffset;          ///< of the placement; needed to prune the tombstone
-  Incarnation agent_incarnation = 0;  ///< of the agent that is addressed, which may be a successor of the placed one
+  Offset offset = kNoOffset;           ///< of the placement; needed to prune the tombstone
+  Incarnation agent_incarnation = 0;   ///< of the agent that is addressed
+  Incarnation placed_incarnation = 0;  ///< that the start command names; the agent may have been restarted since
 };
 
 }  // namespace berylgauge
