--- a/src/daemon/agent/agent_node.cc
+++ b/src/daemon/agent/agent_node.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "daemon/common/authority_of.h"
 #include "daemon/common/await_drained.h"
 #include "daemon/common/random_incarnation.h"
 #include "daemon/common/stream_clients.h"
@@ -36,7 +37,7 @@
 
 AgentNode::AgentNode(const DaemonSettings& settings) : m_settings(settings), m_loop("agent-clients") {
   const AgentSettings& agent = *m_settings.agent;
-  m_worker = std::make_unique<HttpWorkerClient>(m_worker_http, agent.worker_url);
+  m_worker = std::make_unique<HttpWorkerClient>(m_worker_http, AuthorityOf(agent.worker_url));
   m_core = std::make_unique<AgentCore>(CoreOptions(m_settings), RandomIncarnation(), m_clock.Now());
   m_forwarder = std::make_unique<RequestForwarder>(
       *m_core, m_clock, m_metrics,
--- a/src/daemon/entry/entry_node.cc
+++ b/src/daemon/entry/entry_node.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "base/event_log.h"
+#include "daemon/common/authority_of.h"
 #include "daemon/common/await_drained.h"
 #include "daemon/common/random_incarnation.h"
 #include "daemon/common/stream_clients.h"
@@ -51,7 +52,7 @@
     : m_settings(settings),
       m_entry(settings.node_id),
       m_incarnation(RandomIncarnation()),
-      m_log(std::make_unique<HttpLogClient>(m_log_http, settings.entry->log_url)),
+      m_log(std::make_unique<HttpLogClient>(m_log_http, AuthorityOf(settings.entry->log_url))),
       m_loop("entry-clients"),
       m_agents(StreamClientFactory(m_loop, &m_metrics)),
       m_workers(RegistryOptions(settings), TableOptions(settings)),
--- a/src/daemon/entry/request_router.h
+++ b/src/daemon/entry/request_router.h
@@ -39,7 +39,10 @@
 class RequestRouter {
  public:
   RequestRouter(RequestRouterOptions options, const Clock& clock, const WorkerDirectory& workers, AgentClients& agents,
-                const ConfigStream& config, MetricsRegistry& metrics);
+                MetricsRegistry& metrics);
+
+  /// Publishes the services of a new configuration to the requests' path.
+  void UpdateServices(const ConfigState& config);
 
   /// Handles one request of a caller; does not block. The first segment of the path names the service.
   void Handle(WebRequest request, const WebServer::Responder& responder);
