--- a/src/platform/http_exchange.cc
+++ b/src/platform/http_exchange.cc
@@ -231,7 +231,11 @@
   const auto code = static_cast<CURLcode>(curl_code);
   std::string message = m_rejection;
   if (message.empty()) message = error_text[0] != '\0' ? error_text : curl_easy_strerror(code);
-  if (m_request_started) return MayHaveRun(CodeOf(code), std::move(message));
+  if (m_request_started) {
+    // After the request was sent this code stands for an answer that is not HTTP/1, not for an unsuitable URL.
+    const bool unknown_protocol = code == CURLE_UNSUPPORTED_PROTOCOL;
+    return MayHaveRun(unknown_protocol ? FailureCode::kCorrupt : CodeOf(code), std::move(message));
+  }
   // The peer was not reached within the connect timeout, although the caller would have waited longer.
   if (code == CURLE_OPERATION_TIMEDOUT && m_options.connect_timeout < timeout) {
     return NotRun(FailureCode::kUnavailable, std::move(message));
--- a/tests/standins/endpoint_service.cc
+++ b/tests/standins/endpoint_service.cc
@@ -22,11 +22,9 @@
 StandinResponse EndpointService::Handle(const StandinRequest& request) {
   nlohmann::json headers = nlohmann::json::array();
   for (const auto& [name, value] : request.headers) headers.push_back({name, value});
-  const nlohmann::json description = {{"id", HeaderOf(request, kIdHeader)},
-                                      {"method", request.method},
-                                      {"target", request.target},
-                                      {"headers", std::move(headers)},
-                                      {"body_bytes", request.body.size()}};
+  const nlohmann::json description = {{"id", HeaderOf(request, kIdHeader)}, {"method", request.method},
+                                      {"target", request.target},           {"headers", std::move(headers)},
+                                      {"body_bytes", request.body.size()},  {"peer_port", request.peer_port}};
   if (!Run(description)) return {.closed = true};
   StandinResponse answer{.body = request.body};
   for (const char* name : {kIdHeader, "content-type"}) {
@@ -39,7 +37,6 @@
 bool EndpointService::Run(const nlohmann::json& description) {
   const nlohmann::json id = {{"id", description["id"]}};
   std::unique_lock lock(m_mutex);
-  ++m_open_requests;
   if (m_used_slots >= m_slots) m_record.Add("over-slots", id);
   m_changed.wait(lock, [&] { return m_stopped || (m_used_slots < m_slots && !m_faults.freeze); });
   if (!m_stopped) {
@@ -50,7 +47,6 @@
     if (!m_stopped) m_record.Add("request-end", id);
     --m_used_slots;
   }
-  --m_open_requests;
   m_changed.notify_all();
   return !m_stopped;
 }
@@ -101,12 +97,6 @@
           {"truncate_answers", m_faults.truncate_answers}};
 }
 
-void EndpointService::Drain() {
-  m_announcer.AnnounceLeaving();
-  std::unique_lock lock(m_mutex);
-  m_changed.wait(lock, [&] { return m_open_requests == 0; });
-}
-
 void EndpointService::Stop() {
   const std::lock_guard lock(m_mutex);
   m_stopped = true;
--- a/tests/standins/endpoint_service.h
+++ b/tests/standins/endpoint_service.h
@@ -31,7 +31,8 @@
   void ReadFaults(JsonObjectReader& reader) override;
   void ApplyFaults() override;
   nlohmann::json Faults() const override;
-  void Drain() override;
+  void Drain() override { m_announcer.AnnounceLeaving(); }
+  bool FinishesRequests() const override { return true; }
   void Stop() override;
 
  private:
@@ -47,7 +48,6 @@
   std::condition_variable m_changed;
   EndpointFaults m_faults;
   EndpointFaults m_next_faults;
-  std::int64_t m_open_requests = 0;
   std::int64_t m_used_slots = 0;
   bool m_stopped = false;
 };
--- a/tests/standins/log_service.cc
+++ b/tests/standins/log_service.cc
@@ -58,10 +58,12 @@
   const auto wait_ms = NumberOf(request, "wait_ms", 0, kMaxWaitMs);
   if (!from || !max || !wait_ms) return StandinResponse::Error(400, "from, max and wait_ms are required");
   std::unique_lock lock(m_mutex);
+  ++m_waiting_reads;
   m_changed.wait_for(lock, std::chrono::milliseconds(*wait_ms), [&] {
     const auto it = m_streams.find(name);
     return m_stopped || (it != m_streams.end() && it->second.NextOffset() > *from);
   });
+  --m_waiting_reads;
   const auto it = m_streams.find(name);
   if (it == m_streams.end()) {
     return StandinResponse::Json({{"first_offset", 0}, {"next_offset", 0}, {"records", nlohmann::json::array()}});
@@ -82,6 +84,10 @@
 
 StandinResponse LogService::HandleControl(const StandinRequest& request) {
   if (request.path == "/control/retention" && request.method == "POST") return SetRetention(request);
+  if (request.path == "/control/waiting-reads") {
+    const std::lock_guard lock(m_mutex);
+    return StandinResponse::Json({{"waiting_reads", m_waiting_reads}});
+  }
   return StandinService::HandleControl(request);
 }
 
--- a/tests/standins/log_service.h
+++ b/tests/standins/log_service.h
@@ -53,6 +53,7 @@
   std::condition_variable m_changed;
   std::map<std::string, Stream> m_streams;
   LogRetention m_retention;
+  int m_waiting_reads = 0;
   bool m_stopped = false;
 };
 
--- a/tests/standins/standin_message.h
+++ b/tests/standins/standin_message.h
@@ -16,6 +16,7 @@
   std::map<std::string, std::string> query;
   HeaderList headers;  ///< names in lower case
   std::string body;
+  int peer_port = 0;  ///< tells connections apart
 };
 
 /// Answer of a stand-in.
--- a/tests/standins/standin_server.cc
+++ b/tests/standins/standin_server.cc
@@ -23,6 +23,7 @@
 struct IncomingRequest {
   StandinRequest request;
   bool started = false;
+  bool counted = false;
 };
 
 void* OnUri(void*, const char* uri, MHD_Connection*) {
@@ -41,6 +42,12 @@
   return MHD_YES;
 }
 
+int PeerPortOf(MHD_Connection* connection) {
+  const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  if (info == nullptr) return 0;
+  return ntohs(reinterpret_cast<const sockaddr_in*>(info->client_addr)->sin_port);
+}
+
 MHD_Result OnRequest(void* self, MHD_Connection* connection, const char* path, const char* method, const char*,
                      const char* data, std::size_t* size, void** context) {
   auto* incoming = static_cast<IncomingRequest*>(*context);
@@ -57,13 +64,18 @@
   }
   request.method = method;
   request.path = path;
+  request.peer_port = PeerPortOf(connection);
   MHD_get_connection_values(connection, MHD_HEADER_KIND, &OnHeader, &request);
   MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &OnArgument, &request);
-  return static_cast<StandinServer*>(self)->Answer(connection, request) ? MHD_YES : MHD_NO;
+  auto* server = static_cast<StandinServer*>(self);
+  server->AddOpenRequests(1);
+  incoming->counted = true;
+  return server->Answer(connection, request) ? MHD_YES : MHD_NO;
 }
 
-void OnCompleted(void*, MHD_Connection*, void** context, MHD_RequestTerminationCode) {
-  delete static_cast<IncomingRequest*>(*context);
+void OnCompleted(void* self, MHD_Connection*, void** context, MHD_RequestTerminationCode) {
+  const std::unique_ptr<IncomingRequest> incoming(static_cast<IncomingRequest*>(*context));
+  if (incoming != nullptr && incoming->counted) static_cast<StandinServer*>(self)->AddOpenRequests(-1);
   *context = nullptr;
 }
 
@@ -113,11 +125,10 @@
   if (inet_pton(AF_INET, address.c_str(), &socket_address.sin_addr) != 1) {
     return NotRun(FailureCode::kInvalidArgument, "not an IPv4 address: " + address, "address");
   }
-  m_daemon =
-      MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
-                       static_cast<std::uint16_t>(port), nullptr, nullptr, &OnRequest, this, MHD_OPTION_SOCK_ADDR,
-                       &socket_address, MHD_OPTION_URI_LOG_CALLBACK, &OnUri, nullptr, MHD_OPTION_NOTIFY_COMPLETED,
-                       &OnCompleted, nullptr, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  m_daemon = MHD_start_daemon(
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL, static_cast<std::uint16_t>(port),
+      nullptr, nullptr, &OnRequest, this, MHD_OPTION_SOCK_ADDR, &socket_address, MHD_OPTION_URI_LOG_CALLBACK, &OnUri,
+      nullptr, MHD_OPTION_NOTIFY_COMPLETED, &OnCompleted, this, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
   if (m_daemon == nullptr)
     return NotRun(FailureCode::kUnavailable, absl::StrCat("cannot listen on ", address, ":", port));
   return static_cast<int>(MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port);
@@ -127,7 +138,10 @@
   if (m_daemon == nullptr) return;
   m_service.Drain();
   {
-    const std::lock_guard lock(m_mutex);
+    std::unique_lock lock(m_mutex);
+    if (m_service.FinishesRequests()) {
+      m_changed.wait(lock, [&] { return m_open_requests == 0 || m_faults.outage == Outage::kSilent; });
+    }
     m_stopped = true;
     m_changed.notify_all();
   }
@@ -137,6 +151,12 @@
   m_daemon = nullptr;
 }
 
+void StandinServer::AddOpenRequests(int change) {
+  const std::lock_guard lock(m_mutex);
+  m_open_requests += change;
+  m_changed.notify_all();
+}
+
 bool StandinServer::Answer(MHD_Connection* connection, const StandinRequest& request) {
   if (request.path.starts_with("/control/")) return Send(connection, HandleControl(request));
   bool unavailable = false;
--- a/tests/standins/standin_server.h
+++ b/tests/standins/standin_server.h
@@ -45,12 +45,16 @@
   /// Begins to listen and returns the port.
   Result<int> Start(const std::string& address, int port);
 
-  /// Drains the service, ends every wait and closes all connections.
+  /// Drains the service, ends every wait and closes all connections. A silent outage is not waited for.
   void Stop();
 
   /// Called by the library with each whole request; false closes the connection without an answer.
   bool Answer(MHD_Connection* connection, const StandinRequest& request);
 
+  /// Called by the library when it begins to answer a request and after it has sent the answer or closed the
+  /// connection.
+  void AddOpenRequests(int change);
+
  private:
   StandinResponse HandleControl(const StandinRequest& request);
   StandinResponse SetFaults(const StandinRequest& request);
@@ -66,6 +70,7 @@
   std::mutex m_mutex;
   std::condition_variable m_changed;
   CommonFaults m_faults;
+  int m_open_requests = 0;
   bool m_stopped = false;
 };
 
--- a/tests/standins/standin_service.h
+++ b/tests/standins/standin_service.h
@@ -26,9 +26,12 @@
   /// The service's own faults as an object.
   virtual nlohmann::json Faults() const = 0;
 
-  /// Called before the server stops, while it still answers. Finishes what is under way.
+  /// Called before the server stops, while it still answers.
   virtual void Drain() {}
 
+  /// True if the server stops only after all requests under way have been answered.
+  virtual bool FinishesRequests() const { return false; }
+
   /// Ends every call that blocks.
   virtual void Stop() = 0;
 };
--- a/tests/standins/worker_service.cc
+++ b/tests/standins/worker_service.cc
@@ -182,8 +182,11 @@
 
 Resources WorkerService::ObservedUse(const WorkerTaskRun& run, std::int64_t now_ms) const {
   if (m_faults.usage == UsageReports::kAbsurd) return {.cpu_millis = -kAbsurdAmount, .memory_mb = kAbsurdAmount};
-  const std::int64_t measured_ms = m_faults.usage == UsageReports::kFrozen ? m_frozen_at_ms : now_ms;
-  return run.UseAt(measured_ms - m_faults.usage_lag_ms);
+  if (m_faults.usage == UsageReports::kFrozen) {
+    const auto it = m_frozen_use.find({run.task(), run.attempt()});
+    return it == m_frozen_use.end() ? Resources{} : it->second;
+  }
+  return run.UseAt(now_ms - m_faults.usage_lag_ms);
 }
 
 Resources WorkerService::Reserved() const {
@@ -226,7 +229,11 @@
 
 void WorkerService::ApplyFaults() {
   const std::lock_guard lock(m_mutex);
-  if (m_faults.usage != UsageReports::kFrozen) m_frozen_at_ms = MonotonicMillis();
+  if (m_faults.usage != UsageReports::kFrozen && m_next_faults.usage == UsageReports::kFrozen) {
+    const std::int64_t now_ms = MonotonicMillis();
+    m_frozen_use.clear();
+    for (const auto& [key, run] : m_runs) m_frozen_use[key] = ObservedUse(run, now_ms);
+  }
   m_faults = m_next_faults;
 }
 
--- a/tests/standins/worker_service.h
+++ b/tests/standins/worker_service.h
@@ -70,7 +70,7 @@
   std::map<Key, WorkerTaskRun> m_runs;
   WorkerFaults m_faults;
   WorkerFaults m_next_faults;
-  std::int64_t m_frozen_at_ms = 0;
+  std::map<Key, Resources> m_frozen_use;  ///< as it was reported when the reports were frozen
   bool m_stopped = false;
   std::thread m_timer;
 };
