--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -63,7 +63,7 @@
 
 void InitEventLog(std::string_view program, LogLevel level) {
   const auto layout = std::make_shared<log4cxx::PatternLayout>(
-      "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%p program=" + std::string(program) + " %m%n");
+      "time=%d{yyyy-MM-dd}T%d{HH:mm:ss.SSS} level=%p program=" + std::string(program) + " %m%n");
   const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
   EventLogger()->removeAllAppenders();
   EventLogger()->setAdditivity(false);
--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -86,7 +86,8 @@
 
 }  // namespace
 
-const char* const kCommandLineUsage = R"(berylgauge: operates a berylgauge installation. A change prints its plan and asks for confirmation.
+const char* const kCommandLineUsage =
+    R"(berylgauge: operates a berylgauge installation. A change prints its plan and asks for confirmation.
 
 Usage:
   berylgauge [options] (drain | restore) (zone | worker) NAME
--- a/src/cli/operator_client.cc
+++ b/src/cli/operator_client.cc
@@ -17,7 +17,9 @@
     return failure;
   }
   const nlohmann::json& error = document["error"];
-  const auto text = [&](const char* key) { return error.contains(key) && error[key].is_string() ? error[key].get<std::string>() : std::string(); };
+  const auto text = [&](const char* key) {
+    return error.contains(key) && error[key].is_string() ? error[key].get<std::string>() : std::string();
+  };
   failure.code = kFailureCodeNames.ValueOf(text("code")).value_or(FailureCode::kInternal);
   failure.verdict = kVerdictNames.ValueOf(text("verdict")).value_or(Verdict::kMayHaveRun);
   failure.message = text("message");
@@ -38,8 +40,8 @@
 
 Result<nlohmann::json> OperatorClient::Delete(const std::string& path) { return Call("DELETE", path, "", {}); }
 
-Result<nlohmann::json> OperatorClient::Call(const std::string& method, const std::string& path,
-                                            const std::string& body, HeaderList headers) {
+Result<nlohmann::json> OperatorClient::Call(const std::string& method, const std::string& path, const std::string& body,
+                                            HeaderList headers) {
   headers.emplace_back("authorization", "Bearer " + m_options.token);
   headers.emplace_back("berylgauge-operator", m_options.operator_name);
   if (!body.empty()) headers.emplace_back("content-type", "application/json");
--- a/src/daemon/agent/agent_node.cc
+++ b/src/daemon/agent/agent_node.cc
@@ -62,22 +62,21 @@
   Result<std::unique_ptr<StreamServer>> internal = MakeStreamServer({.metrics = &m_metrics});
   if (!internal) return tl::make_unexpected(internal.error());
   m_internal = std::move(*internal);
-  const Result<int> internal_port = m_internal->Start(
-      agent.internal.address, agent.internal.port,
-      [this](StreamRequest message, const StreamServer::Responder& responder) {
-        HandleInternal(std::move(message), responder);
-      });
+  const Result<int> internal_port =
+      m_internal->Start(agent.internal.address, agent.internal.port,
+                        [this](StreamRequest message, const StreamServer::Responder& responder) {
+                          HandleInternal(std::move(message), responder);
+                        });
   if (!internal_port) return tl::make_unexpected(internal_port.error());
 
   m_local = MakeWebServer();
-  const Result<int> local_port = m_local->Start({.address = agent.local.address,
-                                                 .port = agent.local.port,
-                                                 .threads = 1,
-                                                 .max_connections = 100,
-                                                 .max_body_bytes = kMaxAnnouncementBytes},
-                                                [this](const WebRequest& request, const WebServer::Responder& responder) {
-                                                  HandleLocal(request, responder);
-                                                });
+  const Result<int> local_port = m_local->Start(
+      {.address = agent.local.address,
+       .port = agent.local.port,
+       .threads = 1,
+       .max_connections = 100,
+       .max_body_bytes = kMaxAnnouncementBytes},
+      [this](const WebRequest& request, const WebServer::Responder& responder) { HandleLocal(request, responder); });
   if (!local_port) return tl::make_unexpected(local_port.error());
 
   std::vector<std::string> entries;
@@ -127,8 +126,8 @@
     return;
   }
   if (request.method != "POST") {
-    WebResponse response = JsonErrorResponse(
-        {.code = FailureCode::kInvalidArgument, .message = "only POST is allowed", .field = {}}, 405);
+    WebResponse response =
+        JsonErrorResponse({.code = FailureCode::kInvalidArgument, .message = "only POST is allowed", .field = {}}, 405);
     response.headers.emplace_back("Allow", "POST");
     responder(std::move(response));
     return;
--- a/src/daemon/common/node.h
+++ b/src/daemon/common/node.h
@@ -12,8 +12,8 @@
   /// Opens the listeners and starts working.
   virtual Result<void> Start() = 0;
 
-  /// Shuts down gracefully: announces leaving, takes nothing new, finishes what is under way. Returns true if everything
-  /// was finished within the limit.
+  /// Shuts down gracefully: announces leaving, takes nothing new, finishes what is under way. Returns true if
+  /// everything was finished within the limit.
   virtual bool Shutdown() = 0;
 };
 
--- a/src/daemon/entry/entry_node.cc
+++ b/src/daemon/entry/entry_node.cc
@@ -25,7 +25,6 @@
 constexpr absl::Duration kAnnounceInterval = absl::Seconds(1);
 constexpr absl::Duration kTickInterval = absl::Milliseconds(100);
 
-
 WorkerRegistry::Options RegistryOptions(const DaemonSettings& settings) {
   return {.own_region = settings.region,
           .suspect_after = 3 * settings.timing.heartbeat,
@@ -72,11 +71,10 @@
 Result<void> EntryNode::Start() {
   MakeStreams();
   MakeShares();
-  m_heartbeats = std::make_unique<HeartbeatService>(
-      m_entry, m_incarnation, m_clock, m_workers, *m_config, m_entries, *m_shares,
-      [this](const Heartbeat& heartbeat, const HeartbeatOutcome& /*outcome*/, MonotonicTime now) {
-        OnHeartbeat(heartbeat, now);
-      });
+  m_heartbeats =
+      std::make_unique<HeartbeatService>(m_entry, m_incarnation, m_clock, m_workers, *m_config, m_entries, *m_shares,
+                                         [this](const Heartbeat& heartbeat, const HeartbeatOutcome& /*outcome*/,
+                                                MonotonicTime now) { OnHeartbeat(heartbeat, now); });
   if (const Result<void> started = StartInternal(); !started) return started;
   if (const Result<void> started = StartOperators(); !started) return started;
   if (const Result<void> started = StartCallers(); !started) return started;
@@ -93,13 +91,12 @@
 }
 
 void EntryNode::MakeStreams() {
-  m_config = std::make_unique<ConfigStream>(*m_log, m_clock, m_entry.value(), m_incarnation,
-                                            [this] { OnConfigChange(); });
+  m_config =
+      std::make_unique<ConfigStream>(*m_log, m_clock, m_entry.value(), m_incarnation, [this] { OnConfigChange(); });
   m_members = std::make_unique<StreamFollower>(
       *m_log, m_clock, m_entries, StreamFollowerOptions{.stream = kMembersStream, .tail_records = kMembersTail});
   m_members_writer = std::make_unique<StreamWriter>(
-      *m_log,
-      StreamWriterOptions{.stream = kMembersStream, .writer = m_entry.value(), .incarnation = m_incarnation},
+      *m_log, StreamWriterOptions{.stream = kMembersStream, .writer = m_entry.value(), .incarnation = m_incarnation},
       [this] { return m_entries.Position(); });
 }
 
@@ -217,11 +214,9 @@
 void EntryNode::OnConfigChange() {
   // Runs on the follower's thread, which may fold before the constructor of the stream has returned.
   if (!m_config) return;
-  m_config->state().Read([this](const ConfigState& config) {
-    m_router.UpdateServices(config);
-    UpdateQuotas(config);
-    return 0;
-  });
+  const ConfigState config = m_config->state().Read([](const ConfigState& state) { return state; });
+  m_router.UpdateServices(config);
+  UpdateQuotas(config);
 }
 
 void EntryNode::UpdateQuotas(const ConfigState& config) {
--- a/src/daemon/entry/share_runner.cc
+++ b/src/daemon/entry/share_runner.cc
@@ -93,6 +93,7 @@
 
 ShareDecisions ShareRunner::Decide(ShareInbox::Content content, MonotonicTime now) {
   const int share = m_options.controller.share;
+  const bool log_is_fresh = IsLogFresh(now);
   const absl::MutexLock controller_lock(&m_controller_mutex);
   const absl::MutexLock placer_lock(&m_context.placer_mutex);
   return m_context.config.state().Read([&](const ConfigState& config) {
@@ -100,7 +101,7 @@
       const ShareInputs inputs{
           .jobs = jobs,
           .config = config,
-          .log_is_fresh = IsLogFresh(now),
+          .log_is_fresh = log_is_fresh,
           .owner_is_live = m_context.entries.IsLive(jobs.owner(), jobs.owner_incarnation(), now),
           .owner_silence = m_context.entries.SilenceOf(jobs.owner(), now),
           .preferred_entry = m_context.entries.PreferredEntry(share, now),
--- a/src/daemon/streams/stream_follower.cc
+++ b/src/daemon/streams/stream_follower.cc
@@ -94,11 +94,17 @@
              {{"stream", m_options.snapshot_stream}, {"reason", restored.error().message}});
     return false;
   }
-  const absl::MutexLock lock(&m_mutex);
-  m_position = m_target.Position();
+  PublishPosition();
   return true;
 }
 
+void StreamFollower::PublishPosition() {
+  // Readers of the state take this object's lock while they hold that of the state, so the order must not be reversed.
+  const Offset position = m_target.Position();
+  const absl::MutexLock lock(&m_mutex);
+  m_position = position;
+}
+
 void StreamFollower::ReadOnce() {
   const MonotonicTime begun = m_clock.Now();
   const Offset from = m_target.Position() + 1;
@@ -122,8 +128,8 @@
   m_failure_reported = false;
   m_gap_reported = false;
   for (const LogRecord& record : page->records) Fold(record.offset, record.payload);
+  PublishPosition();
   const absl::MutexLock lock(&m_mutex);
-  m_position = m_target.Position();
   if (m_position + 1 >= page->next_offset) m_proof = {.offset = m_position, .at = begun};
 }
 
--- a/src/daemon/streams/stream_follower.h
+++ b/src/daemon/streams/stream_follower.h
@@ -49,6 +49,7 @@
   bool SkipToTail();
   bool LoadSnapshot();
   void ReadOnce();
+  void PublishPosition();
   void Fold(Offset offset, const std::string& payload);
   void PauseAfterFailure();
 
--- a/src/membership/cbor_fields.cc
+++ b/src/membership/cbor_fields.cc
@@ -53,7 +53,7 @@
   return out;
 }
 
-Resources ReadResources(JsonObjectReader reader) {
+Resources ReadWireResources(JsonObjectReader reader) {
   // The upper bound keeps sums over all workers far from an overflow.
   const IntegerRule rule{.default_value = 0, .min = 0, .max = std::int64_t{1} << 40};
   Resources resources{.cpu_millis = reader.Integer("c", rule),
--- a/src/membership/cbor_fields.h
+++ b/src/membership/cbor_fields.h
@@ -31,6 +31,6 @@
 
 /// Amounts as an object; zero amounts are left out.
 nlohmann::json ResourcesToWire(const Resources& resources);
-Resources ReadResources(JsonObjectReader reader);
+Resources ReadWireResources(JsonObjectReader reader);
 
 }  // namespace berylgauge
--- a/src/membership/heartbeat.cc
+++ b/src/membership/heartbeat.cc
@@ -115,8 +115,8 @@
   heartbeat.sequence = static_cast<std::uint64_t>(reader.Integer("q", {.min = 1}));
   heartbeat.boot_id = reader.String("b", {.default_value = "", .min_length = 0, .max_length = kMaxIdBytes});
   heartbeat.address = ReadAddress(reader, "a");
-  heartbeat.capacity = ReadResources(reader.Object("c"));
-  heartbeat.booked = ReadResources(reader.Object("u", false));
+  heartbeat.capacity = ReadWireResources(reader.Object("c"));
+  heartbeat.booked = ReadWireResources(reader.Object("u", false));
   heartbeat.draining = reader.Boolean("d", false);
   heartbeat.leaving = reader.Boolean("l", false);
   heartbeat.reconciled = reader.Boolean("f", false);
--- a/tests/standins/log_service.cc
+++ b/tests/standins/log_service.cc
@@ -34,6 +34,9 @@
 }  // namespace
 
 StandinResponse LogService::Handle(const StandinRequest& request) {
+  if (request.method == "GET" && request.path.starts_with(kPrefix) && !request.path.ends_with(kSuffix)) {
+    return Bounds(request.path.substr(kPrefix.size()));
+  }
   const std::string name = StreamNameOf(request.path);
   if (name.empty()) return StandinResponse::Error(404, "no such path: " + request.path);
   if (request.method == "POST") return Append(name, request.body);
@@ -82,6 +85,14 @@
   return StandinResponse::Json(page);
 }
 
+StandinResponse LogService::Bounds(const std::string& name) {
+  const std::lock_guard lock(m_mutex);
+  const auto it = m_streams.find(name);
+  if (it == m_streams.end()) return StandinResponse::Json({{"first_offset", 0}, {"next_offset", 0}});
+  RemoveExpired(it->second);
+  return StandinResponse::Json({{"first_offset", it->second.first_offset}, {"next_offset", it->second.NextOffset()}});
+}
+
 StandinResponse LogService::HandleControl(const StandinRequest& request) {
   if (request.path == "/control/retention" && request.method == "POST") return SetRetention(request);
   if (request.path == "/control/waiting-reads") {
--- a/tests/standins/log_service.h
+++ b/tests/standins/log_service.h
@@ -45,6 +45,7 @@
 
   StandinResponse Append(const std::string& name, const std::string& payload);
   StandinResponse Read(const std::string& name, const StandinRequest& request);
+  StandinResponse Bounds(const std::string& name);
   StandinResponse SetRetention(const StandinRequest& request);
   void RemoveExpired(Stream& stream) const;
 
