--- a/src/web/microhttpd_server.cc
+++ b/src/web/microhttpd_server.cc
@@ -358,7 +358,7 @@
   for (const RawHeader& header : raw_headers) {
     request.headers.emplace_back(absl::AsciiStrToLower(std::string(header.name)), Trimmed(header.value));
   }
-  if (const auto refusal = CheckHeaders(version, request.headers)) {
+  if (const auto refusal = CheckHead(method, version, request.headers)) {
     return Refuse(connection, state, refusal->status, refusal->failure);
   }
   Result<RequestTarget> target = RequestTarget::Parse(state.target);
