--- a/tests/unit/routing/routing_table_test.cc
+++ b/tests/unit/routing/routing_table_test.cc
@@ -1,6 +1,7 @@
 #include "routing/routing_table.h"
 
 #include <atomic>
+#include <barrier>
 #include <catch2/catch.hpp>
 #include <random>
 #include <string>
@@ -173,36 +174,48 @@
   for (const RoutedEndpointPtr& endpoint : all) CHECK(endpoint->state->outstanding() == 0);
 }
 
-/// Broken: checks and counts in two steps.
+/// Broken: checks and counts in two steps, and waits between them until other threads have checked as well.
 class RacyState {
  public:
   bool TryAcquire(int limit) {
     if (m_outstanding.load() >= limit) return false;
-    std::this_thread::yield();
+    m_checked.fetch_add(1);
+    for (int i = 0; i < 10'000 && m_checked.load() <= limit; ++i) std::this_thread::yield();
     m_outstanding.fetch_add(1);
     return true;
   }
-  void Release() { m_outstanding.fetch_sub(1); }
+  void Release() {
+    m_checked.store(0);
+    m_outstanding.fetch_sub(1);
+  }
   int outstanding() const { return m_outstanding.load(); }
 
  private:
+  std::atomic<int> m_checked{0};
   std::atomic<int> m_outstanding{0};
 };
 
-/// Lets threads acquire and release until the limit was exceeded or every thread has made its rounds.
+/// Lets all threads acquire at once in each round; true if more than the limit succeeded in any round.
 template <typename State>
 bool ExceedsLimit() {
   constexpr int kLimit = 2;
-  constexpr int kRounds = 20'000;
+  constexpr int kThreads = 4;
+  constexpr int kRounds = 500;
   State state;
   std::atomic<bool> exceeded{false};
+  std::barrier round_start(kThreads);
+  std::barrier all_tried(kThreads);
+  std::barrier all_checked(kThreads);
   std::vector<std::thread> threads;
-  for (int i = 0; i < 4; ++i) {
+  for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([&] {
-      for (int round = 0; round < kRounds && !exceeded.load(); ++round) {
-        if (!state.TryAcquire(kLimit)) continue;
+      for (int round = 0; round < kRounds; ++round) {
+        round_start.arrive_and_wait();
+        const bool acquired = state.TryAcquire(kLimit);
+        all_tried.arrive_and_wait();
         if (state.outstanding() > kLimit) exceeded.store(true);
-        state.Release();
+        all_checked.arrive_and_wait();
+        if (acquired) state.Release();
       }
     });
   }
