Test outlier ejection, the concurrency limit and the admission queue

Cause: the three had no tests; the first limiter let its baseline creep up by 1% per window, which follows the latency that the limit itself causes.

Ruled out: a creeping baseline (it doubles every 70 windows under saturation, and the limit with it).

Change: the limiter measures its baseline anew every 10 s under a quarter of the limit and gives the probe up on overload; the queue's reserved places are 0 when there are more callers than places; tables, properties and broken variants for all three.

--- a/src/routing/concurrency_limiter.h
+++ b/src/routing/concurrency_limiter.h
@@ -20,8 +20,9 @@
 ///
 /// Samples are judged in windows. If the mean latency of a window exceeds the baseline by `tolerance`, or a request was
 /// lost to overload, the limit falls by `decrease_factor`; otherwise it grows by its square root if it was used. The
-/// baseline is the lowest mean of a window and creeps up by `baseline_growth` in each window, so that the limit
-/// recovers after a lasting change of the latency. Thread-safe; acquiring takes no lock.
+/// baseline is the lowest mean of a window. Every `probe_interval` it is measured anew under a fraction of the limit:
+/// otherwise a lasting rise of the latency would hold the limit down for ever, and a baseline that crept up by itself
+/// would follow the latency that the limit itself causes. Thread-safe; acquiring takes no lock.
 class ConcurrencyLimiter {
  public:
   struct Options {
@@ -32,7 +33,8 @@
     absl::Duration min_window = absl::Milliseconds(100);
     double tolerance = 2.0;
     double decrease_factor = 0.9;
-    double baseline_growth = 0.01;
+    absl::Duration probe_interval = absl::Seconds(10);
+    double probe_fraction = 0.25;  ///< of the limit, while the baseline is measured
   };
 
   ConcurrencyLimiter(Options options, MonotonicTime now);
@@ -47,7 +49,19 @@
   int in_progress() const { return m_in_progress.load(std::memory_order_acquire); }
 
  private:
+  enum class Phase {
+    kNormal,
+    kSettling,   ///< the limit is lowered; requests from before are still in progress
+    kMeasuring,  ///< the window gives the new baseline
+  };
+
   void CloseWindow(MonotonicTime now);
+  void AdaptLimit();
+  void BeginProbe();
+  void ContinueProbe(MonotonicTime now);
+  void EndProbe(MonotonicTime now);
+  void SetLimit(int limit);
+  absl::Duration MeanLatency() const;
 
   Options m_options;
   std::atomic<int> m_limit;
@@ -60,6 +74,9 @@
   int m_overloads = 0;
   int m_peak_in_progress = 0;
   absl::Duration m_baseline = absl::InfiniteDuration();
+  Phase m_phase = Phase::kNormal;
+  MonotonicTime m_next_probe;
+  int m_limit_before_probe = 0;
 };
 
 }  // namespace berylgauge
