--- a/src/schedule/placer.cc
+++ b/src/schedule/placer.cc
@@ -8,8 +8,9 @@
 namespace berylgauge {
 namespace {
 
-/// Score of a worker with free accelerators for a task that needs none; keeps them for tasks that do.
-constexpr double kAcceleratorPenalty = 0.3;
+/// Score of a worker with free accelerators for a task that needs none. Such a worker is used only if the others are
+/// fuller by half of their capacity.
+constexpr double kAcceleratorPenalty = 0.5;
 
 /// Score for each service replica beside a batch task and each batch task beside a service replica.
 constexpr double kInterferencePenalty = 0.02;
