Pass a caller's target on as it was written

Cause: the router rebuilt the path from its decoded form, so %20 and %2F changed on their way to the endpoint. Change: the target is split, not decoded.

--- a/src/daemon/entry/request_router.cc
+++ b/src/daemon/entry/request_router.cc
@@ -27,14 +27,15 @@
   return generator;
 }
 
-/// Splits "/service/rest?query" into the service and the path that its endpoints see.
-bool SplitPath(const WebRequest& request, ServiceId* service, std::string* path) {
-  const std::size_t end = request.path.find('/', 1);
-  const std::string name = request.path.substr(1, end == std::string::npos ? end : end - 1);
+/// Splits the target "/service/rest?query" into the service and the target that its endpoints see, which is passed on
+/// as the caller wrote it.
+bool SplitTarget(const std::string& target, ServiceId* service, std::string* rest) {
+  const std::size_t end = target.find_first_of("/?", 1);
+  const std::string name = target.substr(1, end == std::string::npos ? end : end - 1);
   if (name.empty()) return false;
   *service = ServiceId(name);
-  *path = end == std::string::npos ? "/" : request.path.substr(end);
-  if (!request.query.empty()) *path += "?" + request.query;
+  *rest = end == std::string::npos ? "" : target.substr(end);
+  if (!rest->starts_with('/')) rest->insert(0, "/");
   return true;
 }
 
@@ -76,8 +77,8 @@
   const auto exchange = std::make_shared<Exchange>();
   exchange->responder = responder;
   m_outstanding.fetch_add(1, std::memory_order_acq_rel);
-  std::string path;
-  if (!SplitPath(request, &exchange->service, &path)) {
+  std::string target;
+  if (!SplitTarget(request.target, &exchange->service, &target)) {
     Fail(exchange, FailureCode::kNotFound, "the path must begin with the name of a service");
     return;
   }
@@ -92,7 +93,7 @@
   }
   exchange->deadline = now + exchange->policy.timeout;
   exchange->request = {.method = std::move(request.method),
-                       .path = std::move(path),
+                       .path = std::move(target),
                        .headers = std::move(request.headers),
                        .body = std::move(request.body)};
   m_budget.AddRequest();
