--- a/src/web/socket_address.cc
+++ b/src/web/listener_address.cc
@@ -1,4 +1,4 @@
-#include "web/socket_address.h"
+#include "web/listener_address.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -8,14 +8,14 @@
 
 namespace berylgauge {
 
-int SocketAddress::Port() const {
+int ListenerAddress::Port() const {
   const in_port_t port = storage.ss_family == AF_INET6 ? reinterpret_cast<const sockaddr_in6*>(&storage)->sin6_port
                                                        : reinterpret_cast<const sockaddr_in*>(&storage)->sin_port;
   return ntohs(port);
 }
 
-std::optional<SocketAddress> SocketAddress::Parse(const std::string& address, int port) {
-  SocketAddress result;
+std::optional<ListenerAddress> ListenerAddress::Parse(const std::string& address, int port) {
+  ListenerAddress result;
   auto* ipv4 = reinterpret_cast<sockaddr_in*>(&result.storage);
   if (inet_pton(AF_INET, address.c_str(), &ipv4->sin_addr) == 1) {
     ipv4->sin_family = AF_INET;
--- a/src/web/socket_address.h
+++ b/src/web/listener_address.h
@@ -8,7 +8,7 @@
 namespace berylgauge {
 
 /// IP address and port in the form that the socket functions take.
-struct SocketAddress {
+struct ListenerAddress {
   sockaddr_storage storage{};
   socklen_t size = sizeof(sockaddr_storage);
 
@@ -18,7 +18,7 @@
   int Port() const;
 
   /// `address` is a numeric IPv4 or IPv6 address.
-  static std::optional<SocketAddress> Parse(const std::string& address, int port);
+  static std::optional<ListenerAddress> Parse(const std::string& address, int port);
 };
 
 /// IP address without the port; empty for other kinds of address.
