Revoke a worker instead of one incarnation of its agent

The owner revoked the incarnation that the task was placed with; the agent had been restarted since, had taken the task over under another incarnation, was not told of the revocation and kept renewing. Ruled out: revoking the newest incarnation known, because the owner that hears nothing of the worker cannot know it. Change: a revocation names the worker and holds for every incarnation. It ends with a record that the agent was empty after it knew of the revocation, which the agent's heartbeat states (cleared). Conclusion: one task, one place also across a restart of an agent that the owner cannot hear.

--- a/src/daemon/agent/agent_core.cc
+++ b/src/daemon/agent/agent_core.cc
@@ -156,6 +156,7 @@
   heartbeat.leaving = m_leaving;
   heartbeat.reconciled = m_table->IsReconciled() && now - m_last_report <= kReportIsCurrent;
   heartbeat.config_version = m_table->config_version();
+  heartbeat.cleared = m_cleared;
   for (const EndpointRecord* record : m_endpoints.Live(now)) {
     const EndpointAnnouncement& endpoint = record->last;
     heartbeat.endpoints.push_back(
@@ -181,7 +182,8 @@
   return heartbeat;
 }
 
-void AgentCore::ApplyReply(Incarnation incarnation, const HeartbeatReply& reply, MonotonicTime sent_at) {
+void AgentCore::ApplyReply(Incarnation incarnation, const HeartbeatReply& reply, MonotonicTime sent_at,
+                           MonotonicTime now) {
   const absl::MutexLock lock(&m_mutex);
   if (incarnation != m_incarnation) return;
   const WorkerStanding standing{
@@ -189,7 +191,9 @@
       .worker_drained = reply.worker_admission == WorkerAdmission::kDraining,
       .worker_revoked = reply.worker_admission == WorkerAdmission::kRevoked,
   };
+  const bool was_revoked = m_table->standing().worker_revoked;
   m_table->ApplyConfig(reply.config_version, standing);
+  if (!was_revoked && m_table->standing().worker_revoked) m_revoked_since = now;
   if (reply.proof_age) {
     // The entry computed the age after this heartbeat was sent, so this instant is never later than the true one.
     m_table->ApplyProof({.version = reply.config_version, .offset = reply.offset, .at = sent_at - *reply.proof_age});
@@ -209,6 +213,10 @@
   const absl::MutexLock lock(&m_mutex);
   if (!m_table->standing().worker_revoked || !m_table->IsReconciled()) return false;
   if (m_table->HasAttempts() || !m_table->Ended().empty() || m_gate.outstanding() > 0) return false;
+  // A report from before the revocation was known would not prove that the worker is empty.
+  if (m_last_report < m_revoked_since) return false;
+  // Versions are one above the offset of the configuration.
+  m_cleared = m_table->config_version() - 1;
   m_incarnation = next;
   m_sequence = 0;
   m_table = MakeTable(next, now);
--- a/src/daemon/agent/agent_core.h
+++ b/src/daemon/agent/agent_core.h
@@ -62,7 +62,7 @@
 
   /// Takes in the reply to a heartbeat that the run `incarnation` sent at `sent_at`; replies to former runs are
   /// dropped.
-  void ApplyReply(Incarnation incarnation, const HeartbeatReply& reply, MonotonicTime sent_at);
+  void ApplyReply(Incarnation incarnation, const HeartbeatReply& reply, MonotonicTime sent_at, MonotonicTime now);
 
   /// From now on heartbeats say that the agent is leaving and new requests and tasks are refused.
   void BeginLeaving();
@@ -86,6 +86,8 @@
   EndpointRegistry m_endpoints ABSL_GUARDED_BY(m_mutex);
   AgentRequestGate m_gate ABSL_GUARDED_BY(m_mutex);
   std::uint64_t m_sequence ABSL_GUARDED_BY(m_mutex) = 0;
+  MonotonicTime m_revoked_since ABSL_GUARDED_BY(m_mutex) = InfinitePast();
+  Offset m_cleared ABSL_GUARDED_BY(m_mutex) = kNoOffset;
   MonotonicTime m_last_report ABSL_GUARDED_BY(m_mutex) = InfinitePast();
   bool m_leaving ABSL_GUARDED_BY(m_mutex) = false;
 };
--- a/src/daemon/agent/heartbeat_sender.cc
+++ b/src/daemon/agent/heartbeat_sender.cc
@@ -80,7 +80,7 @@
                       if (!response || response->status != 200) return;
                       const Result<HeartbeatReply> reply = DecodeHeartbeatReply(response->body);
                       if (!reply) return;
-                      m_core.ApplyReply(incarnation, *reply, now);
+                      m_core.ApplyReply(incarnation, *reply, now, m_clock.Now());
                       NoteReply(address, *reply);
                     });
 }
--- a/src/daemon/entry/heartbeat_service.cc
+++ b/src/daemon/entry/heartbeat_service.cc
@@ -16,7 +16,7 @@
   const AvailabilityState state = config.WorkerState(heartbeat.worker);
   // On a worker that operators declared lost its tasks may have been placed again, so nothing may run there.
   if (state == AvailabilityState::kLost) return WorkerAdmission::kRevoked;
-  if (config.RevokedIncarnation(heartbeat.worker) == heartbeat.incarnation) return WorkerAdmission::kRevoked;
+  if (config.RevokedAt(heartbeat.worker) > heartbeat.cleared) return WorkerAdmission::kRevoked;
   return state == AvailabilityState::kOpen ? WorkerAdmission::kOpen : WorkerAdmission::kDraining;
 }
 
--- a/src/daemon/entry/share_controller.cc
+++ b/src/daemon/entry/share_controller.cc
@@ -127,6 +127,7 @@
 
 void ShareController::HandleHeartbeat(const ShareInputs& inputs, const Heartbeat& heartbeat, MonotonicTime now,
                                       ShareDecisions& decisions) {
+  HandleCleared(inputs, heartbeat, decisions);
   std::set<AttemptKey> listed;
   for (const RunningAttemptReport& running : heartbeat.running) {
     listed.insert({.task = running.task, .attempt = running.attempt});
@@ -142,6 +143,15 @@
   if (heartbeat.reconciled) HandleMissing(inputs, heartbeat, listed, decisions);
 }
 
+void ShareController::HandleCleared(const ShareInputs& inputs, const Heartbeat& heartbeat,
+                                    ShareDecisions& decisions) const {
+  // One record is enough, so the owner of the first share writes it for all.
+  if (m_options.share != 0) return;
+  const Offset revoked_at = inputs.config.RevokedAt(heartbeat.worker);
+  if (revoked_at == kNoOffset || heartbeat.cleared < revoked_at) return;
+  decisions.config_records.emplace_back(WorkerCleared{.worker = heartbeat.worker, .cleared = heartbeat.cleared});
+}
+
 void ShareController::HandleRunning(const ShareInputs& inputs, const Heartbeat& heartbeat,
                                     const RunningAttemptReport& running, MonotonicTime now, ShareDecisions& decisions) {
   const Task* task = inputs.jobs.FindTask(running.task);
@@ -227,18 +237,26 @@
 
 void ShareController::FollowSilentWorker(const ShareInputs& inputs, const TaskId& id, const Job& job, const Task& task,
                                          MonotonicTime now, ShareDecisions& decisions) {
-  const auto key = std::make_pair(task.worker, task.agent_incarnation);
-  if (inputs.config.RevokedIncarnation(task.worker) != task.agent_incarnation) {
-    m_revoked_since.erase(key);
-    decisions.revocations.push_back({.worker = task.worker, .agent_incarnation = task.agent_incarnation});
+  const Offset revoked_at = inputs.config.RevokedAt(task.worker);
+  if (revoked_at == kNoOffset) {
+    Revoke(task.worker, decisions);
     return;
   }
+  const auto key = std::make_pair(task.worker, revoked_at);
   // Counted from when this owner first read the revocation back, which is never before the agent had to obey it.
   const MonotonicTime since = m_revoked_since.try_emplace(key, now).first->second;
   if (now - since < GraceOf(job) * kGraceMargin) return;
   End(id, task, AttemptOutcome::kLost, "", "worker silent beyond the outage grace", decisions);
 }
 
+void ShareController::Revoke(const WorkerId& worker, ShareDecisions& decisions) {
+  for (const ConfigRecord& record : decisions.config_records) {
+    const auto* revoked = std::get_if<WorkerRevoked>(&record);
+    if (revoked != nullptr && revoked->worker == worker) return;
+  }
+  decisions.config_records.emplace_back(WorkerRevoked{.worker = worker});
+}
+
 bool ShareController::TakeEvictionToken(const ShareInputs& inputs, MonotonicTime now) {
   const double per_minute = static_cast<double>(inputs.config.Limit(LimitName::kEvictionsPerMinute));
   Refill(per_minute / 60, now, m_eviction_tokens, m_eviction_tokens_at);
--- a/src/daemon/entry/share_controller.h
+++ b/src/daemon/entry/share_controller.h
@@ -66,6 +66,7 @@
   void HandleAnswers(const ShareInputs& inputs, MonotonicTime now, ShareDecisions& decisions);
   void HandleHeartbeat(const ShareInputs& inputs, const Heartbeat& heartbeat, MonotonicTime now,
                        ShareDecisions& decisions);
+  void HandleCleared(const ShareInputs& inputs, const Heartbeat& heartbeat, ShareDecisions& decisions) const;
   void HandleRunning(const ShareInputs& inputs, const Heartbeat& heartbeat, const RunningAttemptReport& running,
                      MonotonicTime now, ShareDecisions& decisions);
   void HandleMissing(const ShareInputs& inputs, const Heartbeat& heartbeat, const std::set<AttemptKey>& listed,
@@ -75,6 +76,7 @@
                      ShareDecisions& decisions);
   void FollowSilentWorker(const ShareInputs& inputs, const TaskId& id, const Job& job, const Task& task,
                           MonotonicTime now, ShareDecisions& decisions);
+  static void Revoke(const WorkerId& worker, ShareDecisions& decisions);
   bool TakeEvictionToken(const ShareInputs& inputs, MonotonicTime now);
   void PlaceWaiting(const ShareInputs& inputs, MonotonicTime now, absl::BitGenRef random, ShareDecisions& decisions);
   void PlaceTask(const ShareInputs& inputs, const TaskId& id, const Job& job, const Task& task, MonotonicTime now,
@@ -95,7 +97,7 @@
   std::set<AttemptKey> m_ended;  ///< ended in the present step
   std::map<AttemptKey, AttemptTimes> m_times;
   std::map<std::pair<AttemptKey, Incarnation>, MonotonicTime> m_terms_sent;
-  std::map<std::pair<WorkerId, Incarnation>, MonotonicTime> m_revoked_since;
+  std::map<std::pair<WorkerId, Offset>, MonotonicTime> m_revoked_since;
   std::map<TaskId, MonotonicTime> m_retry_at;
   std::map<TaskId, std::string> m_wait_reasons;
   double m_start_tokens = 0;
--- a/src/daemon/entry/share_decisions.h
+++ b/src/daemon/entry/share_decisions.h
@@ -19,7 +19,7 @@
 /// What the owner of a share wants done. Records go to the log first; messages are sent after they were read back.
 struct ShareDecisions {
   std::vector<JobsRecord> records;
-  std::vector<WorkerRevoked> revocations;
+  std::vector<ConfigRecord> config_records;  ///< revocations, and their end
   std::vector<AgentMessage<StartCommand>> starts;
   std::vector<AgentMessage<StopMessage>> stops;
   std::vector<AgentMessage<TermsMessage>> terms;
--- a/src/daemon/entry/share_runner.cc
+++ b/src/daemon/entry/share_runner.cc
@@ -117,9 +117,11 @@
 }
 
 bool ShareRunner::CarryOut(const ShareDecisions& decisions) {
-  for (const WorkerRevoked& revoked : decisions.revocations) {
-    LogEvent(LogLevel::kWarning, "worker_revoked", {{"worker", revoked.worker.value()}});
-    m_context.config.AppendAndWait({revoked}, kAppendWait);
+  if (!decisions.config_records.empty()) {
+    LogEvent(LogLevel::kWarning, "worker_rights_changed",
+             {{"share", m_options.controller.share}, {"records", decisions.config_records.size()}});
+    const Result<Offset> offset = m_context.config.AppendAndWait(decisions.config_records, kAppendWait);
+    if (!offset) LogEvent(LogLevel::kWarning, "config_append_failed", {{"reason", offset.error().message}});
   }
   if (decisions.records.empty()) return true;
   std::vector<nlohmann::json> encoded;
--- a/src/daemon/entry/worker_view_of.cc
+++ b/src/daemon/entry/worker_view_of.cc
@@ -16,7 +16,7 @@
   view.drained = heartbeat.draining || heartbeat.leaving ||
                  config.ZoneState(heartbeat.availability_zone) != AvailabilityState::kOpen ||
                  config.WorkerState(heartbeat.worker) != AvailabilityState::kOpen ||
-                 config.RevokedIncarnation(heartbeat.worker) == heartbeat.incarnation;
+                 config.RevokedAt(heartbeat.worker) != kNoOffset;
   // An agent that has not reconciled refuses every start.
   view.suspected = entry.liveness != WorkerLiveness::kLive || !heartbeat.reconciled;
   view.as_of = entry.last_heard;
--- a/src/membership/heartbeat.cc
+++ b/src/membership/heartbeat.cc
@@ -93,6 +93,7 @@
            {"v", heartbeat.config_version}};
   if (!heartbeat.boot_id.empty()) out["b"] = heartbeat.boot_id;
   if (heartbeat.booked != Resources{}) out["u"] = ResourcesToWire(heartbeat.booked);
+  if (heartbeat.cleared != kNoOffset) out["o"] = heartbeat.cleared;
   if (heartbeat.draining) out["d"] = true;
   if (heartbeat.leaving) out["l"] = true;
   if (heartbeat.reconciled) out["f"] = true;
@@ -130,6 +131,7 @@
     heartbeat.ended.push_back(ReadEnded(item));
   }
   heartbeat.config_version = reader.Integer("v");
+  heartbeat.cleared = reader.Integer("o", {.default_value = kNoOffset});
   reader.Finish();
   if (!errors.empty()) return tl::make_unexpected(errors.ToFailure());
   return heartbeat;
--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -32,6 +32,9 @@
   std::vector<RunningAttemptReport> running;
   std::vector<EndedAttemptReport> ended;  ///< not acknowledged yet, oldest first
   ConfigVersion config_version = 0;       ///< newest configuration that the agent knows
+  /// Offset of the configuration that the agent knew when, after a revocation, it had stopped everything; `kNoOffset`
+  /// if that never happened.
+  Offset cleared = kNoOffset;
 
   bool operator==(const Heartbeat&) const = default;
 };
--- a/src/state/config_records.cc
+++ b/src/state/config_records.cc
@@ -5,12 +5,13 @@
 namespace berylgauge {
 namespace {
 
-enum class Kind { kPropose, kConfirm, kRevoke };
+enum class Kind { kPropose, kConfirm, kRevoke, kClear };
 
 constexpr auto kKindNames = MakeEnumNames<Kind>({
     {Kind::kPropose, "propose"},
     {Kind::kConfirm, "confirm"},
     {Kind::kRevoke, "revoke"},
+    {Kind::kClear, "clear"},
 });
 
 struct Encoder {
@@ -26,9 +27,10 @@
             {"at", r.confirmed_unix_ms}};
   }
   nlohmann::json operator()(const WorkerRevoked& r) const {
-    return {{"t", kKindNames.NameOf(Kind::kRevoke)},
-            {"worker", r.worker.value()},
-            {"agent", std::to_string(r.agent_incarnation)}};
+    return {{"t", kKindNames.NameOf(Kind::kRevoke)}, {"worker", r.worker.value()}};
+  }
+  nlohmann::json operator()(const WorkerCleared& r) const {
+    return {{"t", kKindNames.NameOf(Kind::kClear)}, {"worker", r.worker.value()}, {"cleared", r.cleared}};
   }
 };
 
@@ -51,13 +53,16 @@
       r.confirmed_unix_ms = reader.Integer("at");
       return r;
     }
+    case Kind::kClear: {
+      WorkerCleared r;
+      r.worker = WorkerId(reader.String("worker"));
+      r.cleared = reader.Integer("cleared");
+      return r;
+    }
     case Kind::kRevoke:
       break;
   }
-  WorkerRevoked r;
-  r.worker = WorkerId(reader.String("worker"));
-  r.agent_incarnation = std::strtoull(reader.String("agent").c_str(), nullptr, 10);
-  return r;
+  return WorkerRevoked{.worker = WorkerId(reader.String("worker"))};
 }
 
 }  // namespace
--- a/src/state/config_records.h
+++ b/src/state/config_records.h
@@ -27,13 +27,18 @@
   std::int64_t confirmed_unix_ms = 0;
 };
 
-/// An owner has heard nothing of a worker: that incarnation of its agent must stop everything.
+/// An owner has heard nothing of a worker: its agent must stop everything, in whatever incarnation it learns of this.
 struct WorkerRevoked {
   WorkerId worker;
-  Incarnation agent_incarnation = 0;
 };
 
-using ConfigRecord = std::variant<PlanProposed, PlanConfirmed, WorkerRevoked>;
+/// The worker's agent has stopped everything after it learnt of a revocation at or below `cleared`.
+struct WorkerCleared {
+  WorkerId worker;
+  Offset cleared = kNoOffset;
+};
+
+using ConfigRecord = std::variant<PlanProposed, PlanConfirmed, WorkerRevoked, WorkerCleared>;
 
 nlohmann::json EncodeConfigRecord(const ConfigRecord& record);
 Result<ConfigRecord> DecodeConfigRecord(const nlohmann::json& document);
--- a/src/state/config_state.cc
+++ b/src/state/config_state.cc
@@ -120,10 +120,16 @@
   return FoldOutcome::kAccepted;
 }
 
-FoldOutcome ConfigState::Fold(const WorkerRevoked& record, Offset /*offset*/) {
-  Incarnation& revoked = m_revoked[record.worker];
-  if (revoked == record.agent_incarnation) return FoldOutcome::kRepeat;
-  revoked = record.agent_incarnation;
+FoldOutcome ConfigState::Fold(const WorkerRevoked& record, Offset offset) {
+  return m_revoked.try_emplace(record.worker, offset).second ? FoldOutcome::kAccepted : FoldOutcome::kRepeat;
+}
+
+FoldOutcome ConfigState::Fold(const WorkerCleared& record, Offset /*offset*/) {
+  const auto it = m_revoked.find(record.worker);
+  if (it == m_revoked.end()) return FoldOutcome::kRepeat;
+  // The agent was clear before it could know of a later revocation.
+  if (it->second > record.cleared) return FoldOutcome::kWrongState;
+  m_revoked.erase(it);
   return FoldOutcome::kAccepted;
 }
 
@@ -131,9 +137,9 @@
 
 AvailabilityState ConfigState::WorkerState(const WorkerId& worker) const { return StateOrOpen(m_workers, worker); }
 
-Incarnation ConfigState::RevokedIncarnation(const WorkerId& worker) const {
+Offset ConfigState::RevokedAt(const WorkerId& worker) const {
   const auto it = m_revoked.find(worker);
-  return it == m_revoked.end() ? 0 : it->second;
+  return it == m_revoked.end() ? kNoOffset : it->second;
 }
 
 std::int64_t ConfigState::Limit(LimitName name) const {
@@ -166,8 +172,8 @@
 
 nlohmann::json ConfigState::ToJson() const {
   nlohmann::json revoked = nlohmann::json::array();
-  for (const auto& [worker, incarnation] : m_revoked) {
-    revoked.push_back({{"worker", worker.value()}, {"agent", std::to_string(incarnation)}});
+  for (const auto& [worker, offset] : m_revoked) {
+    revoked.push_back({{"worker", worker.value()}, {"offset", offset}});
   }
   nlohmann::json limits = nlohmann::json::array();
   for (const auto& [name, value] : m_limits) {
@@ -201,7 +207,7 @@
   ReadStates(reader.Objects("workers", kMaxObjectsInSnapshot), next.m_workers);
   for (JsonObjectReader& item : reader.Objects("revoked", kMaxObjectsInSnapshot)) {
     const WorkerId worker(item.String("worker"));
-    next.m_revoked[worker] = std::strtoull(item.String("agent").c_str(), nullptr, 10);
+    next.m_revoked[worker] = item.Integer("offset");
     item.Finish();
   }
   for (const JsonObjectReader& item : reader.Objects("services", kMaxObjectsInSnapshot)) {
--- a/src/state/config_state.h
+++ b/src/state/config_state.h
@@ -49,8 +49,8 @@
   AvailabilityState ZoneState(const AvailabilityZoneId& zone) const;
   AvailabilityState WorkerState(const WorkerId& worker) const;
 
-  /// Incarnation of the worker's agent that must stop everything; 0 if there is none.
-  Incarnation RevokedIncarnation(const WorkerId& worker) const;
+  /// Offset of the revocation of the worker that is in force; `kNoOffset` if there is none.
+  Offset RevokedAt(const WorkerId& worker) const;
   std::int64_t Limit(LimitName name) const;
 
   const std::map<AvailabilityZoneId, AvailabilityState>& zones() const { return m_zones; }
@@ -80,13 +80,14 @@
   FoldOutcome Fold(const PlanProposed& record, Offset offset);
   FoldOutcome Fold(const PlanConfirmed& record, Offset offset);
   FoldOutcome Fold(const WorkerRevoked& record, Offset offset);
+  FoldOutcome Fold(const WorkerCleared& record, Offset offset);
 
   Offset m_offset = kNoOffset;
   ConfigVersion m_version = 0;
   BatchDeduplicator m_writers;
   std::map<AvailabilityZoneId, AvailabilityState> m_zones;  ///< without those that are open
   std::map<WorkerId, AvailabilityState> m_workers;          ///< without those that are open
-  std::map<WorkerId, Incarnation> m_revoked;
+  std::map<WorkerId, Offset> m_revoked;
   std::map<ServiceId, ServiceConfig> m_services;
   std::map<TeamId, TeamQuota> m_quotas;
   std::map<LimitName, std::int64_t> m_limits;
