Let the log say which agent of a worker is the present one

A new owner took a heartbeat that an earlier incarnation had sent for proof that an attempt placed later was not on the worker. Random incarnations have no order, so an owner that was restarted could not tell. Ruled out: ordering by what an entry heard first (an entry that restarts has heard nothing); clocks of the agents. Change: the first heartbeat of an agent is registered in the config stream; the agent registered last speaks for the worker, a former one is told that it is superseded and does nothing more. A list of tasks counts as complete only from a report that was requested after every start of a former agent must have arrived (proof age plus the time-out of a worker call). Stops go to the present agent. Conclusion: a replaced agent, dead or alive, cannot cause a second run.

--- a/src/daemon/agent/agent_core.cc
+++ b/src/daemon/agent/agent_core.cc
@@ -14,6 +14,9 @@
 /// may have started attempts on the worker.
 constexpr absl::Duration kReportIsCurrent = absl::Seconds(2);
 
+/// Longest time that a call to the worker may be under way; the time-out of `WorkerDriver`.
+constexpr absl::Duration kWorkerCallSettle = absl::Seconds(2);
+
 ReportedAttemptState ToReport(AttemptState state) {
   switch (state) {
     case AttemptState::kAdmitted:
@@ -69,7 +72,7 @@
 
 AttemptAnswer AgentCore::Start(const StartCommand& command, MonotonicTime now) {
   const absl::MutexLock lock(&m_mutex);
-  if (m_leaving) {
+  if (m_leaving || m_superseded) {
     // Withdrawing keeps a tombstone, so that this attempt cannot start later either.
     const EndCommand end{.key = command.key,
                          .share = command.share,
@@ -103,6 +106,8 @@
 
 std::vector<WorkerCommand> AgentCore::TakeCommands(MonotonicTime now) {
   const absl::MutexLock lock(&m_mutex);
+  // The worker's tasks belong to the agent that took this one's place.
+  if (m_superseded) return {};
   return m_table->TakeCommands(now);
 }
 
@@ -137,6 +142,13 @@
   return m_gate.outstanding();
 }
 
+bool AgentCore::IsListComplete(MonotonicTime now) const {
+  if (!m_table->IsReconciled() || now - m_last_report > kReportIsCurrent) return false;
+  // A former agent may pass a start on to the worker until the proof that it got before this one was registered is no
+  // longer fresh, and the call may take its time to arrive.
+  return m_last_report >= m_registered_at + m_options.start_freshness + kWorkerCallSettle;
+}
+
 Heartbeat AgentCore::NextHeartbeat(MonotonicTime now) {
   const absl::MutexLock lock(&m_mutex);
   m_endpoints.Expire(now);
@@ -154,7 +166,7 @@
   const WorkerStanding& standing = m_table->standing();
   heartbeat.draining = standing.zone_drained || standing.worker_drained || standing.worker_revoked;
   heartbeat.leaving = m_leaving;
-  heartbeat.reconciled = m_table->IsReconciled() && now - m_last_report <= kReportIsCurrent;
+  heartbeat.reconciled = IsListComplete(now);
   heartbeat.config_version = m_table->config_version();
   heartbeat.cleared = m_cleared;
   for (const EndpointRecord* record : m_endpoints.Live(now)) {
@@ -186,6 +198,12 @@
                            MonotonicTime now) {
   const absl::MutexLock lock(&m_mutex);
   if (incarnation != m_incarnation) return;
+  if (reply.worker_admission == WorkerAdmission::kSuperseded) {
+    m_superseded = true;
+    m_gate.BeginLeaving();
+    return;
+  }
+  if (reply.is_registered && m_registered_at == InfiniteFuture()) m_registered_at = now;
   const WorkerStanding standing{
       .zone_drained = reply.availability_zone_admission == AvailabilityZoneAdmission::kDraining,
       .worker_drained = reply.worker_admission == WorkerAdmission::kDraining,
@@ -219,6 +237,7 @@
   m_cleared = m_table->config_version() - 1;
   m_incarnation = next;
   m_sequence = 0;
+  m_registered_at = InfiniteFuture();
   m_table = MakeTable(next, now);
   m_gate = AgentRequestGate(AgentRequestGate::Options{.agent_incarnation = next});
   return true;
@@ -229,6 +248,11 @@
   return m_incarnation;
 }
 
+bool AgentCore::IsSuperseded() const {
+  const absl::MutexLock lock(&m_mutex);
+  return m_superseded;
+}
+
 bool AgentCore::IsReconciled() const {
   const absl::MutexLock lock(&m_mutex);
   return m_table->IsReconciled();
--- a/src/daemon/agent/agent_core.h
+++ b/src/daemon/agent/agent_core.h
@@ -72,11 +72,15 @@
   bool RenewIncarnationIfRevoked(Incarnation next, MonotonicTime now);
 
   Incarnation incarnation() const;
+
+  /// True if another agent has registered for the worker; this one then does nothing any more.
+  bool IsSuperseded() const;
   bool IsReconciled() const;
   bool IsProofFresh(MonotonicTime now) const;
   Resources Booked() const;
 
  private:
+  bool IsListComplete(MonotonicTime now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   std::unique_ptr<AttemptTable> MakeTable(Incarnation incarnation, MonotonicTime now) const;
 
   const AgentCoreOptions m_options;
@@ -87,6 +91,9 @@
   AgentRequestGate m_gate ABSL_GUARDED_BY(m_mutex);
   std::uint64_t m_sequence ABSL_GUARDED_BY(m_mutex) = 0;
   MonotonicTime m_revoked_since ABSL_GUARDED_BY(m_mutex) = InfinitePast();
+  /// When this run learnt that it is the registered agent; the infinite future before.
+  MonotonicTime m_registered_at ABSL_GUARDED_BY(m_mutex) = InfiniteFuture();
+  bool m_superseded ABSL_GUARDED_BY(m_mutex) = false;
   Offset m_cleared ABSL_GUARDED_BY(m_mutex) = kNoOffset;
   MonotonicTime m_last_report ABSL_GUARDED_BY(m_mutex) = InfinitePast();
   bool m_leaving ABSL_GUARDED_BY(m_mutex) = false;
--- a/src/daemon/agent/agent_node.cc
+++ b/src/daemon/agent/agent_node.cc
@@ -150,6 +150,7 @@
 }
 
 std::optional<std::string> AgentNode::WhyNotReady() const {
+  if (m_core->IsSuperseded()) return "another agent has registered for the worker";
   if (!m_core->IsReconciled()) return "the worker's task list is not known yet";
   if (!m_heartbeats || m_heartbeats->HeardEntries() == 0) return "no entry answers heartbeats";
   if (!m_core->IsProofFresh(m_clock.Now())) return "no fresh proof of the configuration; tasks cannot start";
--- a/src/daemon/entry/config_stream.cc
+++ b/src/daemon/entry/config_stream.cc
@@ -5,6 +5,16 @@
 #include "daemon/streams/append_and_wait.h"
 
 namespace berylgauge {
+namespace {
+
+std::vector<nlohmann::json> Encode(const std::vector<ConfigRecord>& records) {
+  std::vector<nlohmann::json> encoded;
+  encoded.reserve(records.size());
+  for (const ConfigRecord& record : records) encoded.push_back(EncodeConfigRecord(record));
+  return encoded;
+}
+
+}  // namespace
 
 ConfigStream::ConfigStream(LogClient& log, const Clock& clock, const std::string& writer, Incarnation incarnation,
                            std::function<void()> on_change)
@@ -14,10 +24,11 @@
                [this] { return m_state.Position(); }) {}
 
 Result<Offset> ConfigStream::AppendAndWait(const std::vector<ConfigRecord>& records, absl::Duration timeout) {
-  std::vector<nlohmann::json> encoded;
-  encoded.reserve(records.size());
-  for (const ConfigRecord& record : records) encoded.push_back(EncodeConfigRecord(record));
-  return berylgauge::AppendAndWait(m_writer, m_follower, std::move(encoded), timeout);
+  return berylgauge::AppendAndWait(m_writer, m_follower, Encode(records), timeout);
+}
+
+void ConfigStream::Append(const std::vector<ConfigRecord>& records) {
+  m_writer.Append(Encode(records), [](const Result<Offset>&) {});
 }
 
 }  // namespace berylgauge
--- a/src/daemon/entry/config_stream.h
+++ b/src/daemon/entry/config_stream.h
@@ -30,6 +30,9 @@
   /// Appends records and waits until they are folded; returns the offset of the batch.
   Result<Offset> AppendAndWait(const std::vector<ConfigRecord>& records, absl::Duration timeout);
 
+  /// Appends records without waiting.
+  void Append(const std::vector<ConfigRecord>& records);
+
   const SharedState<ConfigState>& state() const { return m_state; }
   TailProof TailProofNow() const { return m_follower.TailProofNow(); }
 
--- a/src/daemon/entry/entry_node.cc
+++ b/src/daemon/entry/entry_node.cc
@@ -208,9 +208,23 @@
     const absl::MutexLock lock(&m_placer_mutex);
     m_placer.UpsertWorker(view);
   }
+  RegisterAgent(heartbeat);
   m_shares->Deliver(heartbeat);
 }
 
+void EntryNode::RegisterAgent(const Heartbeat& heartbeat) {
+  const bool registered = m_config->state().Read(
+      [&](const ConfigState& config) { return config.AgentsOf(heartbeat.worker).Current() == heartbeat.incarnation; });
+  const absl::MutexLock lock(&m_registration_mutex);
+  if (registered) {
+    m_registrations.erase(heartbeat.incarnation);
+    return;
+  }
+  if (!m_registrations.insert(heartbeat.incarnation).second) return;
+  const AgentRegistered record{.worker = heartbeat.worker, .agent_incarnation = heartbeat.incarnation};
+  m_config->Append({record});
+}
+
 void EntryNode::OnConfigChange() {
   // Runs on the follower's thread, which may fold before the constructor of the stream has returned.
   if (!m_config) return;
--- a/src/daemon/entry/entry_node.h
+++ b/src/daemon/entry/entry_node.h
@@ -49,6 +49,7 @@
   void Tick();
   void OnConfigChange();
   void OnHeartbeat(const Heartbeat& heartbeat, MonotonicTime now);
+  void RegisterAgent(const Heartbeat& heartbeat);
   void UpdateQuotas(const ConfigState& config);
   std::optional<std::string> WhyNotReady() const;
 
@@ -78,6 +79,8 @@
   std::unique_ptr<WebServer> m_callers;
   std::unique_ptr<PeriodicThread> m_announcer;
   std::unique_ptr<PeriodicThread> m_ticker;
+  absl::Mutex m_registration_mutex;
+  std::set<Incarnation> m_registrations ABSL_GUARDED_BY(m_registration_mutex);  ///< not folded yet
   std::atomic<bool> m_leaving{false};
   std::atomic<bool> m_announcement_pending{false};
 };
--- a/src/daemon/entry/heartbeat_service.cc
+++ b/src/daemon/entry/heartbeat_service.cc
@@ -13,6 +13,7 @@
 namespace {
 
 WorkerAdmission AdmissionOf(const ConfigState& config, const Heartbeat& heartbeat) {
+  if (config.AgentsOf(heartbeat.worker).IsFormer(heartbeat.incarnation)) return WorkerAdmission::kSuperseded;
   const AvailabilityState state = config.WorkerState(heartbeat.worker);
   // On a worker that operators declared lost its tasks may have been placed again, so nothing may run there.
   if (state == AvailabilityState::kLost) return WorkerAdmission::kRevoked;
@@ -42,6 +43,12 @@
     return;
   }
   const MonotonicTime now = m_clock.Now();
+  const bool superseded = m_config.state().Read(
+      [&](const ConfigState& config) { return config.AgentsOf(heartbeat->worker).IsFormer(heartbeat->incarnation); });
+  if (superseded) {
+    Reply(*heartbeat, now, responder);
+    return;
+  }
   const HeartbeatOutcome outcome = m_workers.Apply(*heartbeat, now);
   if (!outcome.IsAccepted()) {
     responder({.status = 409, .headers = {}, .body = std::string(kHeartbeatDecisionNames.NameOf(outcome.decision))});
@@ -52,7 +59,12 @@
              {{"worker", heartbeat->worker.value()}, {"decision", kHeartbeatDecisionNames.NameOf(outcome.decision)}});
   }
   m_listener(*heartbeat, outcome, now);
-  const Result<std::string> reply = EncodeHeartbeatReply(MakeReply(*heartbeat, now));
+  Reply(*heartbeat, now, responder);
+}
+
+void HeartbeatService::Reply(const Heartbeat& heartbeat, MonotonicTime now,
+                             const StreamServer::Responder& responder) const {
+  const Result<std::string> reply = EncodeHeartbeatReply(MakeReply(heartbeat, now));
   if (!reply) {
     LogEvent(LogLevel::kError, "heartbeat_reply_not_encoded", {{"reason", reply.error().message}});
     responder({.status = 500, .headers = {}, .body = {}});
@@ -73,6 +85,7 @@
     const bool open = config.ZoneState(heartbeat.availability_zone) == AvailabilityState::kOpen;
     reply.availability_zone_admission = open ? AvailabilityZoneAdmission::kOpen : AvailabilityZoneAdmission::kDraining;
     reply.worker_admission = AdmissionOf(config, heartbeat);
+    reply.is_registered = config.AgentsOf(heartbeat.worker).Current() == heartbeat.incarnation;
     return 0;
   });
   if (proof.at != InfinitePast()) {
--- a/src/daemon/entry/heartbeat_service.h
+++ b/src/daemon/entry/heartbeat_service.h
@@ -29,6 +29,7 @@
   void Handle(const StreamRequest& message, const StreamServer::Responder& responder);
 
  private:
+  void Reply(const Heartbeat& heartbeat, MonotonicTime now, const StreamServer::Responder& responder) const;
   HeartbeatReply MakeReply(const Heartbeat& heartbeat, MonotonicTime now) const;
 
   const EntryId m_entry;
--- a/src/daemon/entry/share_controller.cc
+++ b/src/daemon/entry/share_controller.cc
@@ -127,6 +127,8 @@
 
 void ShareController::HandleHeartbeat(const ShareInputs& inputs, const Heartbeat& heartbeat, MonotonicTime now,
                                       ShareDecisions& decisions) {
+  // Only the present agent speaks for its worker: what a former one lists may be out of date.
+  if (inputs.config.AgentsOf(heartbeat.worker).Current() != heartbeat.incarnation) return;
   HandleCleared(inputs, heartbeat, decisions);
   std::set<AttemptKey> listed;
   for (const RunningAttemptReport& running : heartbeat.running) {
@@ -183,11 +185,12 @@
 
 void ShareController::HandleMissing(const ShareInputs& inputs, const Heartbeat& heartbeat,
                                     const std::set<AttemptKey>& listed, ShareDecisions& decisions) {
+  const AgentHistory& agents = inputs.config.AgentsOf(heartbeat.worker);
   for (const TaskId& id : inputs.jobs.live()) {
     const Task* task = inputs.jobs.FindTask(id);
-    if (task->worker != heartbeat.worker || task->agent_incarnation == heartbeat.incarnation) continue;
+    if (task->worker != heartbeat.worker || !agents.IsFormer(task->agent_incarnation)) continue;
     if (listed.contains({.task = id, .attempt = task->attempt})) continue;
-    // The agent has a later incarnation, so it refuses this attempt, and its worker does not list it.
+    // The agent that could start this attempt was superseded, and the worker does not list it.
     End(id, *task, AttemptOutcome::kLost, "", "not on the worker after a restart of its agent", decisions);
   }
 }
@@ -226,11 +229,12 @@
     const EndCommand end{.key = key,
                          .share = static_cast<std::uint32_t>(m_options.share),
                          .offset = task.placed_at,
-                         .agent_incarnation = task.agent_incarnation};
+                         .agent_incarnation = inputs.config.AgentsOf(task.worker).Current()};
     decisions.stops.push_back({.worker = task.worker, .message = {.end = end, .with_checkpoint = !job.cancelled}});
     return;
   }
   if (task.state != TaskState::kPlaced || now < times.next_start) return;
+  if (inputs.config.AgentsOf(task.worker).IsFormer(task.agent_incarnation)) return;
   times.next_start = now + m_options.start_repeat;
   decisions.starts.push_back({.worker = task.worker, .message = MakeStart(inputs, id, job, task)});
 }
--- a/src/daemon/entry/worker_view_of.cc
+++ b/src/daemon/entry/worker_view_of.cc
@@ -17,8 +17,9 @@
                  config.ZoneState(heartbeat.availability_zone) != AvailabilityState::kOpen ||
                  config.WorkerState(heartbeat.worker) != AvailabilityState::kOpen ||
                  config.RevokedAt(heartbeat.worker) != kNoOffset;
-  // An agent that has not reconciled refuses every start.
-  view.suspected = entry.liveness != WorkerLiveness::kLive || !heartbeat.reconciled;
+  // An agent that has not reconciled, or is not the registered one, refuses every start.
+  view.suspected = entry.liveness != WorkerLiveness::kLive || !heartbeat.reconciled ||
+                   config.AgentsOf(heartbeat.worker).Current() != heartbeat.incarnation;
   view.as_of = entry.last_heard;
   return view;
 }
--- a/src/membership/heartbeat_reply.cc
+++ b/src/membership/heartbeat_reply.cc
@@ -25,6 +25,7 @@
            {"z", kAvailabilityZoneAdmissionNames.NameOf(reply.availability_zone_admission)},
            {"w", kWorkerAdmissionNames.NameOf(reply.worker_admission)}};
   if (reply.proof_age) out["p"] = CeilMilliseconds(*reply.proof_age);
+  if (reply.is_registered) out["g"] = true;
   for (const AttemptAcknowledgement& attempt : reply.acknowledged) {
     out["x"].push_back({{"t", attempt.task.value()}, {"n", attempt.attempt}});
   }
@@ -43,6 +44,7 @@
   if (reader.Has("p")) reply.proof_age = absl::Milliseconds(reader.Integer("p"));
   reply.availability_zone_admission = reader.Enum<AvailabilityZoneAdmission>("z", kAvailabilityZoneAdmissionNames);
   reply.worker_admission = reader.Enum<WorkerAdmission>("w", kWorkerAdmissionNames);
+  reply.is_registered = reader.Boolean("g", false);
   for (JsonObjectReader& item : reader.Objects("x", kMaxEndedAttempts, false)) {
     reply.acknowledged.push_back({.task = TaskId(ReadId(item, "t")), .attempt = ReadAttemptNumber(item, "n")});
     item.Finish();
--- a/src/membership/heartbeat_reply.h
+++ b/src/membership/heartbeat_reply.h
@@ -26,13 +26,15 @@
 enum class WorkerAdmission {
   kOpen,
   kDraining,
-  kRevoked,  ///< the agent stops its tasks and reports the stop
+  kRevoked,     ///< the agent stops its tasks and reports the stop
+  kSuperseded,  ///< another agent has registered for the worker; this one must not touch the worker any more
 };
 
 inline constexpr auto kWorkerAdmissionNames = MakeEnumNames<WorkerAdmission>({
     {WorkerAdmission::kOpen, "open"},
     {WorkerAdmission::kDraining, "draining"},
     {WorkerAdmission::kRevoked, "revoked"},
+    {WorkerAdmission::kSuperseded, "superseded"},
 });
 
 /// An entry's answer to a heartbeat.
@@ -44,6 +46,7 @@
   std::optional<absl::Duration> proof_age;  ///< whole milliseconds, rounded up; absent if the entry holds no proof
   AvailabilityZoneAdmission availability_zone_admission = AvailabilityZoneAdmission::kOpen;
   WorkerAdmission worker_admission = WorkerAdmission::kOpen;
+  bool is_registered = false;  ///< the log says that the sender is the present agent of the worker
   std::vector<AttemptAcknowledgement> acknowledged;
   std::vector<std::string> entries;  ///< internal addresses of the live entries
 
--- a/src/state/config_records.cc
+++ b/src/state/config_records.cc
@@ -5,13 +5,14 @@
 namespace berylgauge {
 namespace {
 
-enum class Kind { kPropose, kConfirm, kRevoke, kClear };
+enum class Kind { kPropose, kConfirm, kRevoke, kClear, kRegister };
 
 constexpr auto kKindNames = MakeEnumNames<Kind>({
     {Kind::kPropose, "propose"},
     {Kind::kConfirm, "confirm"},
     {Kind::kRevoke, "revoke"},
     {Kind::kClear, "clear"},
+    {Kind::kRegister, "register"},
 });
 
 struct Encoder {
@@ -32,6 +33,11 @@
   nlohmann::json operator()(const WorkerCleared& r) const {
     return {{"t", kKindNames.NameOf(Kind::kClear)}, {"worker", r.worker.value()}, {"cleared", r.cleared}};
   }
+  nlohmann::json operator()(const AgentRegistered& r) const {
+    return {{"t", kKindNames.NameOf(Kind::kRegister)},
+            {"worker", r.worker.value()},
+            {"agent", std::to_string(r.agent_incarnation)}};
+  }
 };
 
 ConfigRecord ReadRecord(Kind kind, JsonObjectReader& reader, const nlohmann::json& document) {
@@ -59,6 +65,12 @@
       r.cleared = reader.Integer("cleared");
       return r;
     }
+    case Kind::kRegister: {
+      AgentRegistered r;
+      r.worker = WorkerId(reader.String("worker"));
+      r.agent_incarnation = std::strtoull(reader.String("agent").c_str(), nullptr, 10);
+      return r;
+    }
     case Kind::kRevoke:
       break;
   }
--- a/src/state/config_records.h
+++ b/src/state/config_records.h
@@ -38,7 +38,13 @@
   Offset cleared = kNoOffset;
 };
 
-using ConfigRecord = std::variant<PlanProposed, PlanConfirmed, WorkerRevoked, WorkerCleared>;
+/// A process has become the agent of a worker. The order of these records settles which agent is the present one.
+struct AgentRegistered {
+  WorkerId worker;
+  Incarnation agent_incarnation = 0;
+};
+
+using ConfigRecord = std::variant<PlanProposed, PlanConfirmed, WorkerRevoked, WorkerCleared, AgentRegistered>;
 
 nlohmann::json EncodeConfigRecord(const ConfigRecord& record);
 Result<ConfigRecord> DecodeConfigRecord(const nlohmann::json& document);
--- a/src/state/config_state.cc
+++ b/src/state/config_state.cc
@@ -133,6 +133,10 @@
   return FoldOutcome::kAccepted;
 }
 
+FoldOutcome ConfigState::Fold(const AgentRegistered& record, Offset /*offset*/) {
+  return m_agents[record.worker].Register(record.agent_incarnation) ? FoldOutcome::kAccepted : FoldOutcome::kRepeat;
+}
+
 AvailabilityState ConfigState::ZoneState(const AvailabilityZoneId& zone) const { return StateOrOpen(m_zones, zone); }
 
 AvailabilityState ConfigState::WorkerState(const WorkerId& worker) const { return StateOrOpen(m_workers, worker); }
@@ -142,6 +146,12 @@
   return it == m_revoked.end() ? kNoOffset : it->second;
 }
 
+const AgentHistory& ConfigState::AgentsOf(const WorkerId& worker) const {
+  static const AgentHistory kNone;
+  const auto it = m_agents.find(worker);
+  return it == m_agents.end() ? kNone : it->second;
+}
+
 std::int64_t ConfigState::Limit(LimitName name) const {
   const auto it = m_limits.find(name);
   return it == m_limits.end() ? RangeOf(name).default_value : it->second;
@@ -175,6 +185,12 @@
   for (const auto& [worker, offset] : m_revoked) {
     revoked.push_back({{"worker", worker.value()}, {"offset", offset}});
   }
+  nlohmann::json agents = nlohmann::json::array();
+  for (const auto& [worker, history] : m_agents) {
+    nlohmann::json incarnations = nlohmann::json::array();
+    for (const Incarnation incarnation : history.agents()) incarnations.push_back(std::to_string(incarnation));
+    agents.push_back({{"worker", worker.value()}, {"agents", std::move(incarnations)}});
+  }
   nlohmann::json limits = nlohmann::json::array();
   for (const auto& [name, value] : m_limits) {
     limits.push_back({{"limit", kLimitNames.NameOf(name)}, {"value", value}});
@@ -189,6 +205,7 @@
           {"zones", StatesToJson(m_zones)},
           {"workers", StatesToJson(m_workers)},
           {"revoked", std::move(revoked)},
+          {"agents", std::move(agents)},
           {"services", ValuesToJson(m_services)},
           {"quotas", ValuesToJson(m_quotas)},
           {"limits", std::move(limits)},
@@ -210,6 +227,13 @@
     next.m_revoked[worker] = item.Integer("offset");
     item.Finish();
   }
+  for (JsonObjectReader& item : reader.Objects("agents", kMaxObjectsInSnapshot)) {
+    AgentHistory& history = next.m_agents[WorkerId(item.String("worker"))];
+    for (const std::string& incarnation : item.Strings("agents", kMaxObjectsInSnapshot)) {
+      history.Register(std::strtoull(incarnation.c_str(), nullptr, 10));
+    }
+    item.Finish();
+  }
   for (const JsonObjectReader& item : reader.Objects("services", kMaxObjectsInSnapshot)) {
     next.PutService(ReadServiceConfig(item));
   }
--- a/src/state/config_state.h
+++ b/src/state/config_state.h
@@ -9,6 +9,7 @@
 
 #include "base/failure.h"
 #include "base/ids.h"
+#include "state/agent_history.h"
 #include "state/availability_state.h"
 #include "state/batch_deduplicator.h"
 #include "state/config_records.h"
@@ -51,6 +52,9 @@
 
   /// Offset of the revocation of the worker that is in force; `kNoOffset` if there is none.
   Offset RevokedAt(const WorkerId& worker) const;
+
+  /// The registered agents of a worker; its present agent is the one registered last.
+  const AgentHistory& AgentsOf(const WorkerId& worker) const;
   std::int64_t Limit(LimitName name) const;
 
   const std::map<AvailabilityZoneId, AvailabilityState>& zones() const { return m_zones; }
@@ -81,6 +85,7 @@
   FoldOutcome Fold(const PlanConfirmed& record, Offset offset);
   FoldOutcome Fold(const WorkerRevoked& record, Offset offset);
   FoldOutcome Fold(const WorkerCleared& record, Offset offset);
+  FoldOutcome Fold(const AgentRegistered& record, Offset offset);
 
   Offset m_offset = kNoOffset;
   ConfigVersion m_version = 0;
@@ -88,6 +93,7 @@
   std::map<AvailabilityZoneId, AvailabilityState> m_zones;  ///< without those that are open
   std::map<WorkerId, AvailabilityState> m_workers;          ///< without those that are open
   std::map<WorkerId, Offset> m_revoked;
+  std::map<WorkerId, AgentHistory> m_agents;
   std::map<ServiceId, ServiceConfig> m_services;
   std::map<TeamId, TeamQuota> m_quotas;
   std::map<LimitName, std::int64_t> m_limits;
--- a/tests/unit/daemon/share_controller_property_test.cc
+++ b/tests/unit/daemon/share_controller_property_test.cc
@@ -45,7 +45,7 @@
   const int worker = Pick(ShareWorld::kWorkers);
   const int entry = Pick(ShareWorld::kEntries);
   const auto any_message = [&] { return static_cast<std::size_t>(Pick(static_cast<int>(world.message_count()))); };
-  switch (Pick(31)) {
+  switch (Pick(33)) {
     case 0:
     case 1:
     case 2:
@@ -97,6 +97,8 @@
     case 28:
       if (Pick(4) == 0) CutFromOwner(world, worker, entry);
       return;
+    case 29:
+      return world.WakeFormerAgent(worker);
     default:
       return world.Advance(Pick(10) == 0 ? absl::Seconds(30) : absl::Milliseconds(100 + 400 * Pick(4)));
   }
--- a/tests/unit/daemon/share_world.cc
+++ b/tests/unit/daemon/share_world.cc
@@ -36,6 +36,7 @@
   WorkerId id;
   std::unique_ptr<FakeWorker> worker;
   std::unique_ptr<AgentCore> agent;
+  std::unique_ptr<AgentCore> former_agent;  ///< replaced, but alive
   Incarnation incarnation = 0;
 };
 
@@ -205,15 +206,31 @@
 
 void ShareWorld::SendHeartbeat(int worker, int target, bool reply_arrives) {
   WorkerModel& model = *m_workers[static_cast<std::size_t>(worker)];
-  const Heartbeat heartbeat = model.agent->NextHeartbeat(m_now);
-  const WorkerDirectory::Entry entry{.last = heartbeat, .liveness = WorkerLiveness::kLive, .last_heard = m_now};
-  for (int i = 0; i < kEntries; ++i) {
-    if (target >= 0 && i != target) continue;
-    const std::unique_ptr<EntryModel>& other = m_entries[static_cast<std::size_t>(i)];
-    other->heartbeats.push_back(heartbeat);
-    other->last_heard[model.id] = m_now;
-    other->placer->UpsertWorker(WorkerViewOf(entry, m_config));
+  Exchange(model, *model.agent, target, reply_arrives);
+  model.agent->RenewIncarnationIfRevoked(m_next_incarnation++, m_now);
+}
+
+void ShareWorld::Exchange(WorkerModel& model, AgentCore& agent, int target, bool reply_arrives) {
+  const Heartbeat heartbeat = agent.NextHeartbeat(m_now);
+  const bool superseded = m_config.AgentsOf(model.id).IsFormer(heartbeat.incarnation);
+  for (int i = 0; i < kEntries && !superseded; ++i) {
+    if (target < 0 || i == target) Receive(*m_entries[static_cast<std::size_t>(i)], model, heartbeat);
   }
+  TraceHeartbeat(model, heartbeat, target, reply_arrives);
+  if (reply_arrives) agent.ApplyReply(heartbeat.incarnation, MakeReply(model, heartbeat), m_now, m_now);
+}
+
+void ShareWorld::Receive(EntryModel& entry, const WorkerModel& model, const Heartbeat& heartbeat) {
+  if (m_config.AgentsOf(model.id).Current() != heartbeat.incarnation) {
+    AppendConfig({AgentRegistered{.worker = model.id, .agent_incarnation = heartbeat.incarnation}});
+  }
+  entry.heartbeats.push_back(heartbeat);
+  entry.last_heard[model.id] = m_now;
+  const WorkerDirectory::Entry known{.last = heartbeat, .liveness = WorkerLiveness::kLive, .last_heard = m_now};
+  entry.placer->UpsertWorker(WorkerViewOf(known, m_config));
+}
+
+void ShareWorld::TraceHeartbeat(const WorkerModel& model, const Heartbeat& heartbeat, int target, bool reply_arrives) {
   std::string listed;
   for (const RunningAttemptReport& running : heartbeat.running) {
     absl::StrAppend(&listed, " ", running.task.value(), "#", running.attempt);
@@ -224,24 +241,38 @@
   }
   Trace(absl::StrCat("heartbeat ", model.id.value(), " agent ", heartbeat.incarnation, " to ", target,
                      heartbeat.reconciled ? " reconciled" : "", listed, reply_arrives ? "" : " reply lost"));
-  if (!reply_arrives) return;
+}
+
+HeartbeatReply ShareWorld::MakeReply(const WorkerModel& model, const Heartbeat& heartbeat) const {
   HeartbeatReply reply;
   reply.config_version = m_config.offset() + 1;
   reply.offset = m_config.offset();
   reply.proof_age = absl::ZeroDuration();
   const bool open = m_config.ZoneState(heartbeat.availability_zone) == AvailabilityState::kOpen;
   reply.availability_zone_admission = open ? AvailabilityZoneAdmission::kOpen : AvailabilityZoneAdmission::kDraining;
+  const AgentHistory& agents = m_config.AgentsOf(model.id);
+  reply.is_registered = agents.Current() == heartbeat.incarnation;
   if (!m_options.hide_revocations && m_config.RevokedAt(model.id) > heartbeat.cleared) {
     reply.worker_admission = WorkerAdmission::kRevoked;
   }
+  if (agents.IsFormer(heartbeat.incarnation)) reply.worker_admission = WorkerAdmission::kSuperseded;
   for (const EndedAttemptReport& ended : heartbeat.ended) {
     const Task* task = m_jobs.FindTask(ended.task);
     const bool recorded =
         task != nullptr && task->attempt >= ended.attempt && (task->attempt > ended.attempt || !task->HasLiveAttempt());
     if (recorded) reply.acknowledged.push_back({.task = ended.task, .attempt = ended.attempt});
   }
-  model.agent->ApplyReply(heartbeat.incarnation, reply, m_now, m_now);
-  model.agent->RenewIncarnationIfRevoked(m_next_incarnation++, m_now);
+  return reply;
+}
+
+void ShareWorld::WakeFormerAgent(int worker) {
+  WorkerModel& model = *m_workers[static_cast<std::size_t>(worker)];
+  if (!model.former_agent) return;
+  Trace(absl::StrCat("former agent of ", model.id.value(), " wakes"));
+  Execute(model, *model.former_agent, false);
+  Exchange(model, *model.former_agent, -1, true);
+  model.former_agent->Reconcile(model.worker->Report(), m_now, m_now);
+  Execute(model, *model.former_agent, false);
 }
 
 void ShareWorld::ReadReport(int worker) {
@@ -251,8 +282,12 @@
 
 void ShareWorld::RunCommands(int worker, bool lose_answers) {
   WorkerModel& model = *m_workers[static_cast<std::size_t>(worker)];
-  const Incarnation incarnation = model.agent->incarnation();
-  for (const WorkerCommand& command : model.agent->TakeCommands(m_now)) {
+  Execute(model, *model.agent, lose_answers);
+}
+
+void ShareWorld::Execute(WorkerModel& model, AgentCore& agent, bool lose_answers) {
+  const Incarnation incarnation = agent.incarnation();
+  for (const WorkerCommand& command : agent.TakeCommands(m_now)) {
     const bool known = model.worker->Execute(command, m_now);
     Trace(absl::StrCat(model.id.value(), " ", std::string(kWorkerCommandKindNames.NameOf(command.kind)), " ",
                        command.key.task.value(), " ", command.key.attempt, known ? "" : " unknown",
@@ -263,7 +298,7 @@
     } else if (!known) {
       result = NotRun(FailureCode::kNotFound, "unknown attempt");
     }
-    model.agent->HandleResult(incarnation, command, result, m_now);
+    agent.HandleResult(incarnation, command, result, m_now);
   }
 }
 
@@ -276,7 +311,9 @@
 
 void ShareWorld::RestartAgent(int worker) {
   Trace(absl::StrCat("restart agent ", worker));
-  m_workers[static_cast<std::size_t>(worker)]->agent = MakeAgent(worker);
+  WorkerModel& model = *m_workers[static_cast<std::size_t>(worker)];
+  model.former_agent = std::move(model.agent);
+  model.agent = MakeAgent(worker);
 }
 
 void ShareWorld::RebootWorker(int worker) {
--- a/tests/unit/daemon/share_world.h
+++ b/tests/unit/daemon/share_world.h
@@ -50,6 +50,7 @@
   void RunCommands(int worker, bool lose_answers);
   void FinishTask(int worker, std::size_t index, bool success);
   void RestartAgent(int worker);
+  void WakeFormerAgent(int worker);  ///< the agent that was replaced goes on as if it had only been paused
   void RebootWorker(int worker);
   void SetZone(int worker, AvailabilityState state);
   void Cancel();
@@ -85,6 +86,11 @@
   void AppendConfig(const std::vector<ConfigRecord>& records);
   void MakeController(int entry);
   std::unique_ptr<AgentCore> MakeAgent(int worker);
+  void Exchange(WorkerModel& model, AgentCore& agent, int target, bool reply_arrives);
+  void Receive(EntryModel& entry, const WorkerModel& model, const Heartbeat& heartbeat);
+  void TraceHeartbeat(const WorkerModel& model, const Heartbeat& heartbeat, int target, bool reply_arrives);
+  HeartbeatReply MakeReply(const WorkerModel& model, const Heartbeat& heartbeat) const;
+  void Execute(WorkerModel& model, AgentCore& agent, bool lose_answers);
   int IndexOf(const WorkerId& worker) const;
 
   const Options m_options;
