--- /dev/null
+++ b/src/web/microhttpd_server.cc
@@ -0,0 +1,480 @@
+#include "web/microhttpd_server.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdarg>
+#include <cstdio>
+#include <cstring>
+#include <exception>
+#include <utility>
+
+#include "base/event_log.h"
+#include "web/json_error_response.h"
+#include "web/request_head_check.h"
+#include "web/request_target.h"
+
+namespace berylgauge {
+namespace {
+
+/// The library keeps the head of a request in one block. It is larger than the limits of the options, so that a head
+/// that exceeds them by less is answered with a JSON body instead of the library's own text.
+constexpr std::size_t kHeadBlockFactor = 4;
+
+/// How much of a body over the limit is read and discarded before the answer. A socket that is closed with unread input
+/// sends a reset, which can destroy the answer before the peer has read it.
+constexpr std::size_t kMaxDiscardedBytes = 4 << 20;
+
+/// Interval at which overdue transfers are looked for.
+constexpr std::chrono::milliseconds kOverdueCheckInterval{250};
+
+constexpr std::chrono::steady_clock::time_point kNoDeadline = std::chrono::steady_clock::time_point::max();
+
+constexpr int kContentTooLarge = 413;
+constexpr int kUriTooLong = 414;
+constexpr int kHeaderFieldsTooLarge = 431;
+
+/// IP address and port in the form that the socket functions take.
+struct SocketAddress {
+  sockaddr_storage storage{};
+  bool is_ipv6 = false;
+};
+
+std::optional<SocketAddress> ParseAddress(const std::string& address, int port) {
+  SocketAddress result;
+  auto* ipv4 = reinterpret_cast<sockaddr_in*>(&result.storage);
+  if (inet_pton(AF_INET, address.c_str(), &ipv4->sin_addr) == 1) {
+    ipv4->sin_family = AF_INET;
+    ipv4->sin_port = htons(static_cast<std::uint16_t>(port));
+    return result;
+  }
+  auto* ipv6 = reinterpret_cast<sockaddr_in6*>(&result.storage);
+  if (inet_pton(AF_INET6, address.c_str(), &ipv6->sin6_addr) == 1) {
+    ipv6->sin6_family = AF_INET6;
+    ipv6->sin6_port = htons(static_cast<std::uint16_t>(port));
+    result.is_ipv6 = true;
+    return result;
+  }
+  return std::nullopt;
+}
+
+std::string PeerOf(MHD_Connection* connection) {
+  const MHD_ConnectionInfo* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  if (info == nullptr || info->client_addr == nullptr) return {};
+  std::array<char, INET6_ADDRSTRLEN> text{};
+  const void* address = info->client_addr->sa_family == AF_INET6
+                            ? static_cast<const void*>(&reinterpret_cast<sockaddr_in6*>(info->client_addr)->sin6_addr)
+                            : static_cast<const void*>(&reinterpret_cast<sockaddr_in*>(info->client_addr)->sin_addr);
+  if (inet_ntop(info->client_addr->sa_family, address, text.data(), text.size()) == nullptr) return {};
+  return text.data();
+}
+
+MHD_Result CollectHeader(void* context, MHD_ValueKind, const char* name, std::size_t name_size, const char* value,
+                         std::size_t value_size) {
+  static_cast<std::vector<RawHeader>*>(context)->push_back(
+      {.name = {name, name_size},
+       .value = value == nullptr ? std::string_view() : std::string_view(value, value_size)});
+  return MHD_YES;
+}
+
+/// Memory of the request head after the HTTP version; empty if it is not where the library is known to keep it.
+std::string_view HeadLines(MHD_Connection* connection, const char* method, const char* version) {
+  const MHD_ConnectionInfo* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+  if (info == nullptr) return {};
+  const char* end = method + info->header_size;
+  const char* start = version + std::strlen(version);
+  if (version < method || start > end) return {};
+  return {start, static_cast<std::size_t>(end - start)};
+}
+
+std::string Trimmed(std::string_view text) {
+  return std::string(absl::StripAsciiWhitespace(absl::string_view(text.data(), text.size())));
+}
+
+/// Headers that the library sets itself or that concern the connection only.
+bool IsSetByLibrary(const std::string& name) {
+  constexpr std::array<const char*, 4> kNames = {"connection", "content-length", "keep-alive", "transfer-encoding"};
+  return std::any_of(kNames.begin(), kNames.end(),
+                     [&name](const char* other) { return absl::EqualsIgnoreCase(name, other); });
+}
+
+bool HasBody(int status) { return status != MHD_HTTP_NO_CONTENT && status != MHD_HTTP_NOT_MODIFIED; }
+
+MHD_Response* MakeResponse(WebResponse& response) {
+  auto* body = new std::string(HasBody(response.status) ? std::move(response.body) : std::string());
+  MHD_Response* result = MHD_create_response_from_buffer_with_free_callback_cls(
+      body->size(), body->data(), [](void* text) { delete static_cast<std::string*>(text); }, body);
+  if (result == nullptr) delete body;
+  return result;
+}
+
+Failure InvalidRequest(std::string message, std::string field) {
+  return {.code = FailureCode::kInvalidArgument, .message = std::move(message), .field = std::move(field)};
+}
+
+Failure TooLargeBody(std::size_t limit) {
+  return InvalidRequest("the body has more than " + std::to_string(limit) + " bytes", "body");
+}
+
+WebResponse Unanswered(FailureCode code, std::string message) {
+  return JsonErrorResponse({.code = code, .verdict = Verdict::kMayHaveRun, .message = std::move(message), .field = {}});
+}
+
+/// Answers with an error when the last copy of a responder is destroyed without a call.
+class ResponderGuard {
+ public:
+  explicit ResponderGuard(std::shared_ptr<WebExchange> exchange) : m_exchange(std::move(exchange)) {}
+  ~ResponderGuard() { m_exchange->Answer(Unanswered(FailureCode::kInternal, "the request was dropped")); }
+  ResponderGuard(const ResponderGuard&) = delete;
+  ResponderGuard& operator=(const ResponderGuard&) = delete;
+
+  void Answer(WebResponse response) { m_exchange->Answer(std::move(response)); }
+
+ private:
+  std::shared_ptr<WebExchange> m_exchange;
+};
+
+/// Sends a refusal past the library, which takes no answer while it reads a body. The peer is disconnected afterwards.
+void SendRefusal(int socket, const WebResponse& response) {
+  std::string text = "HTTP/1.1 " + std::to_string(response.status) + " Refused\r\nConnection: close\r\n";
+  for (const auto& [name, value] : response.headers) text += name + ": " + value + "\r\n";
+  text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n" + response.body;
+  // The result does not matter: a peer that has closed the connection cannot be told.
+  (void)send(socket, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
+}  // namespace
+
+/// Functions in the form that libmicrohttpd calls; the closure is the server.
+struct MicrohttpdCallbacks {
+  static WebConnection* ConnectionOf(MHD_Connection* connection) {
+    const MHD_ConnectionInfo* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    return info == nullptr ? nullptr : static_cast<WebConnection*>(info->socket_context);
+  }
+
+  static void Connection(void* server, MHD_Connection* connection, void** context,
+                         MHD_ConnectionNotificationCode code) {
+    auto* self = static_cast<MicrohttpdServer*>(server);
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+      self->OnOpen(connection, context);
+    } else {
+      self->OnClose(context);
+    }
+  }
+
+  static void* Target(void*, const char* target, MHD_Connection* connection) {
+    WebConnection* state = ConnectionOf(connection);
+    if (state == nullptr) return nullptr;
+    state->target = target;
+    state->target_end = target + state->target.size();
+    return nullptr;
+  }
+
+  /// The library's own decoding would end the path at an escaped NUL; `RequestTarget` decodes instead.
+  static std::size_t KeepEscapes(void*, MHD_Connection*, char* text) { return std::strlen(text); }
+
+  static MHD_Result Access(void* server, MHD_Connection* connection, const char*, const char* method,
+                           const char* version, const char* upload_data, std::size_t* upload_size, void**) {
+    WebConnection* state = ConnectionOf(connection);
+    if (state == nullptr) return MHD_NO;
+    const bool go_on =
+        static_cast<MicrohttpdServer*>(server)->OnAccess(connection, *state, method, version, upload_data, upload_size);
+    return go_on ? MHD_YES : MHD_NO;
+  }
+
+  static void Completed(void* server, MHD_Connection* connection, void**, MHD_RequestTerminationCode) {
+    if (WebConnection* state = ConnectionOf(connection)) static_cast<MicrohttpdServer*>(server)->OnCompleted(*state);
+  }
+
+  static void Log(void*, const char* format, va_list arguments) {
+    std::array<char, 512> text{};
+    (void)std::vsnprintf(text.data(), text.size(), format, arguments);
+    LogEvent(LogLevel::kDebug, "http_library_message",
+             {{"text", std::string(absl::StripAsciiWhitespace(text.data()))}});
+  }
+};
+
+std::unique_ptr<WebServer> MakeWebServer() { return std::make_unique<MicrohttpdServer>(); }
+
+MicrohttpdServer::~MicrohttpdServer() { Stop(); }
+
+Result<int> MicrohttpdServer::Start(const WebServerOptions& options, Handler handler) {
+  if (m_daemon != nullptr) return NotRun(FailureCode::kInternal, "the listener has been started already");
+  const std::optional<SocketAddress> address = ParseAddress(options.address, options.port);
+  if (!address) return NotRun(FailureCode::kInvalidArgument, "must be an IP address", "address");
+  m_options = options;
+  m_handler = std::move(handler);
+  m_stopping = false;
+  m_shutting_down = false;
+
+  unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
+  if (address->is_ipv6) flags |= MHD_USE_IPv6;
+  const std::size_t head_block = kHeadBlockFactor * (options.max_url_bytes + options.max_header_bytes);
+  std::vector<MHD_OptionItem> items = {
+      {MHD_OPTION_SOCK_ADDR, 0, const_cast<sockaddr_storage*>(&address->storage)},
+      {MHD_OPTION_CONNECTION_LIMIT, options.max_connections, nullptr},
+      {MHD_OPTION_PER_IP_CONNECTION_LIMIT, options.max_connections_per_peer, nullptr},
+      {MHD_OPTION_CONNECTION_TIMEOUT, options.idle_timeout_s, nullptr},
+      {MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::intptr_t>(head_block), nullptr},
+  };
+  // The connections are divided among the threads, and each needs room for one at least.
+  const int threads = std::min(options.threads, options.max_connections);
+  if (threads > 1) items.push_back({MHD_OPTION_THREAD_POOL_SIZE, threads, nullptr});
+  items.push_back({MHD_OPTION_END, 0, nullptr});
+  m_daemon = MHD_start_daemon(flags, static_cast<std::uint16_t>(options.port), nullptr, nullptr,
+                              &MicrohttpdCallbacks::Access, this,                                        //
+                              MHD_OPTION_EXTERNAL_LOGGER, &MicrohttpdCallbacks::Log, nullptr,            //
+                              MHD_OPTION_NOTIFY_CONNECTION, &MicrohttpdCallbacks::Connection, this,      //
+                              MHD_OPTION_NOTIFY_COMPLETED, &MicrohttpdCallbacks::Completed, this,        //
+                              MHD_OPTION_URI_LOG_CALLBACK, &MicrohttpdCallbacks::Target, nullptr,        //
+                              MHD_OPTION_UNESCAPE_CALLBACK, &MicrohttpdCallbacks::KeepEscapes, nullptr,  //
+                              MHD_OPTION_ARRAY, items.data(), MHD_OPTION_END);
+  if (m_daemon == nullptr) {
+    return NotRun(FailureCode::kUnavailable,
+                  "cannot listen on " + options.address + " port " + std::to_string(options.port), "address");
+  }
+  m_overdue_thread = std::thread([this] { CutOffOverduePeers(); });
+  const MHD_DaemonInfo* info = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT);
+  return info == nullptr ? options.port : static_cast<int>(info->port);
+}
+
+void MicrohttpdServer::BeginShutdown() {
+  if (m_daemon == nullptr || m_shutting_down.exchange(true)) return;
+  m_listen_socket = MHD_quiesce_daemon(m_daemon);
+  if (m_listen_socket < 0) return;
+  // Peers whose connection the operating system has completed already may have sent a request; they are served.
+  while (true) {
+    sockaddr_storage peer{};
+    socklen_t size = sizeof(peer);
+    const int socket =
+        accept4(m_listen_socket, reinterpret_cast<sockaddr*>(&peer), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (socket < 0) break;
+    MHD_add_connection(m_daemon, socket, reinterpret_cast<sockaddr*>(&peer), size);
+  }
+  // The library requires that the socket stays open until the daemon stops; without this call the operating system
+  // would go on completing connections that nobody serves.
+  shutdown(m_listen_socket, SHUT_RDWR);
+}
+
+int MicrohttpdServer::OpenRequests() const {
+  const std::lock_guard lock(m_mutex);
+  return static_cast<int>(m_exchanges.size());
+}
+
+void MicrohttpdServer::Stop() {
+  if (m_daemon == nullptr) return;
+  BeginShutdown();
+  std::unordered_set<std::shared_ptr<WebExchange>> open;
+  {
+    const std::lock_guard lock(m_mutex);
+    m_stopping = true;
+    open = m_exchanges;
+  }
+  m_stop_changed.notify_all();
+  // The library aborts the program when it is stopped with suspended connections.
+  for (const auto& exchange : open) exchange->Answer(Unanswered(FailureCode::kUnavailable, "shutting down"));
+  MHD_stop_daemon(m_daemon);
+  m_daemon = nullptr;
+  m_overdue_thread.join();
+  if (m_listen_socket >= 0) close(m_listen_socket);
+  m_listen_socket = -1;
+}
+
+void MicrohttpdServer::OnOpen(MHD_Connection* connection, void** context) {
+  auto state = std::make_unique<WebConnection>();
+  const MHD_ConnectionInfo* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  if (info != nullptr) state->socket = info->connect_fd;
+  state->deadline =
+      std::chrono::steady_clock::now() + std::chrono::seconds(m_options.idle_timeout_s + m_options.transfer_timeout_s);
+  *context = state.get();
+  const std::lock_guard lock(m_mutex);
+  m_connections.emplace(state.get(), std::move(state));
+}
+
+void MicrohttpdServer::OnClose(void** context) {
+  auto* state = static_cast<WebConnection*>(std::exchange(*context, nullptr));
+  if (state == nullptr) return;
+  OnCompleted(*state);
+  const std::lock_guard lock(m_mutex);
+  m_connections.erase(state);
+}
+
+bool MicrohttpdServer::OnAccess(MHD_Connection* connection, WebConnection& state, const char* method,
+                                const char* version, const char* upload_data, std::size_t* upload_size) {
+  if (!state.exchange) return OnHead(connection, state, method, version);
+  if (*upload_size > 0) {
+    const std::size_t size = std::exchange(*upload_size, 0);
+    return OnBody(state, upload_data, size);
+  }
+  if (!state.dispatched) {
+    SetDeadline(state, std::nullopt);
+    if (state.discarded_bytes > 0) {
+      state.close_after_answer = true;
+      state.exchange->Answer(JsonErrorResponse(TooLargeBody(m_options.max_body_bytes), kContentTooLarge));
+    } else {
+      Dispatch(state);
+    }
+    state.dispatched = true;
+  }
+  std::optional<WebResponse> response = state.exchange->TakeOrSuspend();
+  return !response || Queue(connection, state, *std::move(response));
+}
+
+bool MicrohttpdServer::OnHead(MHD_Connection* connection, WebConnection& state, const char* method,
+                              const char* version) {
+  if (!Register(state, connection)) return false;
+  std::vector<RawHeader> raw_headers;
+  MHD_get_connection_values_n(connection, MHD_HEADER_KIND, &CollectHeader, &raw_headers);
+  const std::string_view lines = HeadLines(connection, method, version);
+  if (state.target.size() > m_options.max_url_bytes) {
+    return Refuse(connection, state, kUriTooLong,
+                  InvalidRequest("the URL has more than " + std::to_string(m_options.max_url_bytes) + " bytes", "url"));
+  }
+  if (raw_headers.size() > m_options.max_headers) {
+    return Refuse(
+        connection, state, kHeaderFieldsTooLarge,
+        InvalidRequest("there are more than " + std::to_string(m_options.max_headers) + " headers", "headers"));
+  }
+  if (lines.size() > m_options.max_header_bytes) {
+    return Refuse(connection, state, kHeaderFieldsTooLarge,
+                  InvalidRequest("the headers have more than " + std::to_string(m_options.max_header_bytes) + " bytes",
+                                 "headers"));
+  }
+  if (version != state.target_end + 1) {
+    return Refuse(connection, state, MHD_HTTP_BAD_REQUEST, InvalidRequest("the URL contains NUL", "url"));
+  }
+  if (!HasStrictLineEnds(lines, raw_headers)) {
+    return Refuse(connection, state, MHD_HTTP_BAD_REQUEST,
+                  InvalidRequest("the header lines contain NUL, a bare CR or LF, or a folded line", "headers"));
+  }
+  WebRequest& request = state.request;
+  for (const RawHeader& header : raw_headers) {
+    request.headers.emplace_back(absl::AsciiStrToLower(std::string(header.name)), Trimmed(header.value));
+  }
+  if (const auto refusal = CheckHeaders(version, request.headers)) {
+    return Refuse(connection, state, refusal->status, refusal->failure);
+  }
+  Result<RequestTarget> target = RequestTarget::Parse(state.target);
+  if (!target) return Refuse(connection, state, MHD_HTTP_BAD_REQUEST, target.error());
+  request.method = method;
+  request.path = std::move(target->path);
+  request.query = std::move(target->query);
+  request.target = state.target;
+  request.peer = PeerOf(connection);
+
+  const std::string length = request.Header("content-length");
+  // More than 18 digits exceed each limit and need not fit a number.
+  const std::size_t declared = length.size() > 18 ? SIZE_MAX : std::strtoull(length.c_str(), nullptr, 10);
+  const bool too_large = declared > m_options.max_body_bytes;
+  const bool can_discard = declared - m_options.max_body_bytes <= kMaxDiscardedBytes;
+  if (too_large && (!can_discard || !request.Header("expect").empty())) {
+    return Refuse(connection, state, kContentTooLarge, TooLargeBody(m_options.max_body_bytes));
+  }
+  // The library is lenient about chunk lines and trailers as well. Nothing that follows a chunked body is read as
+  // another request, so that a different reading by a proxy has no effect.
+  state.close_after_answer = !request.Header("transfer-encoding").empty();
+  SetDeadline(state, std::chrono::seconds(m_options.transfer_timeout_s));
+  return true;
+}
+
+bool MicrohttpdServer::OnBody(WebConnection& state, const char* data, std::size_t size) {
+  std::string& body = state.request.body;
+  if (state.discarded_bytes == 0 && size <= m_options.max_body_bytes - body.size()) {
+    body.append(data, size);
+    return true;
+  }
+  state.discarded_bytes += size;
+  if (state.discarded_bytes <= kMaxDiscardedBytes) return true;
+  SendRefusal(state.socket, JsonErrorResponse(TooLargeBody(m_options.max_body_bytes), kContentTooLarge));
+  return false;
+}
+
+void MicrohttpdServer::Dispatch(WebConnection& state) {
+  const auto guard = std::make_shared<ResponderGuard>(state.exchange);
+  try {
+    m_handler(std::move(state.request), [guard](WebResponse response) { guard->Answer(std::move(response)); });
+  } catch (const std::exception& error) {
+    // An exception must not pass through the library, which is written in C.
+    LogEvent(LogLevel::kError, "web_handler_failed", {{"error", error.what()}});
+    guard->Answer(Unanswered(FailureCode::kInternal, "the request could not be processed"));
+  }
+}
+
+bool MicrohttpdServer::Queue(MHD_Connection* connection, WebConnection& state, WebResponse response) {
+  if (response.status < 200 || response.status > 599) {
+    response = Unanswered(FailureCode::kInternal, "the handler returned an invalid status");
+  }
+  const int status = response.status;
+  MHD_Response* answer = MakeResponse(response);
+  if (answer == nullptr) return false;
+  for (const auto& [name, value] : response.headers) {
+    if (IsSetByLibrary(name)) continue;
+    if (MHD_add_response_header(answer, name.c_str(), value.c_str()) != MHD_YES) {
+      LogEvent(LogLevel::kWarning, "web_response_header_dropped", {{"name", name}});
+    }
+  }
+  if (state.close_after_answer || m_shutting_down) {
+    MHD_add_response_header(answer, MHD_HTTP_HEADER_CONNECTION, "close");
+  }
+  SetDeadline(state, std::chrono::seconds(m_options.transfer_timeout_s));
+  const MHD_Result queued = MHD_queue_response(connection, static_cast<unsigned int>(status), answer);
+  MHD_destroy_response(answer);
+  return queued == MHD_YES;
+}
+
+bool MicrohttpdServer::Refuse(MHD_Connection* connection, WebConnection& state, int status, const Failure& failure) {
+  state.close_after_answer = true;
+  state.dispatched = true;
+  return Queue(connection, state, JsonErrorResponse(failure, status));
+}
+
+bool MicrohttpdServer::Register(WebConnection& state, MHD_Connection* connection) {
+  auto exchange = std::make_shared<WebExchange>(connection);
+  const std::lock_guard lock(m_mutex);
+  if (m_stopping) return false;
+  m_exchanges.insert(exchange);
+  state.exchange = std::move(exchange);
+  return true;
+}
+
+void MicrohttpdServer::OnCompleted(WebConnection& state) {
+  if (!state.exchange) return;
+  state.exchange->Detach();
+  const std::lock_guard lock(m_mutex);
+  m_exchanges.erase(state.exchange);
+  state.exchange.reset();
+  state.request = WebRequest();
+  state.target.clear();
+  state.dispatched = false;
+  state.close_after_answer = false;
+  state.discarded_bytes = 0;
+  state.deadline =
+      std::chrono::steady_clock::now() + std::chrono::seconds(m_options.idle_timeout_s + m_options.transfer_timeout_s);
+}
+
+void MicrohttpdServer::SetDeadline(WebConnection& state, std::optional<std::chrono::seconds> limit) {
+  const auto deadline = limit ? std::chrono::steady_clock::now() + *limit : kNoDeadline;
+  const std::lock_guard lock(m_mutex);
+  state.deadline = deadline;
+}
+
+void MicrohttpdServer::CutOffOverduePeers() {
+  std::unique_lock lock(m_mutex);
+  while (!m_stopping) {
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto& [state, owner] : m_connections) {
+      // The library notifies this server before it closes a socket, so the number cannot belong to another one.
+      if (now > state->deadline) shutdown(state->socket, SHUT_RDWR);
+    }
+    m_stop_changed.wait_for(lock, kOverdueCheckInterval, [this] { return m_stopping; });
+  }
+}
+
+}  // namespace berylgauge
--- a/src/web/web_server.h
+++ b/src/web/web_server.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
+#include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -14,6 +17,7 @@
   std::string method;
   std::string path;                                          ///< without query, percent-decoded
   std::string query;                                         ///< without '?', as received
+  std::string target;                                        ///< path and query as received
   std::vector<std::pair<std::string, std::string>> headers;  ///< names in lower case
   std::string body;
   std::string peer;  ///< IP address of the peer
@@ -37,13 +41,19 @@
   int max_connections = 1000;
   int max_connections_per_peer = 0;  ///< 0 means no limit
   std::size_t max_body_bytes = 1 << 20;
-  int idle_timeout_s = 30;
+  std::size_t max_url_bytes = 8192;      ///< path and query as received
+  std::size_t max_header_bytes = 16384;  ///< all header lines together
+  std::size_t max_headers = 100;
+  int idle_timeout_s = 30;  ///< longest silence of a peer
+  /// Longest time for the header, for the body and for taking the answer; cuts off peers that send a byte now and then.
+  int transfer_timeout_s = 60;
 };
 
 /// Listens for HTTP/1.1 requests of callers, endpoints or operators.
 class WebServer {
  public:
-  /// Sends the answer; may be called from any thread, once.
+  /// Sends the answer; may be called from any thread, once. If all copies are destroyed without a call, the peer
+  /// receives status 500 and the verdict `may-have-run`.
   using Responder = std::function<void(WebResponse)>;
 
   /// Called with each whole request on a listener thread; must not block. The connection is suspended until the
@@ -58,11 +68,15 @@
   /// From now on every answer carries `Connection: close`, and no new connection is accepted.
   virtual void BeginShutdown() = 0;
 
-  /// Number of requests whose answer has not been handed over.
+  /// Number of requests whose answer has not been handed to the operating system as a whole.
   virtual int OpenRequests() const = 0;
 
-  /// Closes everything; every responder must have been called.
+  /// Closes everything; every responder should have been called. Requests without an answer receive status 503 and the
+  /// verdict `may-have-run` if there is time, and their responders have no effect from then on.
   virtual void Stop() = 0;
 };
 
+/// Creates a listener based on libmicrohttpd.
+std::unique_ptr<WebServer> MakeWebServer();
+
 }  // namespace berylgauge
