--- a/src/web/microhttpd_server.cc
+++ b/src/web/microhttpd_server.cc
@@ -2,11 +2,8 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
-#include <arpa/inet.h>
 #include <microhttpd.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -41,39 +38,9 @@
 constexpr int kUriTooLong = 414;
 constexpr int kHeaderFieldsTooLarge = 431;
 
-/// IP address and port in the form that the socket functions take.
-struct SocketAddress {
-  sockaddr_storage storage{};
-  bool is_ipv6 = false;
-};
-
-std::optional<SocketAddress> ParseAddress(const std::string& address, int port) {
-  SocketAddress result;
-  auto* ipv4 = reinterpret_cast<sockaddr_in*>(&result.storage);
-  if (inet_pton(AF_INET, address.c_str(), &ipv4->sin_addr) == 1) {
-    ipv4->sin_family = AF_INET;
-    ipv4->sin_port = htons(static_cast<std::uint16_t>(port));
-    return result;
-  }
-  auto* ipv6 = reinterpret_cast<sockaddr_in6*>(&result.storage);
-  if (inet_pton(AF_INET6, address.c_str(), &ipv6->sin6_addr) == 1) {
-    ipv6->sin6_family = AF_INET6;
-    ipv6->sin6_port = htons(static_cast<std::uint16_t>(port));
-    result.is_ipv6 = true;
-    return result;
-  }
-  return std::nullopt;
-}
-
 std::string PeerOf(MHD_Connection* connection) {
   const MHD_ConnectionInfo* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-  if (info == nullptr || info->client_addr == nullptr) return {};
-  std::array<char, INET6_ADDRSTRLEN> text{};
-  const void* address = info->client_addr->sa_family == AF_INET6
-                            ? static_cast<const void*>(&reinterpret_cast<sockaddr_in6*>(info->client_addr)->sin6_addr)
-                            : static_cast<const void*>(&reinterpret_cast<sockaddr_in*>(info->client_addr)->sin_addr);
-  if (inet_ntop(info->client_addr->sa_family, address, text.data(), text.size()) == nullptr) return {};
-  return text.data();
+  return info == nullptr || info->client_addr == nullptr ? std::string() : IpAddressOf(info->client_addr);
 }
 
 MHD_Result CollectHeader(void* context, MHD_ValueKind, const char* name, std::size_t name_size, const char* value,
@@ -207,60 +174,49 @@
 
 Result<int> MicrohttpdServer::Start(const WebServerOptions& options, Handler handler) {
   if (m_daemon != nullptr) return NotRun(FailureCode::kInternal, "the listener has been started already");
-  const std::optional<SocketAddress> address = ParseAddress(options.address, options.port);
-  if (!address) return NotRun(FailureCode::kInvalidArgument, "must be an IP address", "address");
   m_options = options;
   m_handler = std::move(handler);
   m_stopping = false;
   m_shutting_down = false;
 
-  unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
-  if (address->is_ipv6) flags |= MHD_USE_IPv6;
+  constexpr unsigned int kFlags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG |
+                                  MHD_USE_NO_LISTEN_SOCKET | MHD_USE_ITC;
   const std::size_t head_block = kHeadBlockFactor * (options.max_url_bytes + options.max_header_bytes);
+  // The acceptor enforces the limits on connections. The library divides its own limit among the threads; multiplied by
+  // their number, it never refuses a connection that the acceptor has admitted.
   std::vector<MHD_OptionItem> items = {
-      {MHD_OPTION_SOCK_ADDR, 0, const_cast<sockaddr_storage*>(&address->storage)},
-      {MHD_OPTION_CONNECTION_LIMIT, options.max_connections, nullptr},
-      {MHD_OPTION_PER_IP_CONNECTION_LIMIT, options.max_connections_per_peer, nullptr},
+      {MHD_OPTION_CONNECTION_LIMIT, std::intptr_t{options.max_connections} * options.threads, nullptr},
       {MHD_OPTION_CONNECTION_TIMEOUT, options.idle_timeout_s, nullptr},
       {MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::intptr_t>(head_block), nullptr},
   };
-  // The connections are divided among the threads, and each needs room for one at least.
-  const int threads = std::min(options.threads, options.max_connections);
-  if (threads > 1) items.push_back({MHD_OPTION_THREAD_POOL_SIZE, threads, nullptr});
+  if (options.threads > 1) items.push_back({MHD_OPTION_THREAD_POOL_SIZE, options.threads, nullptr});
   items.push_back({MHD_OPTION_END, 0, nullptr});
-  m_daemon = MHD_start_daemon(flags, static_cast<std::uint16_t>(options.port), nullptr, nullptr,
-                              &MicrohttpdCallbacks::Access, this,                                        //
+  m_daemon = MHD_start_daemon(kFlags, 0, nullptr, nullptr, &MicrohttpdCallbacks::Access, this,           //
                               MHD_OPTION_EXTERNAL_LOGGER, &MicrohttpdCallbacks::Log, nullptr,            //
                               MHD_OPTION_NOTIFY_CONNECTION, &MicrohttpdCallbacks::Connection, this,      //
                               MHD_OPTION_NOTIFY_COMPLETED, &MicrohttpdCallbacks::Completed, this,        //
                               MHD_OPTION_URI_LOG_CALLBACK, &MicrohttpdCallbacks::Target, nullptr,        //
                               MHD_OPTION_UNESCAPE_CALLBACK, &MicrohttpdCallbacks::KeepEscapes, nullptr,  //
                               MHD_OPTION_ARRAY, items.data(), MHD_OPTION_END);
-  if (m_daemon == nullptr) {
-    return NotRun(FailureCode::kUnavailable,
-                  "cannot listen on " + options.address + " port " + std::to_string(options.port), "address");
+  if (m_daemon == nullptr) return NotRun(FailureCode::kUnavailable, "the listener's threads cannot be started");
+  const AcceptorLimits limits{.connections = options.max_connections,
+                              .connections_per_peer = options.max_connections_per_peer};
+  Result<int> port =
+      m_acceptor.Start(options.address, options.port, limits, [this](int socket, const SocketAddress& peer) {
+        // The library closes the socket itself if it cannot take it.
+        return MHD_add_connection(m_daemon, socket, peer.get(), peer.size) == MHD_YES;
+      });
+  if (!port) {
+    MHD_stop_daemon(std::exchange(m_daemon, nullptr));
+    return port;
   }
   m_overdue_thread = std::thread([this] { CutOffOverduePeers(); });
-  const MHD_DaemonInfo* info = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT);
-  return info == nullptr ? options.port : static_cast<int>(info->port);
+  return port;
 }
 
 void MicrohttpdServer::BeginShutdown() {
   if (m_daemon == nullptr || m_shutting_down.exchange(true)) return;
-  m_listen_socket = MHD_quiesce_daemon(m_daemon);
-  if (m_listen_socket < 0) return;
-  // Peers whose connection the operating system has completed already may have sent a request; they are served.
-  while (true) {
-    sockaddr_storage peer{};
-    socklen_t size = sizeof(peer);
-    const int socket =
-        accept4(m_listen_socket, reinterpret_cast<sockaddr*>(&peer), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (socket < 0) break;
-    MHD_add_connection(m_daemon, socket, reinterpret_cast<sockaddr*>(&peer), size);
-  }
-  // The library requires that the socket stays open until the daemon stops; without this call the operating system
-  // would go on completing connections that nobody serves.
-  shutdown(m_listen_socket, SHUT_RDWR);
+  m_acceptor.Stop();
 }
 
 int MicrohttpdServer::OpenRequests() const {
@@ -283,14 +239,13 @@
   MHD_stop_daemon(m_daemon);
   m_daemon = nullptr;
   m_overdue_thread.join();
-  if (m_listen_socket >= 0) close(m_listen_socket);
-  m_listen_socket = -1;
 }
 
 void MicrohttpdServer::OnOpen(MHD_Connection* connection, void** context) {
   auto state = std::make_unique<WebConnection>();
   const MHD_ConnectionInfo* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
   if (info != nullptr) state->socket = info->connect_fd;
+  state->peer = PeerOf(connection);
   state->deadline =
       std::chrono::steady_clock::now() + std::chrono::seconds(m_options.idle_timeout_s + m_options.transfer_timeout_s);
   *context = state.get();
@@ -302,6 +257,7 @@
   auto* state = static_cast<WebConnection*>(std::exchange(*context, nullptr));
   if (state == nullptr) return;
   OnCompleted(*state);
+  m_acceptor.Release(state->peer);
   const std::lock_guard lock(m_mutex);
   m_connections.erase(state);
 }
@@ -358,7 +314,7 @@
   for (const RawHeader& header : raw_headers) {
     request.headers.emplace_back(absl::AsciiStrToLower(std::string(header.name)), Trimmed(header.value));
   }
-  if (const auto refusal = CheckHeaders(version, request.headers)) {
+  if (const auto refusal = CheckHead(method, version, request.headers)) {
     return Refuse(connection, state, refusal->status, refusal->failure);
   }
   Result<RequestTarget> target = RequestTarget::Parse(state.target);
@@ -367,7 +323,7 @@
   request.path = std::move(target->path);
   request.query = std::move(target->query);
   request.target = state.target;
-  request.peer = PeerOf(connection);
+  request.peer = state.peer;
 
   const std::string length = request.Header("content-length");
   // More than 18 digits exceed each limit and need not fit a number.
--- a/src/web/microhttpd_server.h
+++ b/src/web/microhttpd_server.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "web/connection_acceptor.h"
 #include "web/web_connection.h"
 #include "web/web_server.h"
 
@@ -20,7 +21,7 @@
 
 struct MicrohttpdCallbacks;
 
-/// `WebServer` on libmicrohttpd: a pool of threads, each with its own epoll set.
+/// `WebServer` on libmicrohttpd: a pool of threads, each with its own epoll set, and an acceptor.
 class MicrohttpdServer final : public WebServer {
  public:
   MicrohttpdServer() = default;
@@ -54,8 +55,8 @@
 
   WebServerOptions m_options;
   Handler m_handler;
+  ConnectionAcceptor m_acceptor;
   MHD_Daemon* m_daemon = nullptr;
-  int m_listen_socket = -1;  ///< owned by this object after `BeginShutdown`
   std::atomic<bool> m_shutting_down{false};
 
   mutable std::mutex m_mutex;
--- a/src/web/request_head_check.cc
+++ b/src/web/request_head_check.cc
@@ -60,8 +60,11 @@
   return lines == kLineEnd;
 }
 
-std::optional<HeadRefusal> CheckHeaders(std::string_view version,
-                                        const std::vector<std::pair<std::string, std::string>>& headers) {
+std::optional<HeadRefusal> CheckHead(std::string_view method, std::string_view version,
+                                     const std::vector<std::pair<std::string, std::string>>& headers) {
+  if (method.empty() || !std::all_of(method.begin(), method.end(), IsTokenCharacter)) {
+    return Refuse("the method contains a character that is not allowed", "method");
+  }
   if (version != "HTTP/1.1" && version != "HTTP/1.0")
     return Refuse("the version must be HTTP/1.0 or HTTP/1.1", "version");
   for (const auto& [name, value] : headers) {
--- a/src/web/request_head_check.h
+++ b/src/web/request_head_check.h
@@ -33,8 +33,8 @@
   Failure failure;
 };
 
-/// Checks names, values, `Host` and the headers that determine the length of the body.
-std::optional<HeadRefusal> CheckHeaders(std::string_view version,
-                                        const std::vector<std::pair<std::string, std::string>>& headers);
+/// Checks the method, the version, names and values, `Host` and the headers that determine the length of the body.
+std::optional<HeadRefusal> CheckHead(std::string_view method, std::string_view version,
+                                     const std::vector<std::pair<std::string, std::string>>& headers);
 
 }  // namespace berylgauge
--- a/src/web/web_connection.h
+++ b/src/web/web_connection.h
@@ -12,6 +12,7 @@
 /// State of one connection; used by its listener thread, except the deadline, which its server's mutex protects.
 struct WebConnection {
   int socket = -1;
+  std::string peer;                  ///< IP address
   std::string target;                ///< of the request that is being read
   const char* target_end = nullptr;  ///< in the memory of the library, which separates it from the version by one byte
   WebRequest request;
