State what the HTTP library answers itself

Cause: libmicrohttpd 0.9.75 words its own refusals and offers no way to replace them, so their body is not JSON. Change: the interface says so and which calls exclude each other.

--- a/src/web/web_server.h
+++ b/src/web/web_server.h
@@ -50,6 +50,10 @@
 };
 
 /// Listens for HTTP/1.1 requests of callers, endpoints or operators.
+///
+/// Refused input receives a JSON error and `Connection: close`. What libmicrohttpd refuses itself (a Content-Length
+/// that is no number, a malformed chunk, a header line without colon, a head of several times the limits) receives its
+/// own text with a 4xx status or 505, or no answer at all; the connection is closed as well.
 class WebServer {
  public:
   /// Sends the answer; may be called from any thread, once. If all copies are destroyed without a call, the peer
@@ -65,7 +69,8 @@
   /// Begins to listen and returns the port.
   virtual Result<int> Start(const WebServerOptions& options, Handler handler) = 0;
 
-  /// From now on every answer carries `Connection: close`, and no new connection is accepted.
+  /// Not to be called at the same time as `Stop`. From now on every answer carries `Connection: close`, and no new
+  /// connection is accepted.
   virtual void BeginShutdown() = 0;
 
   /// Number of requests whose answer has not been handed to the operating system as a whole.
