Let peers read the last answers before a stopped server closes

The socket had taken the answers, but the client's next WINDOW_UPDATE met a closed socket; the RST that followed dropped what the server's kernel had not delivered yet.

Ruled out: unread input at the time of the close alone; it was already discarded.

Change: Stop closes only the sending side and waits until the peers have closed theirs, at most a second.

Conclusion: a stop after OpenStreams has become 0 loses no answer unless the peer needs more than a second to read it.

--- a/src/transport/http2_connection.cc
+++ b/src/transport/http2_connection.cc
@@ -262,7 +262,7 @@
 }
 
 void Http2Connection::Linger() {
-  m_lingering = true;
+  if (std::exchange(m_lingering, true)) return;
   m_loop.CancelTimer(m_keepalive_timer);
   shutdown(m_fd.get(), SHUT_WR);
   m_linger_timer = m_loop.AddTimer(m_loop.Now() + kLingerTimeout, [this] {
--- a/src/transport/http2_stream_server.cc
+++ b/src/transport/http2_stream_server.cc
@@ -68,6 +68,7 @@
   for (const std::unique_ptr<ServerShard>& shard : m_shards) {
     shard->loop().RunSync([raw = shard.get()] { raw->Stop(); });
   }
+  for (const std::unique_ptr<ServerShard>& shard : m_shards) shard->WaitUntilClosed();
   m_shards.clear();
 }
 
--- a/src/transport/make_stream_server.h
+++ b/src/transport/make_stream_server.h
@@ -15,7 +15,8 @@
 /// responder that is destroyed without a call resets the stream. An answer that cannot be sent (headers not allowed, a
 /// content-length other than its size, too large) resets it too.
 ///
-/// `Stop` and the destructor must not run on a thread of the server's loops.
+/// `Stop` returns after at most about a second: it lets the peers read what was written. `Stop` and the destructor must
+/// not run on a thread of the server's loops.
 Result<std::unique_ptr<StreamServer>> MakeStreamServer(StreamServerOptions options);
 
 }  // namespace berylgauge
--- a/src/transport/server_connection.cc
+++ b/src/transport/server_connection.cc
@@ -102,7 +102,12 @@
   if (closed()) return;
   nghttp2_session_terminate_session(session(), NGHTTP2_NO_ERROR);
   Flush();
-  Close("the server has stopped");
+  if (closed()) return;
+  if (send_buffer().pending() > 0) {
+    Close("the server has stopped");
+    return;
+  }
+  Linger();
 }
 
 ServerStream* ServerConnection::Find(std::int32_t stream_id, ServerStream::State state) const {
--- a/src/transport/server_connection.h
+++ b/src/transport/server_connection.h
@@ -34,7 +34,8 @@
   /// Sends GOAWAY in two steps, so that requests already on their way are still accepted; open streams go on.
   void BeginShutdown();
 
-  /// Sends a last GOAWAY as far as the socket takes it and ends the connection.
+  /// Sends a last GOAWAY and ends the connection. It stays open for at most a second until the peer has read what was
+  /// written, unless the socket takes no more.
   void StopNow();
 
   /// Answers a stream, or resets it if there is no answer. Does nothing if the stream has ended.
--- a/src/transport/server_shard.cc
+++ b/src/transport/server_shard.cc
@@ -22,6 +22,7 @@
       std::make_shared<ServerConnection>(m_loop, std::move(fd), m_context, [this](ServerConnection& closed) {
         m_context.connections.fetch_sub(1);
         m_connections.erase(&closed);
+        ReportIfAllClosed();
       });
   m_connections.emplace(connection.get(), connection);
   connection->Start();
@@ -39,6 +40,19 @@
   connections.reserve(m_connections.size());
   for (const auto& [key, connection] : m_connections) connections.push_back(connection);
   for (const std::shared_ptr<ServerConnection>& connection : connections) connection->StopNow();
+  ReportIfAllClosed();
+}
+
+void ServerShard::ReportIfAllClosed() {
+  if (!m_stopped || !m_connections.empty()) return;
+  const std::lock_guard lock(m_mutex);
+  m_all_closed = true;
+  m_changed.notify_all();
+}
+
+void ServerShard::WaitUntilClosed() {
+  std::unique_lock lock(m_mutex);
+  m_changed.wait(lock, [this] { return m_all_closed; });
 }
 
 }  // namespace berylgauge
--- a/src/transport/server_shard.h
+++ b/src/transport/server_shard.h
@@ -2,7 +2,9 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <condition_variable>
 #include <memory>
+#include <mutex>
 #include <string>
 
 #include "transport/event_loop.h"
@@ -13,7 +15,7 @@
 class ServerConnection;
 struct ServerContext;
 
-/// One event loop of a server with its connections. All functions but `loop` run on the loop's thread.
+/// One event loop of a server with its connections. `Add`, `BeginShutdown` and `Stop` run on the loop's thread.
 class ServerShard {
  public:
   ServerShard(const std::string& thread_name, ServerContext& context);
@@ -28,15 +30,24 @@
 
   void BeginShutdown();
 
-  /// Closes all connections and those added from now on.
+  /// Begins to close all connections; refuses those added from now on.
   void Stop();
 
+  /// Waits on another thread, after `Stop`, until the peers have read the last answers and all connections are closed.
+  /// The time that a connection lingers bounds it.
+  void WaitUntilClosed();
+
  private:
+  void ReportIfAllClosed();
+
   ServerContext& m_context;
   absl::flat_hash_map<ServerConnection*, std::shared_ptr<ServerConnection>> m_connections;
   bool m_shutting_down = false;
   bool m_stopped = false;
-  EventLoop m_loop;  ///< last, so that its thread ends before the rest is destroyed
+  std::mutex m_mutex;
+  std::condition_variable m_changed;
+  bool m_all_closed = false;  ///< guarded by m_mutex
+  EventLoop m_loop;           ///< last, so that its thread ends before the rest is destroyed
 };
 
 }  // namespace berylgauge
