Catch a lenient heartbeat decoder and fix linter findings in the tests

Cause: the property of damaged heartbeats had no broken variant, and clang-tidy reported widening multiplications in three test files.

Change: a lenient decoder that the check must catch; explicit widening.

--- a/tests/unit/membership/heartbeat_test.cc
+++ b/tests/unit/membership/heartbeat_test.cc
@@ -7,6 +7,7 @@
 
 #include "membership/message_limits.h"
 #include "rapidcheck.h"
+#include "rapidcheck/detail/Property.h"
 
 namespace berylgauge {
 namespace {
@@ -189,21 +190,35 @@
   }
 }
 
+/// Broken: takes what it cannot read for a heartbeat without content.
+Result<Heartbeat> DecodeLeniently(std::string_view bytes) {
+  Result<Heartbeat> decoded = DecodeHeartbeat(bytes);
+  return decoded ? decoded : Heartbeat{};
+}
+
+/// Changes a few bytes and compares the heartbeat that is decoded, if any, with what it encodes to.
+template <Result<Heartbeat> (*Decode)(std::string_view)>
+void CheckDamage() {
+  static const std::string valid = *EncodeHeartbeat(FullHeartbeat());
+  std::string bytes = valid;
+  const auto changes = *rc::gen::inRange(1, 4);
+  for (int i = 0; i < changes; ++i) {
+    bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = static_cast<char>(*rc::gen::inRange(0, 256));
+  }
+  const Result<Heartbeat> decoded = Decode(bytes);
+  if (!decoded) return;
+  const Result<std::string> again = EncodeHeartbeat(*decoded);
+  RC_ASSERT(again.has_value());
+  RC_ASSERT(*DecodeHeartbeat(*again) == *decoded);
+}
+
 // Guards against a crash or an unfaithful decoding after any damage in transit.
 TEST_CASE("damaged heartbeats are refused or decode to what they encode", "[heartbeat]") {
-  const std::string valid = *EncodeHeartbeat(FullHeartbeat());
-  CHECK(rc::check([&] {
-    std::string bytes = valid;
-    const auto changes = *rc::gen::inRange(1, 4);
-    for (int i = 0; i < changes; ++i) {
-      bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = static_cast<char>(*rc::gen::inRange(0, 256));
-    }
-    const Result<Heartbeat> decoded = DecodeHeartbeat(bytes);
-    if (!decoded) return;
-    const Result<std::string> again = EncodeHeartbeat(*decoded);
-    RC_ASSERT(again.has_value());
-    RC_ASSERT(*DecodeHeartbeat(*again) == *decoded);
-  }));
+  CHECK(rc::check(CheckDamage<DecodeHeartbeat>));
+}
+
+TEST_CASE("the check of damaged heartbeats catches a lenient decoder", "[heartbeat]") {
+  CHECK_FALSE(rc::detail::checkTestable(CheckDamage<DecodeLeniently>).is<rc::detail::SuccessResult>());
 }
 
 }  // namespace
--- a/tests/unit/routing/admission_queue_test.cc
+++ b/tests/unit/routing/admission_queue_test.cc
@@ -140,7 +140,7 @@
 AdmissionQueue SteadyQueue() {
   AdmissionQueue queue({});
   for (std::uint64_t i = 0; i < 100; ++i) queue.Offer(RequestOf(1000 + i, "z", Importance::kNormal, 1'000'000), At(0));
-  for (int i = 1; i <= 100; ++i) REQUIRE(queue.Take(At(i * 100)).next.has_value());
+  for (int i = 1; i <= 100; ++i) REQUIRE(queue.Take(At(std::int64_t{i} * 100)).next.has_value());
   return queue;
 }
 
--- a/tests/unit/routing/concurrency_limiter_test.cc
+++ b/tests/unit/routing/concurrency_limiter_test.cc
@@ -21,7 +21,7 @@
 
 /// Lets callers fill the limit, but at most `demand`, for `seconds`; each round of 50 ms is one batch.
 void Load(ConcurrencyLimiter& limiter, const Server& server, int demand, int seconds, std::int64_t& ms) {
-  for (const std::int64_t end = ms + seconds * 1000; ms < end; ms += 50) {
+  for (const std::int64_t end = ms + std::int64_t{seconds} * 1000; ms < end; ms += 50) {
     int acquired = 0;
     while (acquired < demand && limiter.TryAcquire()) ++acquired;
     const absl::Duration latency = server.LatencyAt(acquired);
--- a/tests/unit/routing/endpoint_picker_test.cc
+++ b/tests/unit/routing/endpoint_picker_test.cc
@@ -261,7 +261,7 @@
     } else if (step.action == 6) {
       table = RoutingTable::Build(registry, *table, At(ms));
     } else if (step.action == 7) {
-      ms += step.argument * 10;
+      ms += std::int64_t{step.argument} * 10;
     } else if (step.action == 8) {
       states[static_cast<std::size_t>(step.argument) % states.size()]->Eject(At(ms + step.argument), 1);
     }
