--- a/tests/unit/membership/heartbeat_test.cc
+++ b/tests/unit/membership/heartbeat_test.cc
@@ -199,8 +199,8 @@
 /// Changes a few bytes and compares the heartbeat that is decoded, if any, with what it encodes to.
 template <Result<Heartbeat> (*Decode)(std::string_view)>
 void CheckDamage() {
-  static const std::string valid = *EncodeHeartbeat(FullHeartbeat());
-  std::string bytes = valid;
+  static const std::string kValid = *EncodeHeartbeat(FullHeartbeat());
+  std::string bytes = kValid;
   const auto changes = *rc::gen::inRange(1, 4);
   for (int i = 0; i < changes; ++i) {
     bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = static_cast<char>(*rc::gen::inRange(0, 256));
