Test late attempts and measure a full fleet

Change: two cases, an additional line of placement_cost for a fleet in which 95% of the workers lack processors or memory, and the conversions.

--- a/src/schedule/attempt_table.h
+++ b/src/schedule/attempt_table.h
@@ -159,7 +159,8 @@
   void AcknowledgeEnded(const AttemptKey& key);
 
   // Configuration and proofs.
-  /// Applies a configuration version greater than the own one; ignores others.
+  /// Applies a configuration version greater than the own one; ignores others. Call it for every new version, also if
+  /// the standing of this worker is unchanged, because commands and proofs of later versions are refused otherwise.
   void ApplyConfig(ConfigVersion version, const WorkerStanding& standing);
 
   /// Takes in a proof; one of a version above the own one is ignored until that version was applied.
--- a/src/schedule/worker_ledger.cc
+++ b/src/schedule/worker_ledger.cc
@@ -53,7 +53,7 @@
 
 }  // namespace
 
-WorkerLedger::WorkerLedger(WorkerLedgerOptions options) : m_options(std::move(options)) {
+WorkerLedger::WorkerLedger(WorkerLedgerOptions options) : m_options(options) {
   m_options.max_headroom_percent = std::max(m_options.max_headroom_percent, kWholePercent);
 }
 
--- a/tests/measure/placement_cost.cc
+++ b/tests/measure/placement_cost.cc
@@ -41,8 +41,9 @@
   return *at;
 }
 
-/// Workers that run their part of the tasks; about three quarters of the processors and memory are booked.
-std::vector<WorkerView> MakeWorkers(int count, std::mt19937_64& random) {
+/// Workers that run their part of the tasks; about three quarters of the processors and memory are booked. Of
+/// `full_percent` of them, drawn at random, either all processors or all memory are booked.
+std::vector<WorkerView> MakeWorkers(int count, std::mt19937_64& random, int full_percent = 0) {
   std::vector<WorkerView> views;
   for (int i = 0; i < count; ++i) {
     WorkerView view{.worker = WorkerId("worker-" + std::to_string(i)),
@@ -69,6 +70,14 @@
     add(view);
     view.classes.emplace_back("class-" + std::to_string(random() % kJobClasses), 1);
   }
+  for (WorkerView& view : views) {
+    if (static_cast<int>(random() % 100) >= full_percent) continue;
+    if (random() % 2 == 0) {
+      view.booked.cpu_millis = view.capacity.cpu_millis;
+    } else {
+      view.booked.memory_mb = view.capacity.memory_mb;
+    }
+  }
   return views;
 }
 
@@ -97,10 +106,10 @@
   int placed = 0;
 };
 
-Cost MeasurePlacer(int worker_count) {
+Cost MeasurePlacer(int worker_count, int full_percent = 0) {
   std::mt19937_64 random(20261204);
   Placer placer;
-  std::vector<WorkerView> views = MakeWorkers(worker_count, random);
+  std::vector<WorkerView> views = MakeWorkers(worker_count, random, full_percent);
   std::vector<double> upserts;
   for (int round = 0; round < 2; ++round) {
     for (const WorkerView& view : views) {
@@ -181,7 +190,11 @@
 int Main() {
   const Cost small = MeasurePlacer(kTargetWorkers / 10);
   const Cost large = MeasurePlacer(kTargetWorkers);
+  const Cost full = MeasurePlacer(kTargetWorkers, 95);
   const double scan = MeasureScan(kTargetWorkers);
+  // Not part of the goal: the index has to skip workers that lack one amount but not the other.
+  std::printf("workers=%d full_percent=95 median_us=%.2f p99_us=%.2f placed=%d of=%d\n", kTargetWorkers, full.median,
+              full.p99, full.placed, kDecisions);
   for (const auto& [workers, cost] : {std::pair(kTargetWorkers / 10, small), std::pair(kTargetWorkers, large)}) {
     std::printf("workers=%d median_us=%.2f p99_us=%.2f upsert_median_us=%.2f placed=%d of=%d\n", workers, cost.median,
                 cost.p99, cost.upsert, cost.placed, kDecisions);
--- a/tests/unit/schedule/agent_model.cc
+++ b/tests/unit/schedule/agent_model.cc
@@ -141,7 +141,7 @@
       break;
     case StepKind::kFinishTask:
       if (!m_worker.empty()) {
-        auto running = std::next(m_worker.begin(), step.a % m_worker.size());
+        auto running = std::next(m_worker.begin(), static_cast<std::ptrdiff_t>(step.a % m_worker.size()));
         if (running->second.task.state == WorkerTaskState::kRunning) {
           running->second.task.state = step.b % 3 == 0 ? WorkerTaskState::kFailed : WorkerTaskState::kSucceeded;
         }
@@ -149,7 +149,7 @@
       break;
     case StepKind::kGrowTask:
       if (!m_worker.empty()) {
-        auto running = std::next(m_worker.begin(), step.a % m_worker.size());
+        auto running = std::next(m_worker.begin(), static_cast<std::ptrdiff_t>(step.a % m_worker.size()));
         running->second.task.observed = running->second.task.declared;
         running->second.task.observed.memory_mb += step.b % 4'000;
         running->second.task.observed.cpu_millis += step.b % 2'000;
--- a/tests/unit/schedule/attempt_table_property_test.cc
+++ b/tests/unit/schedule/attempt_table_property_test.cc
@@ -43,8 +43,8 @@
   std::mt19937_64 random(20261204);
   std::size_t started = 0;
   std::size_t refused = 0;
-  constexpr int kRuns = 400;
-  for (int run = 0; run < kRuns; ++run) {
+  constexpr std::size_t kRuns = 400;
+  for (std::size_t run = 0; run < kRuns; ++run) {
     AgentModel model(AgentFault::kNone);
     const std::string violation = RunAll(model, RandomSteps(random, kStepsPerRun));
     INFO("run " << run);
--- a/tests/unit/schedule/attempt_table_test.cc
+++ b/tests/unit/schedule/attempt_table_test.cc
@@ -665,6 +665,41 @@
   CHECK(OfKind(Carry(table, At(20'020)), WorkerCommandKind::kForget).size() == 1);
 }
 
+// Guards against a second report of the end, and a worker that never forgets the attempt, when an attempt that was
+// taken for lost turns up again.
+TEST_CASE("an attempt reported as lost that turns up is stopped and forgotten", "[attempt_table]") {
+  AttemptTable table = ReadyTable();
+  const StartCommand command = Command(1);
+  table.HandleStart(command, At(0));
+  Carry(table, At(0));
+  table.Reconcile(Report(), At(10), At(10));
+  REQUIRE(table.Ended().size() == 1);
+  CHECK(table.Ended()[0].reason == EndReason::kUnknownToWorker);
+  table.Reconcile(Report({Task(command)}), At(20), At(20));
+  CHECK(table.Ended().size() == 1);
+  CHECK(table.ledger().booked() == command.resources);
+  CHECK(OfKind(Carry(table, At(20)), WorkerCommandKind::kStop).size() == 1);
+  WorkerTask stopped = Task(command, WorkerTaskState::kStopped);
+  stopped.checkpoint = "c2";
+  table.Reconcile(Report({stopped}), At(30), At(30));
+  REQUIRE(table.Ended().size() == 1);
+  CHECK(table.Ended()[0].reason == EndReason::kStopped);
+  CHECK(table.Ended()[0].checkpoint == "c2");
+  CHECK(OfKind(Carry(table, At(30)), WorkerCommandKind::kForget).empty());
+  table.AcknowledgeEnded(command.key);
+  CHECK(OfKind(Carry(table, At(40)), WorkerCommandKind::kForget).size() == 1);
+}
+
+// Guards against a tombstone that could never be pruned, or that stands for no attempt.
+TEST_CASE("attempt table refuses to end what was never placed", "[attempt_table]") {
+  AttemptTable table = ReadyTable();
+  EndCommand command = EndOf(Command(1));
+  command.offset = kNoOffset;
+  CHECK(table.HandleWithdraw(command, At(0)).reason == RefusalReason::kInvalidCommand);
+  CHECK(table.HandleStop(command, true, At(0)).reason == RefusalReason::kInvalidCommand);
+  CHECK(table.tombstone_count() == 0);
+}
+
 struct ExcessCase {
   const char* name;
   Resources capacity;
--- a/tests/unit/schedule/placer_test.cc
+++ b/tests/unit/schedule/placer_test.cc
@@ -251,7 +251,7 @@
     for (int i = 0; i < 100; ++i) {
       WorkerView view = View(i);
       view.capacity.slots = 1'000;  // so that the processors decide
-      view.booked.cpu_millis = 100 * i;
+      view.booked.cpu_millis = std::int64_t{100} * i;
       placer.UpsertWorker(view);
     }
     std::mt19937_64 random(owner);
@@ -392,7 +392,7 @@
   }
 
   std::string End(std::uint32_t draw) {
-    const auto placed = std::next(m_placed.begin(), draw / 16 % m_placed.size());
+    const auto placed = std::next(m_placed.begin(), static_cast<std::ptrdiff_t>(draw / 16 % m_placed.size()));
     const auto [key, task] = *placed;
     m_placed.erase(placed);
     if (draw % 2 == 0) {
