Wait until a paused child process has stopped

The test of requests to a paused endpoint failed in 8 of 30 runs: SIGSTOP is delivered asynchronously and the endpoint could still answer.

--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -80,6 +80,15 @@
   }
 }
 
+void ChildProcess::Pause() const {
+  if (m_pid <= 0) return;
+  Signal(SIGSTOP);
+  // The signal is delivered asynchronously; the process may still answer a request before it stops.
+  waitpid(m_pid, nullptr, WUNTRACED);
+}
+
+void ChildProcess::Resume() const { Signal(SIGCONT); }
+
 void ChildProcess::Signal(int signal) const {
   if (m_pid > 0) kill(m_pid, signal);
 }
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -27,8 +27,11 @@
   /// "ADDRESS:PORT" on which the process listens.
   std::string Address() const { return m_address + ":" + std::to_string(m_port); }
 
-  /// Sends a signal to the process.
-  void Signal(int signal) const;
+  /// Stops all threads of the process and returns once they have stopped.
+  void Pause() const;
+
+  /// Lets a paused process go on.
+  void Resume() const;
 
   /// Sends SIGTERM and waits for the end. Returns the exit code, or -1 if the process ended by a signal or had to be
   /// killed after `timeout`.
@@ -38,6 +41,7 @@
   void Kill();
 
  private:
+  void Signal(int signal) const;
   void ReadListeningLine(int fd);
 
   /// Waits for the end of the process; false if it is still running after `timeout`.
--- a/tests/unit/platform/http_endpoint_client_test.cc
+++ b/tests/unit/platform/http_endpoint_client_test.cc
@@ -3,7 +3,6 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <rapidcheck.h>
-#include <signal.h>
 
 #include <algorithm>
 #include <atomic>
@@ -215,9 +214,9 @@
 TEST_CASE("requests to a paused endpoint may have run", "[endpoint]") {
   EndpointFixture fixture;
   REQUIRE(fixture.client.Send(Request("r-1"), kTimeout).has_value());
-  fixture.endpoint.process().Signal(SIGSTOP);
+  fixture.endpoint.process().Pause();
   const auto response = fixture.client.Send(Request("r-2"), kShortTimeout);
-  fixture.endpoint.process().Signal(SIGCONT);
+  fixture.endpoint.process().Resume();
   REQUIRE_FALSE(response.has_value());
   CHECK(response.error().verdict == Verdict::kMayHaveRun);
   CHECK(fixture.endpoint.WaitForEvents("request-start", 2)[1]["id"] == "r-2");
