--- a/src/daemon/entry/share_controller.cc
+++ b/src/daemon/entry/share_controller.cc
@@ -229,7 +229,8 @@
     const EndCommand end{.key = key,
                          .share = static_cast<std::uint32_t>(m_options.share),
                          .offset = task.placed_at,
-                         .agent_incarnation = inputs.config.AgentsOf(task.worker).Current()};
+                         .agent_incarnation = inputs.config.AgentsOf(task.worker).Current(),
+                         .placed_incarnation = task.agent_incarnation};
     decisions.stops.push_back({.worker = task.worker, .message = {.end = end, .with_checkpoint = !job.cancelled}});
     return;
   }
