--- a/src/state/fold_outcome.h
+++ b/src/state/fold_outcome.h
@@ -12,6 +12,7 @@
   kStaleVersion,   ///< the configuration has changed since the plan was made
   kWrongState,     ///< the task or plan is not in a state that allows the record
   kUnknownObject,  ///< names a job, task or plan that does not exist
+  kOverLimit,      ///< more records of its kind than are kept
   kMalformed,
 };
 
@@ -22,6 +23,7 @@
     {FoldOutcome::kStaleVersion, "stale-version"},
     {FoldOutcome::kWrongState, "wrong-state"},
     {FoldOutcome::kUnknownObject, "unknown-object"},
+    {FoldOutcome::kOverLimit, "over-limit"},
     {FoldOutcome::kMalformed, "malformed"},
 });
 
