--- a/src/daemon/entry/entry_node.cc
+++ b/src/daemon/entry/entry_node.cc
@@ -56,7 +56,7 @@
       m_agents(StreamClientFactory(m_loop, &m_metrics)),
       m_workers(RegistryOptions(settings), TableOptions(settings)),
       m_entries(m_clock, EntryRegistry::Options{.live_for = settings.timing.share_lease}),
-      m_router(RouterOptions(settings, m_incarnation), m_clock, m_workers, m_agents, m_metrics) {}
+      m_router(RouterOptions(settings, m_incarnation), m_clock, m_workers, m_agents, m_claims, m_metrics) {}
 
 EntryNode::~EntryNode() {
   m_ticker.reset();
@@ -65,6 +65,7 @@
   if (m_operators) m_operators->Stop();
   if (m_internal) m_internal->Stop();
   m_shares.reset();
+  m_claims.Stop();
   m_agents.Close();
 }
 
@@ -98,6 +99,10 @@
   m_members_writer = std::make_unique<StreamWriter>(
       *m_log, StreamWriterOptions{.stream = kMembersStream, .writer = m_entry.value(), .incarnation = m_incarnation},
       [this] { return m_entries.Position(); });
+  m_claims.Start(*m_log, m_clock, ClaimCoordinatorOptions{.entry = m_entry, .incarnation = m_incarnation},
+                 [this](const EntryId& entry, Incarnation incarnation, MonotonicTime now) {
+                   return m_entries.IsLive(entry, incarnation, now);
+                 });
 }
 
 void EntryNode::MakeShares() {
@@ -256,6 +261,9 @@
   finished = AwaitDrained(m_clock, limit, absl::ZeroDuration(),
                           [this] { return m_router.Outstanding() == 0 && m_callers->OpenRequests() == 0; }) &&
              finished;
+  // Repeats through other entries find the outcomes only if they are in the log.
+  finished =
+      AwaitDrained(m_clock, absl::Seconds(3), absl::ZeroDuration(), [this] { return m_claims.IsIdle(); }) && finished;
   const auto owns_nothing = [this] {
     for (const std::unique_ptr<ShareRunner>& runner : m_shares->runners()) {
       if (runner->IsOwner()) return false;
--- a/src/daemon/entry/entry_node.h
+++ b/src/daemon/entry/entry_node.h
@@ -13,6 +13,7 @@
 #include "daemon/common/node.h"
 #include "daemon/common/periodic_thread.h"
 #include "daemon/entry/agent_clients.h"
+#include "daemon/entry/claims_streams.h"
 #include "daemon/entry/config_stream.h"
 #include "daemon/entry/entry_directory.h"
 #include "daemon/entry/heartbeat_service.h"
@@ -63,6 +64,7 @@
   AgentClients m_agents;
   WorkerDirectory m_workers;
   EntryDirectory m_entries;
+  ClaimsStreams m_claims;
   RequestRouter m_router;
   absl::Mutex m_placer_mutex;
   Placer m_placer ABSL_GUARDED_BY(m_placer_mutex);
--- a/src/daemon/entry/request_router.cc
+++ b/src/daemon/entry/request_router.cc
@@ -9,6 +9,8 @@
 #include "base/clock.h"
 #include "base/metrics.h"
 #include "daemon/entry/agent_clients.h"
+#include "daemon/entry/idempotency_claims.h"
+#include "daemon/entry/idempotency_key.h"
 #include "daemon/entry/worker_directory.h"
 #include "daemon/messages/request_messages.h"
 #include "routing/endpoint_reservation.h"
@@ -20,6 +22,12 @@
 namespace berylgauge {
 namespace {
 
+/// Unprocessable content: the key was used with other content (draft-ietf-httpapi-idempotency-key-header).
+constexpr int kStatusOtherRequest = 422;
+
+/// Tells that an answer is that of an earlier request with the same idempotency key.
+constexpr const char* kReplayedHeader = "Berylgauge-Replayed";
+
 constexpr const char* kRequestsHelp = "Callers' requests by verdict.";
 
 absl::BitGen& ThreadRandom() {
@@ -52,6 +60,8 @@
   MonotonicTime deadline;
   EndpointRequest request;
   WebServer::Responder responder;
+  std::optional<ClaimRequest> claim;  ///< of the request's idempotency key
+  bool is_claim_held = false;
   int attempts = 0;
   Verdict verdict = Verdict::kNotRun;  ///< of all attempts so far
   std::vector<RoutedEndpointPtr> tried;
@@ -59,11 +69,12 @@
 };
 
 RequestRouter::RequestRouter(RequestRouterOptions options, const Clock& clock, const WorkerDirectory& workers,
-                             AgentClients& agents, MetricsRegistry& metrics)
+                             AgentClients& agents, IdempotencyClaims& claims, MetricsRegistry& metrics)
     : m_options(options),
       m_clock(clock),
       m_workers(workers),
       m_agents(agents),
+      m_claims(claims),
       m_picker(EndpointPicker::Options{}),
       m_budget(options.budget, clock.Now()),
       m_services(std::make_unique<const ServiceTable>()),
@@ -97,7 +108,95 @@
                        .headers = std::move(request.headers),
                        .body = std::move(request.body)};
   m_budget.AddRequest();
-  StartAttempt(exchange);
+  ClaimAndStart(exchange);
+}
+
+void RequestRouter::ClaimAndStart(const std::shared_ptr<Exchange>& exchange) {
+  // Running an idempotent request again is harmless, so it needs no claim.
+  if (exchange->policy.is_idempotent) {
+    StartAttempt(exchange);
+    return;
+  }
+  const Result<std::optional<std::string>> key = IdempotencyKeyOf(exchange->request.headers);
+  if (!key) {
+    Respond(exchange, JsonErrorResponse(key.error()));
+    return;
+  }
+  if (!*key) {
+    StartAttempt(exchange);
+    return;
+  }
+  exchange->claim = {.key = {.service = exchange->service, .digest = KeyDigest(**key)},
+                     .request_digest = RequestDigest(exchange->request),
+                     .request = NextRequestId(),
+                     .deadline = exchange->deadline};
+  m_claims.Claim(*exchange->claim, [this, exchange](ClaimAnswer answer) { HandleClaim(exchange, std::move(answer)); });
+}
+
+void RequestRouter::HandleClaim(const std::shared_ptr<Exchange>& exchange, ClaimAnswer answer) {
+  switch (answer.result) {
+    case ClaimResult::kGranted:
+      exchange->is_claim_held = true;
+      StartAttempt(exchange);
+      return;
+    case ClaimResult::kFinished:
+      Replay(exchange, std::move(answer));
+      return;
+    case ClaimResult::kMayHaveRun:
+      exchange->verdict = Verdict::kMayHaveRun;
+      Fail(exchange, FailureCode::kConflict, answer.reason);
+      return;
+    case ClaimResult::kOtherRequest:
+      Respond(exchange, JsonErrorResponse({.code = FailureCode::kInvalidArgument,
+                                           .verdict = Verdict::kNotRun,
+                                           .message = answer.reason,
+                                           .field = kIdempotencyKeyHeader},
+                                          kStatusOtherRequest));
+      return;
+    case ClaimResult::kNotRun:
+      Fail(exchange, FailureCode::kUnavailable, answer.reason);
+      return;
+  }
+}
+
+void RequestRouter::Replay(const std::shared_ptr<Exchange>& exchange, ClaimAnswer answer) {
+  KeyOutcome& outcome = answer.outcome;
+  exchange->verdict = outcome.verdict;
+  WebResponse response;
+  if (outcome.answer) {
+    response = {.status = outcome.status,
+                .headers = std::move(outcome.answer->headers),
+                .body = std::move(outcome.answer->body)};
+    response.headers.emplace_back(std::string(kVerdictHeader), std::string(kVerdictNames.NameOf(outcome.verdict)));
+  } else {
+    const std::string message = outcome.verdict == Verdict::kRan
+                                    ? "the request ran and was answered with status " + std::to_string(outcome.status) +
+                                          "; the answer was not kept"
+                                    : "the request with this key may have run; its answer was lost";
+    response = JsonErrorResponse(
+        {.code = FailureCode::kConflict, .verdict = outcome.verdict, .message = message, .field = {}});
+  }
+  response.headers.emplace_back(kReplayedHeader, "true");
+  Respond(exchange, std::move(response));
+}
+
+void RequestRouter::EndClaim(const Exchange& exchange, const WebResponse& response) {
+  if (exchange.verdict == Verdict::kNotRun) {
+    m_claims.Release(exchange.claim->key, exchange.claim->request);
+    return;
+  }
+  KeyOutcome outcome{.key = exchange.claim->key,
+                     .request = exchange.claim->request,
+                     .verdict = exchange.verdict,
+                     .status = response.status,
+                     .answer = std::nullopt};
+  if (exchange.verdict == Verdict::kRan) outcome.answer = KeptAnswerOf(response);
+  m_claims.Finish(outcome);
+}
+
+RequestId RequestRouter::NextRequestId() {
+  return FormatRequestId(
+      {.entry_incarnation = m_options.incarnation, .number = m_next_number.fetch_add(1, std::memory_order_relaxed)});
 }
 
 void RequestRouter::UpdateServices(const ConfigState& config) {
@@ -131,8 +230,7 @@
   ++exchange->attempts;
   exchange->reservation.emplace(std::move(*picked));
   const RoutedEndpoint& endpoint = exchange->reservation->endpoint();
-  const RequestId id = FormatRequestId(
-      {.entry_incarnation = m_options.incarnation, .number = m_next_number.fetch_add(1, std::memory_order_relaxed)});
+  const RequestId id = NextRequestId();
   const absl::Duration left = exchange->deadline - now;
   ForwardedRequest forwarded{.id = id,
                              .agent_incarnation = endpoint.agent_incarnation,
@@ -209,6 +307,7 @@
       m_may_have_run.Add();
       break;
   }
+  if (exchange->is_claim_held) EndClaim(*exchange, response);
   exchange->responder(std::move(response));
   m_outstanding.fetch_sub(1, std::memory_order_acq_rel);
 }
--- a/src/daemon/entry/request_router.h
+++ b/src/daemon/entry/request_router.h
@@ -23,6 +23,8 @@
 class Clock;
 class ConfigState;
 class Counter;
+class IdempotencyClaims;
+struct ClaimAnswer;
 class MetricsRegistry;
 class WorkerDirectory;
 
@@ -39,7 +41,7 @@
 class RequestRouter {
  public:
   RequestRouter(RequestRouterOptions options, const Clock& clock, const WorkerDirectory& workers, AgentClients& agents,
-                MetricsRegistry& metrics);
+                IdempotencyClaims& claims, MetricsRegistry& metrics);
 
   /// Publishes the services of a new configuration to the requests' path.
   void UpdateServices(const ConfigState& config);
@@ -54,6 +56,12 @@
   struct Exchange;
   using ServiceTable = absl::flat_hash_map<ServiceId, ServiceConfig>;
 
+  /// Claims the idempotency key of the request, if it has one that counts, and starts it.
+  void ClaimAndStart(const std::shared_ptr<Exchange>& exchange);
+  void HandleClaim(const std::shared_ptr<Exchange>& exchange, ClaimAnswer answer);
+  void Replay(const std::shared_ptr<Exchange>& exchange, ClaimAnswer answer);
+  void EndClaim(const Exchange& exchange, const WebResponse& response);
+  RequestId NextRequestId();
   void StartAttempt(const std::shared_ptr<Exchange>& exchange);
   void HandleResult(const std::shared_ptr<Exchange>& exchange, const RequestId& id, Result<StreamResponse> result);
   void RetryOrFail(const std::shared_ptr<Exchange>& exchange, Verdict verdict, FailureCode code,
@@ -66,6 +74,7 @@
   const Clock& m_clock;
   const WorkerDirectory& m_workers;
   AgentClients& m_agents;
+  IdempotencyClaims& m_claims;
   const EndpointPicker m_picker;
   RetryBudget m_budget;
   RcuCell<ServiceTable> m_services;
