Let requests wait for room and use the limits of the routing package

Cause: a request that found every slot taken was refused at once, no limit followed the latency, failing endpoints stayed in rotation, `max_outstanding` had no effect, and the agent ran what the entry had given up.

Ruled out: a queue for all services (one slow service would fill it) and a reset stream as the sign that a request was given up: the transport's server tells its handler nothing of a reset, so the entry sends a message with the id on the path of requests.

Change: `ServiceAdmission` holds for each service an atomic count against `max_outstanding`, the `ConcurrencyLimiter` and the bounded `AdmissionQueue`. Waiting requests are sent when an answer frees room, after each heartbeat and every 10 ms; only the queue has a lock. Results feed the limiter and the `OutlierDetector`. Refusals carry `Retry-After`. A configured service without endpoints is answered with 503 instead of 404. Counters for each.

--- a/src/daemon/agent/agent_core.cc
+++ b/src/daemon/agent/agent_core.cc
@@ -127,6 +127,11 @@
   return m_gate.BeginForward(id, now);
 }
 
+GateAnswer AgentCore::Abandon(const RequestId& id) {
+  const absl::MutexLock lock(&m_mutex);
+  return m_gate.Abandon(id);
+}
+
 Verdict AgentCore::Complete(const RequestId& id, ForwardResult result) {
   const absl::MutexLock lock(&m_mutex);
   return m_gate.Complete(id, result);
--- a/src/daemon/agent/agent_core.h
+++ b/src/daemon/agent/agent_core.h
@@ -54,6 +54,7 @@
   AnnouncementDecision Announce(const EndpointAnnouncement& announcement, MonotonicTime now);
   GateAnswer Admit(const GateRequest& request, MonotonicTime now);
   GateAnswer BeginForward(const RequestId& id, MonotonicTime now);
+  GateAnswer Abandon(const RequestId& id);
   Verdict Complete(const RequestId& id, ForwardResult result);
   std::size_t OutstandingRequests() const;
 
--- a/src/daemon/agent/request_forwarder.cc
+++ b/src/daemon/agent/request_forwarder.cc
@@ -27,9 +27,20 @@
       m_forwarded(metrics.GetCounter("berylgauge_agent_requests_total", "Requests by result.", "result=\"forwarded\"")),
       m_refused(metrics.GetCounter("berylgauge_agent_requests_total", "Requests by result.", "result=\"refused\"")),
       m_broken(metrics.GetCounter("berylgauge_agent_requests_total", "Requests by result.", "result=\"broken\"")),
+      m_abandoned(metrics.GetCounter("berylgauge_agent_requests_total", "Requests by result.", "result=\"abandoned\"")),
       m_pool(threads) {}
 
 void RequestForwarder::Handle(StreamRequest message, const StreamServer::Responder& responder) {
+  if (const RequestId abandoned = AbandonedRequestOf(message); !abandoned.empty()) {
+    // The entry gave the request up. If it waits for a thread or arrives later, it must not run.
+    const GateAnswer answer = m_core.Abandon(abandoned);
+    m_abandoned.Add();
+    responder(EncodeForwardedResponse({.id = abandoned,
+                                       .verdict = answer.verdict,
+                                       .reason = std::string(kGateReasonNames.NameOf(answer.reason)),
+                                       .response = {}}));
+    return;
+  }
   Result<ForwardedRequest> request = DecodeForwardedRequest(std::move(message));
   if (!request) {
     responder({.status = 400, .headers = {}, .body = request.error().message});
--- a/src/daemon/agent/request_forwarder.h
+++ b/src/daemon/agent/request_forwarder.h
@@ -44,6 +44,7 @@
   Counter& m_forwarded;
   Counter& m_refused;
   Counter& m_broken;
+  Counter& m_abandoned;
   absl::Mutex m_mutex;
   std::map<std::string, std::shared_ptr<EndpointClient>> m_clients ABSL_GUARDED_BY(m_mutex);
   ThreadPool m_pool;
--- a/src/daemon/entry/entry_node.cc
+++ b/src/daemon/entry/entry_node.cc
@@ -25,6 +25,11 @@
 constexpr absl::Duration kAnnounceInterval = absl::Seconds(1);
 constexpr absl::Duration kTickInterval = absl::Milliseconds(100);
 
+/// Bounds how late a waiting request learns that its deadline has passed.
+constexpr absl::Duration kRequestTickInterval = absl::Milliseconds(10);
+
+constexpr absl::Duration kOutlierSweepInterval = absl::Seconds(1);
+
 WorkerRegistry::Options RegistryOptions(const DaemonSettings& settings) {
   return {.own_region = settings.region,
           .suspect_after = 3 * settings.timing.heartbeat,
@@ -60,6 +65,8 @@
 
 EntryNode::~EntryNode() {
   m_ticker.reset();
+  m_request_ticker.reset();
+  m_outlier_sweep.reset();
   m_announcer.reset();
   if (m_callers) m_callers->Stop();
   if (m_operators) m_operators->Stop();
@@ -81,6 +88,8 @@
   if (const Result<void> started = StartCallers(); !started) return started;
   m_announcer = std::make_unique<PeriodicThread>(kAnnounceInterval, [this] { Announce(); });
   m_ticker = std::make_unique<PeriodicThread>(kTickInterval, [this] { Tick(); });
+  m_request_ticker = std::make_unique<PeriodicThread>(kRequestTickInterval, [this] { m_router.Advance(); });
+  m_outlier_sweep = std::make_unique<PeriodicThread>(kOutlierSweepInterval, [this] { m_router.SweepOutliers(); });
   const EntrySettings& entry = *m_settings.entry;
   LogEvent(LogLevel::kInfo, "entry_started",
            {{"entry", m_entry.value()},
@@ -214,6 +223,8 @@
     m_placer.UpsertWorker(view);
   }
   m_shares->Deliver(heartbeat);
+  // The report or a new table may leave room for requests that wait.
+  m_router.Advance();
 }
 
 void EntryNode::OnConfigChange() {
--- a/src/daemon/entry/entry_node.h
+++ b/src/daemon/entry/entry_node.h
@@ -80,6 +80,8 @@
   std::unique_ptr<WebServer> m_callers;
   std::unique_ptr<PeriodicThread> m_announcer;
   std::unique_ptr<PeriodicThread> m_ticker;
+  std::unique_ptr<PeriodicThread> m_request_ticker;
+  std::unique_ptr<PeriodicThread> m_outlier_sweep;
   std::atomic<bool> m_leaving{false};
   std::atomic<bool> m_announcement_pending{false};
 };
--- a/src/daemon/entry/request_router.cc
+++ b/src/daemon/entry/request_router.cc
@@ -7,12 +7,13 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/event_log.h"
 #include "base/metrics.h"
 #include "daemon/entry/agent_clients.h"
-#include "daemon/entry/idempotency_claims.h"
 #include "daemon/entry/idempotency_key.h"
 #include "daemon/entry/worker_directory.h"
 #include "daemon/messages/request_messages.h"
+#include "routing/agent_request_gate.h"
 #include "routing/endpoint_reservation.h"
 #include "routing/request_key.h"
 #include "state/config_state.h"
@@ -47,8 +48,32 @@
   return true;
 }
 
-FailureCode CodeOf(PickRefusal refusal) {
-  return refusal == PickRefusal::kUnknownService ? FailureCode::kNotFound : FailureCode::kOverloaded;
+/// A caller that allows less time than this learns little about the endpoint from a timeout, and must not be able to
+/// have healthy endpoints ejected.
+constexpr absl::Duration kMeaningfulTimeout = absl::Milliseconds(500);
+
+/// How long the entry tries to tell an agent that a request was given up.
+constexpr absl::Duration kAbandonTimeout = absl::Seconds(1);
+
+/// Counters by the values of an enum, labelled with their names.
+template <typename E, std::size_t N>
+std::array<Counter*, N> CountersOf(MetricsRegistry& metrics, std::string_view name, std::string_view help,
+                                   std::string_view label, const EnumNames<E, N>& names) {
+  std::array<Counter*, N> counters{};
+  for (std::size_t i = 0; i < N; ++i) {
+    const std::string labels = std::string(label) + "=\"" + std::string(names.entries()[i].second) + "\"";
+    counters[i] = &metrics.GetCounter(name, help, labels);
+  }
+  return counters;
+}
+
+/// What a refusal by the agent says about the endpoint and about the load.
+std::pair<EndpointSignal, LoadSignal> SignalsOfRefusal(const ForwardedResponse& response) {
+  const std::optional<GateReason> reason = kGateReasonNames.ValueOf(response.reason);
+  // Other reasons are failures of the connection between agent and endpoint.
+  if (!reason) return {EndpointSignal::kFailure, LoadSignal::kNone};
+  const bool is_overload = *reason == GateReason::kNoSlot || *reason == GateReason::kExpired;
+  return {EndpointSignal::kNone, is_overload ? LoadSignal::kOverload : LoadSignal::kNone};
 }
 
 }  // namespace
@@ -56,6 +81,8 @@
 /// One caller's request until it is answered.
 struct RequestRouter::Exchange {
   ServiceId service;
+  std::shared_ptr<Admission> admission;  ///< counts this request from the time it is set
+  std::string caller;
   RequestPolicy policy;
   MonotonicTime deadline;
   EndpointRequest request;
@@ -64,6 +91,7 @@
   bool is_claim_held = false;
   int attempts = 0;
   Verdict verdict = Verdict::kNotRun;  ///< of all attempts so far
+  MonotonicTime attempt_sent;
   std::vector<RoutedEndpointPtr> tried;
   std::optional<EndpointReservation> reservation;
 };
@@ -77,11 +105,25 @@
       m_claims(claims),
       m_picker(EndpointPicker::Options{}),
       m_budget(options.budget, clock.Now()),
+      m_outliers(options.outliers),
       m_services(std::make_unique<const ServiceTable>()),
       m_answered(metrics.GetCounter("berylgauge_requests_total", kRequestsHelp, "verdict=\"ran\"")),
       m_not_run(metrics.GetCounter("berylgauge_requests_total", kRequestsHelp, "verdict=\"not-run\"")),
       m_may_have_run(metrics.GetCounter("berylgauge_requests_total", kRequestsHelp, "verdict=\"may-have-run\"")),
-      m_retries(metrics.GetCounter("berylgauge_request_retries_total", "Further attempts of callers' requests.")) {}
+      m_retries(metrics.GetCounter("berylgauge_request_retries_total", "Further attempts of callers' requests.")),
+      m_waited(metrics.GetCounter("berylgauge_requests_waited_total", "Requests that waited for room.")),
+      m_limited(metrics.GetCounter("berylgauge_requests_limited_total",
+                                   "Times that the limit of concurrency of a service left no room.")),
+      m_over_maximum(metrics.GetCounter("berylgauge_requests_over_maximum_total",
+                                        "Requests refused because of max_outstanding of their service.")),
+      m_queue_refusals(CountersOf(metrics, "berylgauge_queue_refusals_total", "Waiting requests that were refused.",
+                                  "reason", kQueueRefusalReasonNames)),
+      m_ejections(CountersOf(metrics, "berylgauge_endpoint_ejections_total",
+                             "Endpoints that this entry took out of rotation.", "reason", kEjectionReasonNames)),
+      m_claim_results(CountersOf(metrics, "berylgauge_claims_total", "Requests with an idempotency key by result.",
+                                 "result", kClaimResultNames)),
+      m_abandoned(metrics.GetCounter("berylgauge_requests_abandoned_total",
+                                     "Attempts that the entry gave up and told the agent so.")) {}
 
 void RequestRouter::Handle(WebRequest request, const WebServer::Responder& responder) {
   const MonotonicTime now = m_clock.Now();
@@ -99,9 +141,19 @@
     return;
   }
   exchange->policy = *policy;
-  if (const std::optional<ServiceConfig> service = FindService(exchange->service)) {
-    exchange->policy.timeout = std::min(exchange->policy.timeout, absl::Milliseconds(service->request_timeout_ms));
+  const std::shared_ptr<Admission> admission = AdmissionOf(exchange->service);
+  if (!admission) {
+    Fail(exchange, FailureCode::kNotFound, "no endpoint of " + exchange->service.value() + ": unknown-service");
+    return;
+  }
+  if (!admission->TryAdd()) {
+    m_over_maximum.Add();
+    Fail(exchange, FailureCode::kOverloaded, "as many requests as max_outstanding allows are under way");
+    return;
   }
+  exchange->admission = admission;
+  exchange->caller = std::move(request.peer);
+  exchange->policy.timeout = std::min(exchange->policy.timeout, admission->timeout());
   exchange->deadline = now + exchange->policy.timeout;
   exchange->request = {.method = std::move(request.method),
                        .path = std::move(target),
@@ -134,6 +186,7 @@
 }
 
 void RequestRouter::HandleClaim(const std::shared_ptr<Exchange>& exchange, ClaimAnswer answer) {
+  m_claim_results[static_cast<std::size_t>(answer.result)]->Add();
   switch (answer.result) {
     case ClaimResult::kGranted:
       exchange->is_claim_held = true;
@@ -200,35 +253,142 @@
 }
 
 void RequestRouter::UpdateServices(const ConfigState& config) {
-  auto next = std::make_unique<ServiceTable>();
-  for (const auto& [id, service] : config.services()) next->emplace(id, service);
+  const absl::MutexLock lock(&m_services_mutex);
+  auto next = std::make_unique<ServiceTable>(m_services.Read([](const ServiceTable& table) { return table; }));
+  for (const auto& [id, admission] : *next) {
+    if (!config.services().contains(id)) admission->ResetConfig();
+  }
+  for (const auto& [id, service] : config.services()) AddAdmission(*next, id)->Configure(service);
   m_services.Publish(std::move(next));
 }
 
-std::optional<ServiceConfig> RequestRouter::FindService(const ServiceId& service) const {
-  return m_services.Read([&](const ServiceTable& services) -> std::optional<ServiceConfig> {
+std::shared_ptr<RequestRouter::Admission> RequestRouter::FindAdmission(const ServiceId& service) const {
+  return m_services.Read([&](const ServiceTable& services) -> std::shared_ptr<Admission> {
     const auto it = services.find(service);
-    if (it == services.end()) return std::nullopt;
-    return it->second;
+    return it == services.end() ? nullptr : it->second;
   });
 }
 
-void RequestRouter::StartAttempt(const std::shared_ptr<Exchange>& exchange) {
+std::shared_ptr<RequestRouter::Admission> RequestRouter::AddAdmission(ServiceTable& table,
+                                                                      const ServiceId& service) const {
+  std::shared_ptr<Admission>& admission = table[service];
+  if (!admission) admission = std::make_shared<Admission>(m_options.admission, m_clock.Now());
+  return admission;
+}
+
+std::shared_ptr<RequestRouter::Admission> RequestRouter::AdmissionOf(const ServiceId& service) {
+  if (std::shared_ptr<Admission> known = FindAdmission(service)) return known;
+  // Only names that endpoints have announced are added, so callers cannot make the table grow.
+  const bool is_routed =
+      m_workers.table().Read([&](const RoutingTable& table) { return table.Find(service) != nullptr; });
+  if (!is_routed) return nullptr;
+  const absl::MutexLock lock(&m_services_mutex);
+  auto next = std::make_unique<ServiceTable>(m_services.Read([](const ServiceTable& table) { return table; }));
+  std::shared_ptr<Admission> admission = AddAdmission(*next, service);
+  m_services.Publish(std::move(next));
+  return admission;
+}
+
+void RequestRouter::Advance() {
+  const auto services = m_services.Read([](const ServiceTable& table) {
+    std::vector<std::pair<ServiceId, std::shared_ptr<Admission>>> waiting;
+    for (const auto& [id, admission] : table) {
+      if (admission->HasWaiting()) waiting.emplace_back(id, admission);
+    }
+    return waiting;
+  });
+  for (const auto& [id, admission] : services) {
+    Refuse(admission->Expire(m_clock.Now()));
+    WakeWaiting(id, *admission);
+  }
+}
+
+void RequestRouter::SweepOutliers() {
+  const std::vector<Ejection> ejections =
+      m_workers.table().Read([&](const RoutingTable& table) { return m_outliers.Sweep(table, m_clock.Now()); });
+  for (const Ejection& ejection : ejections) {
+    m_ejections[static_cast<std::size_t>(ejection.reason)]->Add();
+    LogEvent(LogLevel::kWarning, "endpoint_ejected",
+             {{"service", ejection.endpoint->service.value()},
+              {"address", ejection.endpoint->address},
+              {"reason", kEjectionReasonNames.NameOf(ejection.reason)},
+              {"duration_ms", absl::ToInt64Milliseconds(ejection.duration)}});
+  }
+}
+
+tl::expected<EndpointReservation, PickRefusal> RequestRouter::Reserve(const ServiceId& service, Admission& admission,
+                                                                      const std::vector<RoutedEndpointPtr>& tried) {
+  if (!admission.limiter().TryAcquire()) {
+    m_limited.Add();
+    return tl::make_unexpected(PickRefusal::kNoRoom);
+  }
   const MonotonicTime now = m_clock.Now();
-  if (now >= exchange->deadline) {
+  auto picked = m_workers.table().Read(
+      [&](const RoutingTable& table) { return m_picker.Pick(table, service, tried, now, ThreadRandom()); });
+  if (!picked) admission.limiter().Release(LoadSignal::kNone, absl::ZeroDuration(), now);
+  return picked;
+}
+
+void RequestRouter::StartAttempt(const std::shared_ptr<Exchange>& exchange) {
+  if (m_clock.Now() >= exchange->deadline) {
     Fail(exchange, FailureCode::kDeadlineExceeded, "the deadline has passed");
     return;
   }
-  auto picked = m_workers.table().Read([&](const RoutingTable& table) {
-    return m_picker.Pick(table, exchange->service, exchange->tried, now, ThreadRandom());
-  });
-  if (!picked) {
-    Fail(exchange, CodeOf(picked.error()),
-         "no endpoint of " + exchange->service.value() + ": " + std::string(kPickRefusalNames.NameOf(picked.error())));
+  if (exchange->admission->HasWaiting()) {
+    Wait(exchange);
     return;
   }
+  auto reserved = Reserve(exchange->service, *exchange->admission, exchange->tried);
+  if (reserved) {
+    SendAttempt(exchange, std::move(*reserved));
+  } else if (reserved.error() == PickRefusal::kNoRoom) {
+    Wait(exchange);
+  } else {
+    Fail(
+        exchange, FailureCode::kUnavailable,
+        "no endpoint of " + exchange->service.value() + ": " + std::string(kPickRefusalNames.NameOf(reserved.error())));
+  }
+}
+
+void RequestRouter::Wait(const std::shared_ptr<Exchange>& exchange) {
+  m_waited.Add();
+  const std::shared_ptr<Admission> admission = exchange->admission;
+  const ServiceId service = exchange->service;
+  Refuse(admission->Offer(exchange, exchange->caller, exchange->policy.importance, exchange->deadline, m_clock.Now()));
+  // Room that was freed since the reservation failed has woken nobody.
+  WakeWaiting(service, *admission);
+}
+
+void RequestRouter::WakeWaiting(const ServiceId& service, Admission& admission) {
+  while (admission.HasWaiting()) {
+    auto reserved = Reserve(service, admission, {});
+    if (!reserved) return;
+    auto taken = admission.Take(m_clock.Now());
+    Refuse(taken.refused);
+    if (!taken.next) {
+      admission.limiter().Release(LoadSignal::kNone, absl::ZeroDuration(), m_clock.Now());
+      return;
+    }
+    SendAttempt(*taken.next, std::move(*reserved));
+  }
+}
+
+void RequestRouter::Refuse(const std::vector<Admission::Refused>& refused) {
+  for (const Admission::Refused& each : refused) {
+    m_queue_refusals[static_cast<std::size_t>(each.reason)]->Add();
+    const bool is_expired = each.reason == QueueRefusalReason::kExpired;
+    Fail(each.request, is_expired ? FailureCode::kDeadlineExceeded : FailureCode::kOverloaded,
+         "no room at " + each.request->service.value() + ": " +
+             std::string(kQueueRefusalReasonNames.NameOf(each.reason)),
+         each.retry_after);
+  }
+}
+
+void RequestRouter::SendAttempt(const std::shared_ptr<Exchange>& exchange, EndpointReservation reservation) {
+  const MonotonicTime now = m_clock.Now();
   ++exchange->attempts;
-  exchange->reservation.emplace(std::move(*picked));
+  exchange->attempt_sent = now;
+  exchange->reservation.emplace(std::move(reservation));
   const RoutedEndpoint& endpoint = exchange->reservation->endpoint();
   const RequestId id = NextRequestId();
   const absl::Duration left = exchange->deadline - now;
@@ -244,29 +404,58 @@
              [this, exchange, id](Result<StreamResponse> result) { HandleResult(exchange, id, std::move(result)); });
 }
 
+void RequestRouter::EndAttempt(Exchange& exchange, EndpointSignal endpoint_signal, LoadSignal load_signal) {
+  const MonotonicTime now = m_clock.Now();
+  const absl::Duration latency = now - exchange.attempt_sent;
+  const RoutedEndpoint& endpoint = exchange.reservation->endpoint();
+  const bool is_ejected = m_workers.table().Read(
+      [&](const RoutingTable& table) { return m_outliers.Record(table, endpoint, endpoint_signal, latency, now); });
+  if (is_ejected) {
+    m_ejections[static_cast<std::size_t>(EjectionReason::kConsecutiveFailures)]->Add();
+    LogEvent(LogLevel::kWarning, "endpoint_ejected",
+             {{"service", endpoint.service.value()},
+              {"address", endpoint.address},
+              {"reason", kEjectionReasonNames.NameOf(EjectionReason::kConsecutiveFailures)}});
+  }
+  exchange.tried.push_back(exchange.reservation->shared_endpoint());
+  exchange.reservation.reset();
+  exchange.admission->limiter().Release(load_signal, latency, now);
+  if (load_signal == LoadSignal::kLatency) exchange.admission->ObserveServiceTime(latency);
+}
+
+void RequestRouter::Abandon(const std::string& agent_address, const RequestId& id) {
+  m_abandoned.Add();
+  m_agents.For(agent_address)->Send(EncodeAbandonment(id), kAbandonTimeout, [](const Result<StreamResponse>&) {});
+}
+
 void RequestRouter::HandleResult(const std::shared_ptr<Exchange>& exchange, const RequestId& id,
                                  Result<StreamResponse> result) {
-  exchange->tried.push_back(exchange->reservation->shared_endpoint());
-  exchange->reservation.reset();
-  if (!result) {
-    RetryOrFail(exchange, result.error().verdict, result.error().code, result.error().message);
-    return;
-  }
-  Result<ForwardedResponse> response = DecodeForwardedResponse(std::move(*result), id);
+  const std::shared_ptr<Admission> admission = exchange->admission;
+  const std::string agent_address = exchange->reservation->endpoint().agent_address;
+  const bool is_timeout = !result && result.error().code == FailureCode::kDeadlineExceeded;
+  Result<ForwardedResponse> response =
+      result ? DecodeForwardedResponse(std::move(*result), id) : tl::make_unexpected(std::move(result.error()));
   if (!response) {
+    const bool is_meaningful = !is_timeout || m_clock.Now() - exchange->attempt_sent >= kMeaningfulTimeout;
+    EndAttempt(*exchange, is_meaningful ? EndpointSignal::kFailure : EndpointSignal::kNone,
+               is_timeout ? LoadSignal::kOverload : LoadSignal::kNone);
+    if (response.error().verdict == Verdict::kMayHaveRun) Abandon(agent_address, id);
     RetryOrFail(exchange, response.error().verdict, response.error().code, response.error().message);
-    return;
-  }
-  if (response->verdict != Verdict::kRan) {
+  } else if (response->verdict != Verdict::kRan) {
+    const auto [endpoint_signal, load_signal] = SignalsOfRefusal(*response);
+    EndAttempt(*exchange, endpoint_signal, load_signal);
     RetryOrFail(exchange, response->verdict, FailureCode::kUnavailable, response->reason);
-    return;
+  } else {
+    const bool is_server_error = response->response.status >= 500;
+    EndAttempt(*exchange, is_server_error ? EndpointSignal::kFailure : EndpointSignal::kSuccess, LoadSignal::kLatency);
+    exchange->verdict = Verdict::kRan;
+    WebResponse answer{.status = response->response.status,
+                       .headers = std::move(response->response.headers),
+                       .body = std::move(response->response.body)};
+    answer.headers.emplace_back(std::string(kVerdictHeader), std::string(kVerdictNames.NameOf(Verdict::kRan)));
+    Respond(exchange, std::move(answer));
   }
-  exchange->verdict = Verdict::kRan;
-  WebResponse answer{.status = response->response.status,
-                     .headers = std::move(response->response.headers),
-                     .body = std::move(response->response.body)};
-  answer.headers.emplace_back(std::string(kVerdictHeader), std::string(kVerdictNames.NameOf(Verdict::kRan)));
-  Respond(exchange, std::move(answer));
+  WakeWaiting(exchange->service, *admission);
 }
 
 void RequestRouter::RetryOrFail(const std::shared_ptr<Exchange>& exchange, Verdict verdict, FailureCode code,
@@ -286,11 +475,12 @@
   Fail(exchange, final_code, reason + " (not retried: " + std::string(kRetryReasonNames.NameOf(decision.reason)) + ")");
 }
 
-void RequestRouter::Fail(const std::shared_ptr<Exchange>& exchange, FailureCode code, const std::string& reason) {
+void RequestRouter::Fail(const std::shared_ptr<Exchange>& exchange, FailureCode code, const std::string& reason,
+                         absl::Duration retry_after) {
   WebResponse response =
       JsonErrorResponse({.code = code, .verdict = exchange->verdict, .message = reason, .field = {}});
   if (code == FailureCode::kOverloaded || code == FailureCode::kUnavailable) {
-    response.headers.emplace_back("Retry-After", "1");
+    response.headers.emplace_back("Retry-After", std::to_string(absl::ToInt64Seconds(retry_after)));
   }
   Respond(exchange, std::move(response));
 }
@@ -308,6 +498,7 @@
       break;
   }
   if (exchange->is_claim_held) EndClaim(*exchange, response);
+  if (exchange->admission) exchange->admission->Remove();
   exchange->responder(std::move(response));
   m_outstanding.fetch_sub(1, std::memory_order_acq_rel);
 }
--- a/src/daemon/messages/request_messages.cc
+++ b/src/daemon/messages/request_messages.cc
@@ -11,6 +11,7 @@
 constexpr std::string_view kPassedPrefix = "p-";
 
 constexpr const char* kId = "bg-id";
+constexpr const char* kAbandon = "bg-abandon";
 constexpr const char* kAgent = "bg-agent";
 constexpr const char* kService = "bg-service";
 constexpr const char* kEndpoint = "bg-endpoint";
@@ -63,6 +64,17 @@
 
 }  // namespace
 
+StreamRequest EncodeAbandonment(const RequestId& id) {
+  return {.path = kRequestPath, .headers = {{kAbandon, id.value()}}, .body = {}};
+}
+
+RequestId AbandonedRequestOf(const StreamRequest& message) {
+  for (const auto& [name, value] : message.headers) {
+    if (name == kAbandon) return RequestId(value);
+  }
+  return {};
+}
+
 StreamRequest EncodeForwardedRequest(ForwardedRequest request) {
   StreamRequest message;
   message.path = kRequestPath;
--- a/src/daemon/messages/request_messages.h
+++ b/src/daemon/messages/request_messages.h
@@ -31,6 +31,13 @@
   EndpointResponse response;  ///< meaningful with `Verdict::kRan`
 };
 
+/// Tells an agent that the entry has given up the request with this id. Answered like a request that is refused; the
+/// verdict is `kNotRun` if the request was not passed to the endpoint, and then it never will be.
+StreamRequest EncodeAbandonment(const RequestId& id);
+
+/// The request that the message gives up; empty if the message carries a request.
+RequestId AbandonedRequestOf(const StreamRequest& message);
+
 StreamRequest EncodeForwardedRequest(ForwardedRequest request);
 Result<ForwardedRequest> DecodeForwardedRequest(StreamRequest message);
 StreamResponse EncodeForwardedResponse(ForwardedResponse response);
--- a/tests/unit/daemon/router_harness.cc
+++ b/tests/unit/daemon/router_harness.cc
@@ -11,7 +11,7 @@
   explicit HeldClient(RouterHarness& harness) : m_harness(harness) {}
 
   void Send(StreamRequest request, absl::Duration /*timeout*/, Callback callback) override {
-    if (request.path == kRequestPath) {
+    if (AbandonedRequestOf(request).empty()) {
       m_harness.messages.push_back({.message = std::move(request), .callback = std::move(callback)});
     } else {
       m_harness.others.push_back(std::move(request));
