--- a/src/daemon/entry/request_router.cc
+++ b/src/daemon/entry/request_router.cc
@@ -67,13 +67,24 @@
   return counters;
 }
 
-/// What a refusal by the agent says about the endpoint and about the load.
-std::pair<EndpointSignal, LoadSignal> SignalsOfRefusal(const ForwardedResponse& response) {
-  const std::optional<GateReason> reason = kGateReasonNames.ValueOf(response.reason);
+/// What an answer without the endpoint's response says about the endpoint and about the load. `age` is the time since
+/// the attempt was sent.
+std::pair<EndpointSignal, LoadSignal> SignalsOf(const ForwardedResponse& response, absl::Duration age) {
+  if (const std::optional<GateReason> reason = kGateReasonNames.ValueOf(response.reason)) {
+    const bool is_overload = *reason == GateReason::kNoSlot || *reason == GateReason::kExpired;
+    return {EndpointSignal::kNone, is_overload ? LoadSignal::kOverload : LoadSignal::kNone};
+  }
   // Other reasons are failures of the connection between agent and endpoint.
-  if (!reason) return {EndpointSignal::kFailure, LoadSignal::kNone};
-  const bool is_overload = *reason == GateReason::kNoSlot || *reason == GateReason::kExpired;
-  return {EndpointSignal::kNone, is_overload ? LoadSignal::kOverload : LoadSignal::kNone};
+  if (response.reason != kFailureCodeNames.NameOf(FailureCode::kDeadlineExceeded)) {
+    return {EndpointSignal::kFailure, LoadSignal::kNone};
+  }
+  return {age >= kMeaningfulTimeout ? EndpointSignal::kFailure : EndpointSignal::kNone, LoadSignal::kOverload};
+}
+
+FailureCode CodeOf(const ForwardedResponse& response) {
+  const bool is_late = response.reason == kFailureCodeNames.NameOf(FailureCode::kDeadlineExceeded) ||
+                       response.reason == kGateReasonNames.NameOf(GateReason::kExpired);
+  return is_late ? FailureCode::kDeadlineExceeded : FailureCode::kUnavailable;
 }
 
 }  // namespace
@@ -442,9 +453,9 @@
     if (response.error().verdict == Verdict::kMayHaveRun) Abandon(agent_address, id);
     RetryOrFail(exchange, response.error().verdict, response.error().code, response.error().message);
   } else if (response->verdict != Verdict::kRan) {
-    const auto [endpoint_signal, load_signal] = SignalsOfRefusal(*response);
+    const auto [endpoint_signal, load_signal] = SignalsOf(*response, m_clock.Now() - exchange->attempt_sent);
     EndAttempt(*exchange, endpoint_signal, load_signal);
-    RetryOrFail(exchange, response->verdict, FailureCode::kUnavailable, response->reason);
+    RetryOrFail(exchange, response->verdict, CodeOf(*response), response->reason);
   } else {
     const bool is_server_error = response->response.status >= 500;
     EndAttempt(*exchange, is_server_error ? EndpointSignal::kFailure : EndpointSignal::kSuccess, LoadSignal::kLatency);
--- a/tests/unit/daemon/claims_streams_test.cc
+++ b/tests/unit/daemon/claims_streams_test.cc
@@ -76,24 +76,21 @@
   TwoEntries() {
     for (Incarnation i = 1; i <= 2; ++i) {
       entries.push_back(std::make_unique<ClaimsStreams>());
-      entries.back()->Start(log, m_clock,
-                            {.entry = EntryId("entry-" + std::to_string(i)),
-                             .incarnation = i,
-                             .claim_timeout = absl::Milliseconds(500)},
-                            [this](const EntryId&, Incarnation incarnation, MonotonicTime) {
-                              return !is_first_dead.load() || incarnation != 1;
-                            });
+      entries.back()->Start(
+          log, m_clock,
+          {.entry = EntryId("entry-" + std::to_string(i)), .incarnation = i, .claim_timeout = absl::Milliseconds(500)},
+          [this](const EntryId&, Incarnation incarnation, MonotonicTime) {
+            return !is_first_dead.load() || incarnation != 1;
+          });
     }
   }
 
   std::future<ClaimAnswer> Claim(std::size_t entry, absl::Duration timeout = absl::Seconds(10)) {
     auto promise = std::make_shared<std::promise<ClaimAnswer>>();
     last = RequestId("request-" + std::to_string(++m_number));
-    entries[entry]->Claim({.key = kKey,
-                           .request_digest = std::string(32, 'b'),
-                           .request = last,
-                           .deadline = m_clock.Now() + timeout},
-                          [promise](ClaimAnswer answer) { promise->set_value(std::move(answer)); });
+    entries[entry]->Claim(
+        {.key = kKey, .request_digest = std::string(32, 'b'), .request = last, .deadline = m_clock.Now() + timeout},
+        [promise](ClaimAnswer answer) { promise->set_value(std::move(answer)); });
     return promise->get_future();
   }
 
--- a/tests/unit/daemon/request_router_admission_test.cc
+++ b/tests/unit/daemon/request_router_admission_test.cc
@@ -148,6 +148,30 @@
   }
 }
 
+// Guards against a caller that has healthy endpoints ejected by allowing too little time, and against a timeout at the
+// endpoint that is reported as a broken connection.
+TEST_CASE("only timeouts of callers that allow enough time count against an endpoint", "[daemon][router]") {
+  const bool is_enough = GENERATE(false, true);
+  CAPTURE(is_enough);
+  RouterHarness harness({4, 4, 4});
+  const std::string slow = "127.0.4.1:7430";
+  bool is_used_at_the_end = false;
+  for (int i = 0; i < 90; ++i) {
+    const int number = harness.Send("POST");
+    if (harness.Front().endpoint_address == slow) {
+      is_used_at_the_end = i >= 60;
+      if (is_enough) harness.clock.Advance(absl::Milliseconds(500));
+      for (std::size_t worker = 0; worker < 3; ++worker) harness.Heartbeat(worker, 4);
+      harness.AnswerMayHaveRun("deadline-exceeded");
+      CHECK(harness.answers.at(number).status == 504);
+      CHECK(harness.HeaderOf(number, kVerdictName) == "may-have-run");
+    } else {
+      harness.AnswerRan();
+    }
+  }
+  CHECK(is_used_at_the_end == !is_enough);
+}
+
 // Guards against a request that runs after the entry has answered its caller.
 TEST_CASE("the agent is told of a request that is given up", "[daemon][router]") {
   RouterHarness harness({4});
--- a/tests/unit/daemon/router_harness.cc
+++ b/tests/unit/daemon/router_harness.cc
@@ -91,6 +91,10 @@
   Answer({.id = Front().id, .verdict = Verdict::kNotRun, .reason = reason, .response = {}});
 }
 
+void RouterHarness::AnswerMayHaveRun(const std::string& reason) {
+  Answer({.id = Front().id, .verdict = Verdict::kMayHaveRun, .reason = reason, .response = {}});
+}
+
 void RouterHarness::AnswerBroken() {
   const StreamClient::Callback callback = std::move(messages.front().callback);
   messages.pop_front();
--- a/tests/unit/daemon/router_harness.h
+++ b/tests/unit/daemon/router_harness.h
@@ -69,6 +69,9 @@
   /// Answers the oldest message that carries a request.
   void AnswerRan(int status = 201, const std::string& body = "done");
   void AnswerNotRun(const std::string& reason = "no-slot");
+  void AnswerMayHaveRun(const std::string& reason);
+
+  /// Breaks the connection to the agent of the oldest request.
   void AnswerBroken();
 
   /// The oldest request at an agent; the test fails without one.
