--- a/src/daemon/entry/entry_node.cc
+++ b/src/daemon/entry/entry_node.cc
@@ -25,6 +25,11 @@
 constexpr absl::Duration kAnnounceInterval = absl::Seconds(1);
 constexpr absl::Duration kTickInterval = absl::Milliseconds(100);
 
+/// Bounds how late a waiting request learns that its deadline has passed.
+constexpr absl::Duration kRequestTickInterval = absl::Milliseconds(10);
+
+constexpr absl::Duration kOutlierSweepInterval = absl::Seconds(1);
+
 WorkerRegistry::Options RegistryOptions(const DaemonSettings& settings) {
   return {.own_region = settings.region,
           .suspect_after = 3 * settings.timing.heartbeat,
@@ -56,15 +61,18 @@
       m_agents(StreamClientFactory(m_loop, &m_metrics)),
       m_workers(RegistryOptions(settings), TableOptions(settings)),
       m_entries(m_clock, EntryRegistry::Options{.live_for = settings.timing.share_lease}),
-      m_router(RouterOptions(settings, m_incarnation), m_clock, m_workers, m_agents, m_metrics) {}
+      m_router(RouterOptions(settings, m_incarnation), m_clock, m_workers, m_agents, m_claims, m_metrics) {}
 
 EntryNode::~EntryNode() {
   m_ticker.reset();
+  m_request_ticker.reset();
+  m_outlier_sweep.reset();
   m_announcer.reset();
   if (m_callers) m_callers->Stop();
   if (m_operators) m_operators->Stop();
   if (m_internal) m_internal->Stop();
   m_shares.reset();
+  m_claims.Stop();
   m_agents.Close();
 }
 
@@ -80,6 +88,8 @@
   if (const Result<void> started = StartCallers(); !started) return started;
   m_announcer = std::make_unique<PeriodicThread>(kAnnounceInterval, [this] { Announce(); });
   m_ticker = std::make_unique<PeriodicThread>(kTickInterval, [this] { Tick(); });
+  m_request_ticker = std::make_unique<PeriodicThread>(kRequestTickInterval, [this] { m_router.Advance(); });
+  m_outlier_sweep = std::make_unique<PeriodicThread>(kOutlierSweepInterval, [this] { m_router.SweepOutliers(); });
   const EntrySettings& entry = *m_settings.entry;
   LogEvent(LogLevel::kInfo, "entry_started",
            {{"entry", m_entry.value()},
@@ -98,6 +108,10 @@
   m_members_writer = std::make_unique<StreamWriter>(
       *m_log, StreamWriterOptions{.stream = kMembersStream, .writer = m_entry.value(), .incarnation = m_incarnation},
       [this] { return m_entries.Position(); });
+  m_claims.Start(*m_log, m_clock, ClaimCoordinatorOptions{.entry = m_entry, .incarnation = m_incarnation},
+                 [this](const EntryId& entry, Incarnation incarnation, MonotonicTime now) {
+                   return m_entries.IsLive(entry, incarnation, now);
+                 });
 }
 
 void EntryNode::MakeShares() {
@@ -210,6 +224,8 @@
   }
   RegisterAgent(heartbeat);
   m_shares->Deliver(heartbeat);
+  // The report or a new table may leave room for requests that wait.
+  m_router.Advance();
 }
 
 void EntryNode::RegisterAgent(const Heartbeat& heartbeat) {
@@ -270,6 +286,9 @@
   finished = AwaitDrained(m_clock, limit, absl::ZeroDuration(),
                           [this] { return m_router.Outstanding() == 0 && m_callers->OpenRequests() == 0; }) &&
              finished;
+  // Repeats through other entries find the outcomes only if they are in the log.
+  finished =
+      AwaitDrained(m_clock, absl::Seconds(3), absl::ZeroDuration(), [this] { return m_claims.IsIdle(); }) && finished;
   const auto owns_nothing = [this] {
     for (const std::unique_ptr<ShareRunner>& runner : m_shares->runners()) {
       if (runner->IsOwner()) return false;
--- a/src/daemon/entry/entry_node.h
+++ b/src/daemon/entry/entry_node.h
@@ -13,6 +13,7 @@
 #include "daemon/common/node.h"
 #include "daemon/common/periodic_thread.h"
 #include "daemon/entry/agent_clients.h"
+#include "daemon/entry/claims_streams.h"
 #include "daemon/entry/config_stream.h"
 #include "daemon/entry/entry_directory.h"
 #include "daemon/entry/heartbeat_service.h"
@@ -64,6 +65,7 @@
   AgentClients m_agents;
   WorkerDirectory m_workers;
   EntryDirectory m_entries;
+  ClaimsStreams m_claims;
   RequestRouter m_router;
   absl::Mutex m_placer_mutex;
   Placer m_placer ABSL_GUARDED_BY(m_placer_mutex);
@@ -81,6 +83,8 @@
   std::unique_ptr<PeriodicThread> m_ticker;
   absl::Mutex m_registration_mutex;
   std::set<Incarnation> m_registrations ABSL_GUARDED_BY(m_registration_mutex);  ///< not folded yet
+  std::unique_ptr<PeriodicThread> m_request_ticker;
+  std::unique_ptr<PeriodicThread> m_outlier_sweep;
   std::atomic<bool> m_leaving{false};
   std::atomic<bool> m_announcement_pending{false};
 };
