--- a/tests/standins/event_record.cc
+++ b/tests/standins/event_record.cc
@@ -11,10 +11,15 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
+EventRecord::EventRecord(const std::string& file) {
+  if (!file.empty()) m_file.open(file, std::ios::app);
+}
+
 void EventRecord::Add(const std::string& kind, nlohmann::json fields) {
   const std::lock_guard lock(m_mutex);
   fields["kind"] = kind;
   fields["time_ms"] = MonotonicMillis();
+  if (m_file.is_open()) m_file << fields.dump() << std::endl;
   m_events.push_back(std::move(fields));
   m_changed.notify_all();
 }
--- a/tests/standins/event_record.h
+++ b/tests/standins/event_record.h
@@ -3,6 +3,7 @@
 #include <absl/time/time.h>
 
 #include <condition_variable>
+#include <fstream>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -16,6 +17,9 @@
 /// What truly happened in a stand-in, in order.
 class EventRecord {
  public:
+  /// Also writes each event as one line of JSON to `file` if it is not empty, so that the record outlives the process.
+  explicit EventRecord(const std::string& file = "");
+
   /// Adds an event; `fields` is an object to which "time_ms" and "kind" are added.
   void Add(const std::string& kind, nlohmann::json fields);
 
@@ -29,6 +33,7 @@
   std::mutex m_mutex;
   std::condition_variable m_changed;
   std::vector<nlohmann::json> m_events;
+  std::ofstream m_file;
   bool m_stopped = false;
 };
 
--- a/tests/standins/program.cc
+++ b/tests/standins/program.cc
@@ -26,6 +26,11 @@
   return docopt::docopt(usage, {argv + 1, argv + argc});
 }
 
+std::string RecordFileOf(const ProgramArguments& arguments) {
+  const docopt::value& file = arguments.at("--record");
+  return file ? file.asString() : "";
+}
+
 int ServeUntilSignal(const ProgramArguments& arguments, StandinService& service, EventRecord& record,
                      const std::function<void(const std::string&)>& on_listening) {
   const std::string address = arguments.at("--address").asString();
--- a/tests/standins/program.h
+++ b/tests/standins/program.h
@@ -13,6 +13,9 @@
 
 using ProgramArguments = std::map<std::string, docopt::value>;
 
+/// Value of the option --record; empty if it was not given.
+std::string RecordFileOf(const ProgramArguments& arguments);
+
 /// Blocks SIGTERM and SIGINT, so that no thread created later is interrupted, and parses the command line.
 ProgramArguments InitProgram(const std::string& usage, int argc, char** argv);
 
--- a/tests/standins/standin_endpoint.cc
+++ b/tests/standins/standin_endpoint.cc
@@ -9,6 +9,7 @@
 
 Usage:
   standin_endpoint [--address=IP] [--port=N] [--agent=IP:PORT] [--service=NAME] [--slots=N] [--service-ms=N]
+                   [--record=FILE]
 
 Options:
   --address=IP     Address to listen on [default: 127.0.0.1].
@@ -17,6 +18,7 @@
   --service=NAME   Service [default: dispatch].
   --slots=N        Requests that are served at the same time; further ones wait [default: 4].
   --service-ms=N   Service time of a request [default: 0].
+  --record=FILE    File to which each event is also written, one line of JSON each.
 )";
 
 }  // namespace
@@ -26,7 +28,7 @@
   const ProgramArguments arguments = InitProgram(kUsage, argc, argv);
   const docopt::value& agent = arguments.at("--agent");
   const std::int64_t slots = arguments.at("--slots").asLong();
-  EventRecord record;
+  EventRecord record(RecordFileOf(arguments));
   Announcer announcer({.agent = agent ? agent.asString() : "",
                        .service = arguments.at("--service").asString(),
                        .slots = static_cast<int>(slots)},
--- a/tests/standins/standin_worker.cc
+++ b/tests/standins/standin_worker.cc
@@ -11,7 +11,7 @@
 
 Usage:
   standin_worker [--address=IP] [--port=N] [--boot-id=ID] [--cpu-millis=N] [--memory-mb=N] [--accelerators=N]
-                 [--slots=N] [--usage-lag-ms=N]
+                 [--slots=N] [--usage-lag-ms=N] [--record=FILE]
 
 Options:
   --address=IP       Address to listen on [default: 127.0.0.1].
@@ -22,6 +22,7 @@
   --accelerators=N   Accelerators [default: 0].
   --slots=N          Task slots [default: 8].
   --usage-lag-ms=N   Age of the reported use of resources [default: 0].
+  --record=FILE      File to which each event is also written, one line of JSON each.
 )";
 
 std::string RandomBootId() {
@@ -35,7 +36,7 @@
   using namespace berylgauge;  // NOLINT(google-build-using-namespace): main cannot be inside the namespace
   const ProgramArguments arguments = InitProgram(kUsage, argc, argv);
   const docopt::value& boot_id = arguments.at("--boot-id");
-  EventRecord record;
+  EventRecord record(RecordFileOf(arguments));
   WorkerService service({.boot_id = boot_id ? boot_id.asString() : RandomBootId(),
                          .capacity = {.cpu_millis = arguments.at("--cpu-millis").asLong(),
                                       .memory_mb = arguments.at("--memory-mb").asLong(),
--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -26,36 +26,47 @@
 }  // namespace
 
 ChildProcess::ChildProcess(const std::string& program, const std::vector<std::string>& arguments) {
+  int ends[2];
+  if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("cannot create a pipe");
+  Spawn(program, arguments, ends[1], false);
+  close(ends[1]);
+  try {
+    ReadListeningLine(ends[0]);
+  } catch (const std::runtime_error& error) {
+    close(ends[0]);
+    Kill();
+    close(m_pid_fd);
+    throw std::runtime_error(program + ": " + error.what());
+  }
+  close(ends[0]);
+}
+
+ChildProcess::ChildProcess(const std::string& program, const std::vector<std::string>& arguments,
+                           const std::string& output_file) {
+  const int output = open(output_file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  if (output < 0) throw std::runtime_error("cannot write " + output_file);
+  Spawn(program, arguments, output, true);
+  close(output);
+}
+
+void ChildProcess::Spawn(const std::string& program, const std::vector<std::string>& arguments, int output,
+                         bool with_errors) {
   std::vector<char*> argv = {const_cast<char*>(program.c_str())};
   for (const std::string& argument : arguments) argv.push_back(const_cast<char*>(argument.c_str()));
   argv.push_back(nullptr);
-  int ends[2];
-  if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("cannot create a pipe");
   const pid_t parent = getpid();
   m_pid = fork();
   if (m_pid == 0) {
     // Only calls that are safe after fork in a process with several threads.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (getppid() != parent) _exit(127);
-    dup2(ends[1], STDOUT_FILENO);
+    dup2(output, STDOUT_FILENO);
+    if (with_errors) dup2(output, STDERR_FILENO);
     execv(program.c_str(), argv.data());
     _exit(127);
   }
-  close(ends[1]);
-  if (m_pid < 0) {
-    close(ends[0]);
-    throw std::runtime_error("cannot start " + program);
-  }
+  if (m_pid < 0) throw std::runtime_error("cannot start " + program);
   m_pid_fd = static_cast<int>(syscall(SYS_pidfd_open, m_pid, 0));
-  try {
-    ReadListeningLine(ends[0]);
-  } catch (const std::runtime_error& error) {
-    close(ends[0]);
-    Kill();
-    close(m_pid_fd);
-    throw std::runtime_error(program + ": " + error.what());
-  }
-  close(ends[0]);
 }
 
 ChildProcess::~ChildProcess() {
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -16,6 +16,9 @@
   /// Starts `program` and waits for its line "listening ADDRESS PORT"; throws std::runtime_error without that line.
   ChildProcess(const std::string& program, const std::vector<std::string>& arguments);
 
+  /// Starts `program`, whose output is appended to `output_file`, and does not wait for it.
+  ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& output_file);
+
   /// Kills the process if it is still running.
   ~ChildProcess();
   ChildProcess(const ChildProcess&) = delete;
@@ -38,6 +41,9 @@
   void Kill();
 
  private:
+  /// Starts the program with standard output and, if asked for, standard error connected to `output`.
+  void Spawn(const std::string& program, const std::vector<std::string>& arguments, int output, bool with_errors);
+
   void ReadListeningLine(int fd);
 
   /// Waits for the end of the process; false if it is still running after `timeout`.
