Retry a failed task on another worker

Cause: a failed attempt freed its booking and nothing else, so the worker that fails everything at once looked the emptiest and got the task back until it was parked after three failures. Ruled out: the log and the agents; each of the three attempts had been placed, started and reported once. Change: a failure makes the task avoid the worker for the same time as a refusal does.

--- a/src/daemon/entry/share_controller.cc
+++ b/src/daemon/entry/share_controller.cc
@@ -137,6 +137,10 @@
     const Task* task = inputs.jobs.FindTask(ended.task);
     if (task == nullptr || !task->HasLiveAttempt() || task->attempt != ended.attempt) continue;
     if (task->worker != heartbeat.worker) continue;
+    // The failure may be the worker's fault, so the next attempt runs on another one if there is room.
+    if (ended.outcome == ReportedAttemptOutcome::kFailed) {
+      m_placer.RecordRefused({.task = ended.task, .attempt = ended.attempt}, heartbeat.worker, now);
+    }
     End(ended.task, *task, ToOutcome(ended.outcome), ended.checkpoint, ended.detail, decisions);
   }
   if (heartbeat.reconciled) HandleMissing(inputs, heartbeat, listed, decisions);
