Take an entry that lacks records out of service

Cause: an entry that was paused while the log removed records it had not read stayed ready with an old configuration, and stayed the preferred owner of its shares. The other entries handed those shares over, it could not claim them, and they had no owner any more. Only the gap of a stream that had never been read kept it from being ready. Ruled out: the retention of the log stand-in; entries that were present had read every record. Before: 'the log removes records while an entry is away' found the entry ready, and a job waited without an owner for more than 20 s. After: not ready, and jobs in all shares succeed.

--- a/src/daemon/entry/config_stream.h
+++ b/src/daemon/entry/config_stream.h
@@ -32,6 +32,7 @@
 
   const SharedState<ConfigState>& state() const { return m_state; }
   TailProof TailProofNow() const { return m_follower.TailProofNow(); }
+  bool HasGap() const { return m_follower.HasGap(); }
 
  private:
   SharedState<ConfigState> m_state;
--- a/src/daemon/entry/entry_node.cc
+++ b/src/daemon/entry/entry_node.cc
@@ -186,7 +186,8 @@
                                        .internal_address = m_settings.entry->internal.ToString(),
                                        .caller_address = m_settings.entry->callers.ToString(),
                                        .availability_zone = m_settings.availability_zone,
-                                       .leaving = m_leaving.load()};
+                                       // An entry that lacks records cannot own a share, so none may prefer it.
+                                       .leaving = m_leaving.load() || HasGap()};
   m_members_writer->Append({EncodeEntryAnnouncement(announcement)},
                            [this](const Result<Offset>&) { m_announcement_pending.store(false); });
 }
@@ -239,10 +240,13 @@
   if (m_leaving.load()) return "shutting down";
   const TailProof proof = m_config->TailProofNow();
   if (proof.at == InfinitePast()) return "the configuration was not read yet";
+  if (HasGap()) return "records that were not read yet are no longer retained";
   // A log outage must not take every entry out of the balancer: requests need no log once the configuration is known.
   return std::nullopt;
 }
 
+bool EntryNode::HasGap() const { return m_config->HasGap() || m_shares->HasGap(); }
+
 bool EntryNode::Shutdown() {
   LogEvent(LogLevel::kInfo, "entry_leaving", {{"entry", m_entry.value()}});
   m_leaving.store(true);
--- a/src/daemon/entry/entry_node.h
+++ b/src/daemon/entry/entry_node.h
@@ -52,6 +52,9 @@
   void UpdateQuotas(const ConfigState& config);
   std::optional<std::string> WhyNotReady() const;
 
+  /// True if records that this entry has not read are no longer retained.
+  bool HasGap() const;
+
   const DaemonSettings m_settings;
   const EntryId m_entry;
   const Incarnation m_incarnation;
--- a/src/daemon/entry/share_map.cc
+++ b/src/daemon/entry/share_map.cc
@@ -1,5 +1,6 @@
 #include "daemon/entry/share_map.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/stable_hash.h"
@@ -12,6 +13,10 @@
 
 ShareRunner& ShareMap::RunnerOf(const JobId& job) const { return *m_runners[ShareOf(job)]; }
 
+bool ShareMap::HasGap() const {
+  return std::any_of(m_runners.begin(), m_runners.end(), [](const auto& runner) { return runner->HasGap(); });
+}
+
 void ShareMap::Deliver(const Heartbeat& heartbeat) const {
   for (const std::unique_ptr<ShareRunner>& runner : m_runners) {
     if (runner->IsOwner()) runner->Deliver(heartbeat);
--- a/src/daemon/entry/share_map.h
+++ b/src/daemon/entry/share_map.h
@@ -18,6 +18,9 @@
   ShareRunner& RunnerOf(const JobId& job) const;
   const std::vector<std::unique_ptr<ShareRunner>>& runners() const { return m_runners; }
 
+  /// True if records of a share that this entry has not read are no longer retained.
+  bool HasGap() const;
+
   /// Passes a heartbeat to the shares that this entry owns.
   void Deliver(const Heartbeat& heartbeat) const;
 
--- a/src/daemon/entry/share_runner.h
+++ b/src/daemon/entry/share_runner.h
@@ -61,6 +61,7 @@
 
   const SharedState<JobsState>& state() const { return m_state; }
   TailProof TailProofNow() const { return m_follower->TailProofNow(); }
+  bool HasGap() const { return m_follower->HasGap(); }
   bool IsOwner() const;
   std::string WaitReason(const TaskId& task) const;
 
--- a/src/daemon/streams/stream_follower.cc
+++ b/src/daemon/streams/stream_follower.cc
@@ -33,6 +33,11 @@
   return m_proof;
 }
 
+bool StreamFollower::HasGap() const {
+  const absl::MutexLock lock(&m_mutex);
+  return m_has_gap;
+}
+
 bool StreamFollower::WaitForOffset(Offset offset, absl::Duration timeout) const {
   const auto reached = [this, offset]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) { return m_position >= offset; };
   const absl::MutexLock lock(&m_mutex);
@@ -111,10 +116,7 @@
   const auto page = m_log.Read(m_options.stream, from, kRecordsPerRead, m_options.poll_wait, m_options.read_timeout);
   if (!page) {
     if (page.error().code == FailureCode::kExpired) {
-      if (!m_gap_reported) {
-        LogEvent(LogLevel::kError, "stream_gap", {{"stream", m_options.stream}, {"next_offset", from}});
-      }
-      m_gap_reported = true;
+      ReportGap(from);
       Bootstrap();
     } else if (!m_failure_reported) {
       LogEvent(LogLevel::kWarning, "stream_read_failed",
@@ -126,13 +128,21 @@
   }
   if (m_failure_reported) LogEvent(LogLevel::kInfo, "stream_read_recovered", {{"stream", m_options.stream}});
   m_failure_reported = false;
-  m_gap_reported = false;
   for (const LogRecord& record : page->records) Fold(record.offset, record.payload);
   PublishPosition();
   const absl::MutexLock lock(&m_mutex);
+  m_has_gap = false;
   if (m_position + 1 >= page->next_offset) m_proof = {.offset = m_position, .at = begun};
 }
 
+void StreamFollower::ReportGap(Offset from) {
+  {
+    const absl::MutexLock lock(&m_mutex);
+    if (std::exchange(m_has_gap, true)) return;
+  }
+  LogEvent(LogLevel::kError, "stream_gap", {{"stream", m_options.stream}, {"next_offset", from}});
+}
+
 void StreamFollower::Fold(Offset offset, const std::string& payload) {
   const Result<Batch> batch = DecodeBatch(payload);
   if (batch) {
--- a/src/daemon/streams/stream_follower.h
+++ b/src/daemon/streams/stream_follower.h
@@ -40,6 +40,9 @@
   /// The newest proof; its time is in the infinite past until the tail was reached once.
   TailProof TailProofNow() const;
 
+  /// True while the record after the present position is no longer retained and no snapshot covers it.
+  bool HasGap() const;
+
   /// Waits until the batch at `offset` has been folded; false if that takes longer than `timeout`.
   bool WaitForOffset(Offset offset, absl::Duration timeout) const;
 
@@ -50,6 +53,7 @@
   bool LoadSnapshot();
   void ReadOnce();
   void PublishPosition();
+  void ReportGap(Offset from);
   void Fold(Offset offset, const std::string& payload);
   void PauseAfterFailure();
 
@@ -62,7 +66,7 @@
   TailProof m_proof ABSL_GUARDED_BY(m_mutex);
   Offset m_position ABSL_GUARDED_BY(m_mutex) = kNoOffset;
   bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
-  bool m_gap_reported = false;
+  bool m_has_gap ABSL_GUARDED_BY(m_mutex) = false;
   bool m_failure_reported = false;
   std::thread m_thread;
 };
