End attempts that an agent has not started, and evict those it took over

Cause: the owner ignored the answer to a stop, and neither it nor the agent's refusal while leaving named the incarnation for which the attempt was placed. A task that was placed just before its zone was drained was never ended and waited there for good. A stop also named the agent that had started the task, so an agent that had taken the task over refused it. Ruled out: the eviction rate, and the fold; stop commands were sent every few seconds and no record followed. Change: stop messages carry the placed incarnation and address the present agent of the worker; the owner handles the answer like that to a start. Before: in 'the log removes records while an entry is away' a task stayed placed in the drained zone for 30 s; 'a zone is drained after its agent was replaced' saw no eviction. After: both pass.

--- a/src/daemon/agent/agent_core.cc
+++ b/src/daemon/agent/agent_core.cc
@@ -74,7 +74,8 @@
     const EndCommand end{.key = command.key,
                          .share = command.share,
                          .offset = command.offset,
-                         .agent_incarnation = command.agent_incarnation};
+                         .agent_incarnation = command.agent_incarnation,
+                         .placed_incarnation = command.agent_incarnation};
     return m_table->HandleWithdraw(end, now);
   }
   return m_table->HandleStart(command, now);
--- a/src/daemon/entry/share_controller.cc
+++ b/src/daemon/entry/share_controller.cc
@@ -106,7 +106,7 @@
 }
 
 void ShareController::HandleAnswers(const ShareInputs& inputs, MonotonicTime now, ShareDecisions& decisions) {
-  for (const StartAnswer& answer : inputs.answers) {
+  for (const CommandAnswer& answer : inputs.answers) {
     const Task* task = inputs.jobs.FindTask(answer.key.task);
     if (task == nullptr || !task->HasLiveAttempt() || task->attempt != answer.key.attempt) continue;
     const AnswerKind kind = answer.answer.kind;
@@ -119,14 +119,17 @@
     // Any other answer leaves open whether the attempt runs; the agent's heartbeats will tell.
     if (!not_run) continue;
     m_placer.RecordRefused(answer.key, answer.worker, now);
-    End(answer.key.task, *task, AttemptOutcome::kNotRun, "",
-        "refused by " + answer.worker.value() + ": " + std::string(kRefusalReasonNames.NameOf(answer.answer.reason)),
-        decisions);
+    const std::string detail = kind == AnswerKind::kNotRun
+                                   ? "not started by " + answer.worker.value()
+                                   : "refused by " + answer.worker.value() + ": " +
+                                         std::string(kRefusalReasonNames.NameOf(answer.answer.reason));
+    End(answer.key.task, *task, AttemptOutcome::kNotRun, "", detail, decisions);
   }
 }
 
 void ShareController::HandleHeartbeat(const ShareInputs& inputs, const Heartbeat& heartbeat, MonotonicTime now,
                                       ShareDecisions& decisions) {
+  m_agents[heartbeat.worker] = heartbeat.incarnation;
   std::set<AttemptKey> listed;
   for (const RunningAttemptReport& running : heartbeat.running) {
     listed.insert({.task = running.task, .attempt = running.attempt});
@@ -220,7 +223,8 @@
     const EndCommand end{.key = key,
                          .share = static_cast<std::uint32_t>(m_options.share),
                          .offset = task.placed_at,
-                         .agent_incarnation = task.agent_incarnation};
+                         .agent_incarnation = AgentOf(task),
+                         .placed_incarnation = task.agent_incarnation};
     decisions.stops.push_back({.worker = task.worker, .message = {.end = end, .with_checkpoint = !job.cancelled}});
     return;
   }
@@ -243,6 +247,11 @@
   End(id, task, AttemptOutcome::kLost, "", "worker silent beyond the outage grace", decisions);
 }
 
+Incarnation ShareController::AgentOf(const Task& task) const {
+  const auto it = m_agents.find(task.worker);
+  return it == m_agents.end() ? task.agent_incarnation : it->second;
+}
+
 bool ShareController::TakeEvictionToken(const ShareInputs& inputs, MonotonicTime now) {
   const double per_minute = static_cast<double>(inputs.config.Limit(LimitName::kEvictionsPerMinute));
   Refill(per_minute / 60, now, m_eviction_tokens, m_eviction_tokens_at);
--- a/src/daemon/entry/share_controller.h
+++ b/src/daemon/entry/share_controller.h
@@ -75,6 +75,9 @@
                      ShareDecisions& decisions);
   void FollowSilentWorker(const ShareInputs& inputs, const TaskId& id, const Job& job, const Task& task,
                           MonotonicTime now, ShareDecisions& decisions);
+  /// The agent that a command for a live attempt must name; it may have taken the attempt over from a former one.
+  Incarnation AgentOf(const Task& task) const;
+
   bool TakeEvictionToken(const ShareInputs& inputs, MonotonicTime now);
   void PlaceWaiting(const ShareInputs& inputs, MonotonicTime now, absl::BitGenRef random, ShareDecisions& decisions);
   void PlaceTask(const ShareInputs& inputs, const TaskId& id, const Job& job, const Task& task, MonotonicTime now,
@@ -95,6 +98,7 @@
   std::set<AttemptKey> m_ended;  ///< ended in the present step
   std::map<AttemptKey, AttemptTimes> m_times;
   std::map<std::pair<AttemptKey, Incarnation>, MonotonicTime> m_terms_sent;
+  std::map<WorkerId, Incarnation> m_agents;  ///< present agent of each worker, by its newest heartbeat
   std::map<std::pair<WorkerId, Incarnation>, MonotonicTime> m_revoked_since;
   std::map<TaskId, MonotonicTime> m_retry_at;
   std::map<TaskId, std::string> m_wait_reasons;
--- a/src/daemon/entry/share_inbox.cc
+++ b/src/daemon/entry/share_inbox.cc
@@ -11,7 +11,7 @@
   m_urgent = m_urgent || !heartbeat.ended.empty();
 }
 
-void ShareInbox::Answer(StartAnswer answer) {
+void ShareInbox::Answer(CommandAnswer answer) {
   const absl::MutexLock lock(&m_mutex);
   m_answers.push_back(std::move(answer));
   m_urgent = true;
--- a/src/daemon/entry/share_inbox.h
+++ b/src/daemon/entry/share_inbox.h
@@ -16,12 +16,12 @@
  public:
   struct Content {
     std::vector<Heartbeat> heartbeats;  ///< the newest of each worker
-    std::vector<StartAnswer> answers;
+    std::vector<CommandAnswer> answers;
     bool leaving = false;
   };
 
   void Deliver(const Heartbeat& heartbeat);
-  void Answer(StartAnswer answer);
+  void Answer(CommandAnswer answer);
   void BeginLeaving();
   void Stop();
   bool IsStopped() const;
@@ -35,7 +35,7 @@
  private:
   mutable absl::Mutex m_mutex;
   std::map<WorkerId, Heartbeat> m_heartbeats ABSL_GUARDED_BY(m_mutex);
-  std::vector<StartAnswer> m_answers ABSL_GUARDED_BY(m_mutex);
+  std::vector<CommandAnswer> m_answers ABSL_GUARDED_BY(m_mutex);
   bool m_urgent ABSL_GUARDED_BY(m_mutex) = false;
   bool m_leaving ABSL_GUARDED_BY(m_mutex) = false;
   bool m_stopped ABSL_GUARDED_BY(m_mutex) = false;
--- a/src/daemon/entry/share_inputs.h
+++ b/src/daemon/entry/share_inputs.h
@@ -16,8 +16,8 @@
 class ConfigState;
 class JobsState;
 
-/// An agent's answer to a start command of this owner.
-struct StartAnswer {
+/// An agent's answer to a start or stop command of this owner.
+struct CommandAnswer {
   AttemptKey key;
   WorkerId worker;
   AttemptAnswer answer;
@@ -35,8 +35,8 @@
   std::optional<EntryId> preferred_entry;
   bool leaving = false;  ///< this entry is shutting down
 
-  std::vector<Heartbeat> heartbeats;  ///< that arrived since the last step, at most one for each worker
-  std::vector<StartAnswer> answers;   ///< that arrived since the last step
+  std::vector<Heartbeat> heartbeats;   ///< that arrived since the last step, at most one for each worker
+  std::vector<CommandAnswer> answers;  ///< that arrived since the last step
 
   /// Availability zone of a worker that this entry has heard.
   std::function<AvailabilityZoneId(const WorkerId&)> zone_of;
--- a/src/daemon/entry/share_runner.cc
+++ b/src/daemon/entry/share_runner.cc
@@ -13,7 +13,6 @@
 #include "daemon/streams/append_and_wait.h"
 #include "daemon/streams/snapshot_writer.h"
 #include "schedule/placer.h"
-#include "transport/stream_client.h"
 
 namespace berylgauge {
 namespace {
@@ -144,7 +143,7 @@
     LogEvent(LogLevel::kInfo, "stop_sent",
              {{"task", stop.message.end.key.task.value()}, {"worker", stop.worker.value()}});
     m_context.agents.For(address)->Send({.path = kStopPath, .headers = {}, .body = EncodeStopMessage(stop.message)},
-                                        kMessageTimeout, [](const Result<StreamResponse>&) {});
+                                        kMessageTimeout, DeliverAnswer(stop.message.end.key, stop.worker));
   }
   for (const AgentMessage<TermsMessage>& terms : decisions.terms) {
     const std::string address = m_context.workers.AddressOf(terms.worker);
@@ -157,16 +156,17 @@
 void ShareRunner::SendStart(const AgentMessage<StartCommand>& start) {
   const std::string address = m_context.workers.AddressOf(start.worker);
   if (address.empty()) return;
-  const AttemptKey key = start.message.key;
-  StreamRequest request{.path = kStartPath, .headers = {}, .body = EncodeStartCommand(start.message)};
+  m_context.agents.For(address)->Send({.path = kStartPath, .headers = {}, .body = EncodeStartCommand(start.message)},
+                                      kMessageTimeout, DeliverAnswer(start.message.key, start.worker));
+}
+
+StreamClient::Callback ShareRunner::DeliverAnswer(const AttemptKey& key, const WorkerId& worker) const {
   // The answer may arrive after this runner was destroyed, so the callback holds the inbox alone.
-  m_context.agents.For(address)->Send(
-      std::move(request), kMessageTimeout,
-      [inbox = m_inbox, key, worker = start.worker](const Result<StreamResponse>& response) {
-        if (!response || response->status != 200) return;
-        Result<AttemptAnswer> answer = DecodeAttemptAnswer(response->body);
-        if (answer) inbox->Answer({.key = key, .worker = worker, .answer = std::move(*answer)});
-      });
+  return [inbox = m_inbox, key, worker](const Result<StreamResponse>& response) {
+    if (!response || response->status != 200) return;
+    Result<AttemptAnswer> answer = DecodeAttemptAnswer(response->body);
+    if (answer) inbox->Answer({.key = key, .worker = worker, .answer = std::move(*answer)});
+  };
 }
 
 void ShareRunner::WriteSnapshotIfDue(MonotonicTime now) {
--- a/src/daemon/entry/share_runner.h
+++ b/src/daemon/entry/share_runner.h
@@ -15,6 +15,7 @@
 #include "daemon/streams/stream_follower.h"
 #include "daemon/streams/stream_writer.h"
 #include "state/jobs_state.h"
+#include "transport/stream_client.h"
 
 namespace berylgauge {
 
@@ -75,6 +76,9 @@
   bool CarryOut(const ShareDecisions& decisions);
   void SendMessages(const ShareDecisions& decisions);
   void SendStart(const AgentMessage<StartCommand>& start);
+
+  /// Passes the agent's answer to a command on to the next step.
+  StreamClient::Callback DeliverAnswer(const AttemptKey& key, const WorkerId& worker) const;
   bool IsLogFresh(MonotonicTime now) const;
   void WriteSnapshotIfDue(MonotonicTime now);
 
--- a/src/daemon/messages/attempt_messages.cc
+++ b/src/daemon/messages/attempt_messages.cc
@@ -30,8 +30,8 @@
   return message;
 }
 
-Incarnation ReadIncarnation(JsonObjectReader& reader) {
-  return std::strtoull(reader.String("agent").c_str(), nullptr, 10);
+Incarnation ReadIncarnation(JsonObjectReader& reader, const char* key = "agent") {
+  return std::strtoull(reader.String(key).c_str(), nullptr, 10);
 }
 
 AttemptKey ReadKey(JsonObjectReader& reader) {
@@ -101,6 +101,7 @@
                  {"share", message.end.share},
                  {"offset", message.end.offset},
                  {"agent", std::to_string(message.end.agent_incarnation)},
+                 {"placed", std::to_string(message.end.placed_incarnation)},
                  {"checkpoint", message.with_checkpoint}});
 }
 
@@ -111,6 +112,7 @@
     message.end.share = static_cast<std::uint32_t>(reader.Integer("share", {.max = UINT32_MAX}));
     message.end.offset = reader.Integer("offset", {.min = kNoOffset});
     message.end.agent_incarnation = ReadIncarnation(reader);
+    message.end.placed_incarnation = ReadIncarnation(reader, "placed");
     message.with_checkpoint = reader.Boolean("checkpoint");
     return message;
   });
