Make an entry ready only when it has heard the agents

Cause: /readyz of a new entry turned 200 with the first read of the configuration, when its routing table was still empty, so the balancer sent it requests that it refused with 404. Ruled out: the endpoints and their agents, which the other entries kept using. Change: an entry is not ready before the time has passed within which every live agent reports (timing.endpoint_silent_ms).

--- a/src/daemon/entry/entry_node.cc
+++ b/src/daemon/entry/entry_node.cc
@@ -51,6 +51,7 @@
     : m_settings(settings),
       m_entry(settings.node_id),
       m_incarnation(RandomIncarnation()),
+      m_started(m_clock.Now()),
       m_log(std::make_unique<HttpLogClient>(m_log_http, AuthorityOf(settings.entry->log_url))),
       m_loop("entry-clients"),
       m_agents(StreamClientFactory(m_loop, &m_metrics)),
@@ -240,6 +241,8 @@
   if (m_leaving.load()) return "shutting down";
   const TailProof proof = m_config->TailProofNow();
   if (proof.at == InfinitePast()) return "the configuration was not read yet";
+  // By then every live agent has reported; before, requests would be refused for services that have endpoints.
+  if (m_clock.Now() - m_started < m_settings.timing.endpoint_silent) return "waiting for the heartbeats of the agents";
   if (HasGap()) return "records that were not read yet are no longer retained";
   // A log outage must not take every entry out of the balancer: requests need no log once the configuration is known.
   return std::nullopt;
--- a/src/daemon/entry/entry_node.h
+++ b/src/daemon/entry/entry_node.h
@@ -59,6 +59,7 @@
   const EntryId m_entry;
   const Incarnation m_incarnation;
   const SystemClock m_clock;
+  const MonotonicTime m_started;
   MetricsRegistry m_metrics;
   HttpClient m_log_http;
   std::unique_ptr<LogClient> m_log;
