--- a/tests/process/agent_failure_test.cc
+++ b/tests/process/agent_failure_test.cc
@@ -27,7 +27,7 @@
   cluster.WaitRunning(later, 24);
   cluster.WaitSucceeded(later, 24, absl::Seconds(20));
   load->Stop();
-  REQUIRE(cluster.Violation(load.get()) == "");
+  REQUIRE(cluster.Violation(load.get()) == "none");
 }
 
 // Guards against tasks that cannot be evicted because the agent that started them is gone.
@@ -43,7 +43,7 @@
   Cluster::WaitFor("the zone to be empty", absl::Seconds(10), [&] { return cluster.Running(job, 0) == 0; });
   CHECK(cluster.Count(job, "end", "stopped") > 0);
   cluster.WaitSucceeded(job, 12, absl::Seconds(30));
-  REQUIRE(cluster.Violation() == "");
+  REQUIRE(cluster.Violation() == "none");
 }
 
 // Guards against a task in two places when its agent is silent for longer than all leases and then goes on.
@@ -63,7 +63,7 @@
   cluster.WaitSucceeded(later, 24, absl::Seconds(20));
   load->Stop();
   CHECK(cluster.Count(job, "start") == 12 + here);
-  REQUIRE(cluster.Violation(load.get()) == "");
+  REQUIRE(cluster.Violation(load.get()) == "none");
 }
 
 // Guards against an agent that starts a task a second time because it does not hear from its worker.
@@ -82,7 +82,7 @@
   cluster.worker_relay(0).Heal();
   cluster.WaitSucceeded(running, 6, absl::Seconds(40));
   cluster.WaitSucceeded(during, 12, absl::Seconds(40));
-  REQUIRE(cluster.Violation() == "");
+  REQUIRE(cluster.Violation() == "none");
 }
 
 }  // namespace berylgauge
--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -368,7 +368,7 @@
     const std::vector<std::string> orders = CheckOrders(m_endpoint_records, load->Outcomes());
     violations.insert(violations.end(), orders.begin(), orders.end());
   }
-  return violations.empty() ? "" : absl::StrCat(violations.front(), " (", violations.size(), " violations)");
+  return violations.empty() ? "none" : absl::StrCat(violations.front(), " (", violations.size(), " violations)");
 }
 
 void Cluster::WaitFor(const std::string& what, absl::Duration timeout, const std::function<bool()>& reached) {
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -117,7 +117,7 @@
   /// Waits until that many tasks of the job run.
   void WaitRunning(const std::string& job, int tasks, absl::Duration timeout = absl::Seconds(20));
 
-  /// The first violation of a guarantee by the records, or an empty text. Call it at the end of each test.
+  /// The first violation of a guarantee by the records, or "none". Call it at the end of each test.
   std::string Violation(const OrderLoad* load = nullptr);
 
   /// Waits for a state; throws with `what` after `timeout`.
--- a/tests/process/entry_failure_test.cc
+++ b/tests/process/entry_failure_test.cc
@@ -53,7 +53,7 @@
   Cluster::WaitFor("orders to go on", absl::Seconds(10), [&] { return load->Ran() > ran + 50; });
   load->Stop();
   CHECK(cluster.Count(job, "start") == 12);
-  REQUIRE(cluster.Violation(load.get()) == "");
+  REQUIRE(cluster.Violation(load.get()) == "none");
 }
 
 // Guards against an owner that acts on a share which others have claimed while it was paused.
@@ -74,7 +74,7 @@
   cluster.Restore(other, Cluster::ZoneOf(0));
   cluster.WaitReady();
   load->Stop();
-  REQUIRE(cluster.Violation(load.get()) == "");
+  REQUIRE(cluster.Violation(load.get()) == "none");
 }
 
 // Guards against two owners of a share, and against requests that stop, when an entry is cut off from the log.
@@ -101,7 +101,7 @@
   cluster.WaitReady();
   load->Stop();
   CHECK(load->Lost() == std::vector<std::string>{});
-  REQUIRE(cluster.Violation(load.get()) == "");
+  REQUIRE(cluster.Violation(load.get()) == "none");
 }
 
 }  // namespace berylgauge
--- a/tests/process/log_failure_test.cc
+++ b/tests/process/log_failure_test.cc
@@ -39,7 +39,7 @@
   load->Stop();
   CHECK(cluster.Count(job, "start") == kMoreThanFit);
   CHECK(load->Lost() == std::vector<std::string>{});
-  REQUIRE(cluster.Violation(load.get()) == "");
+  REQUIRE(cluster.Violation(load.get()) == "none");
 }
 
 }  // namespace
@@ -74,7 +74,7 @@
   cluster.log().SetFaults({{"delay_ms", 0}});
   cluster.WaitReady();
   CHECK(cluster.Count(job, "end", "succeeded") == 24);
-  REQUIRE(cluster.Violation() == "");
+  REQUIRE(cluster.Violation() == "none");
 }
 
 // Guards against submissions, placements and confirmations that take effect twice because their answer was lost.
@@ -101,7 +101,7 @@
   CHECK(cluster.Expect(200, 2, "GET", "/v1/audit").size() == 2);
   CHECK(cluster.Status(2)["config"]["version"] == 2);
   CHECK(cluster.Count(job, "start") == 12);
-  REQUIRE(cluster.Violation() == "");
+  REQUIRE(cluster.Violation() == "none");
 }
 
 // Guards against an entry that goes on from a wrong state after records that it has not read were removed.
@@ -147,7 +147,7 @@
     for (int i = 0; i < 12; ++i) after.push_back(cluster.Submit(0, 2, {{"run_ms", run_ms}}));
     for (const std::string& job : after) cluster.WaitSucceeded(job, 2, absl::Seconds(30));
   }
-  REQUIRE(cluster.Violation() == "");
+  REQUIRE(cluster.Violation() == "none");
 }
 
 }  // namespace berylgauge
--- a/tests/process/operators_test.cc
+++ b/tests/process/operators_test.cc
@@ -25,7 +25,7 @@
     CHECK(answers[1 - accepted].body.find("not-run") != std::string::npos);
     CHECK(cluster.Status(accepted)["config"]["version"] == version + 1);
   }
-  REQUIRE(cluster.Violation() == "");
+  REQUIRE(cluster.Violation() == "none");
 }
 
 // Guards against starts in a zone after it was taken out of service, and against work that is lost on the way out.
@@ -46,7 +46,7 @@
   load->Stop();
   CHECK(cluster.Count(job, "end", "succeeded") == 24);
   CHECK(load->Lost() == std::vector<std::string>{});
-  REQUIRE(cluster.Violation(load.get()) == "");
+  REQUIRE(cluster.Violation(load.get()) == "none");
 }
 
 }  // namespace berylgauge
--- a/tests/process/planned_stop_test.cc
+++ b/tests/process/planned_stop_test.cc
@@ -28,7 +28,7 @@
   }
   load->Stop();
   CHECK(load->Lost() == std::vector<std::string>{});
-  REQUIRE(cluster.Violation(load.get()) == "");
+  REQUIRE(cluster.Violation(load.get()) == "none");
 }
 
 // Guards against requests that are cut off and work that is lost or repeated by a planned stop.
@@ -46,7 +46,7 @@
   load->Stop();
   CHECK(cluster.Count(job, "start") == 24);
   CHECK(load->Lost() == std::vector<std::string>{});
-  REQUIRE(cluster.Violation(load.get()) == "");
+  REQUIRE(cluster.Violation(load.get()) == "none");
 }
 
 // Guards against the same for agents, whose tasks go on at the worker without them.
@@ -65,7 +65,7 @@
   load->Stop();
   CHECK(cluster.Count(job, "start") == 24);
   CHECK(load->Lost() == std::vector<std::string>{});
-  REQUIRE(cluster.Violation(load.get()) == "");
+  REQUIRE(cluster.Violation(load.get()) == "none");
 }
 
 }  // namespace berylgauge
--- a/tests/process/worker_failure_test.cc
+++ b/tests/process/worker_failure_test.cc
@@ -24,7 +24,7 @@
   cluster.WaitSucceeded(job, 18, absl::Seconds(30));
   CHECK(cluster.Count(job, "start") == 18 + here);
   CHECK(cluster.Count(job, "end", "succeeded") == 18);
-  REQUIRE(cluster.Violation() == "");
+  REQUIRE(cluster.Violation() == "none");
 }
 
 // Guards against a worker that attracts all work because it fails everything at once.
@@ -36,7 +36,7 @@
   cluster.worker(0).SetFaults({{"fail_tasks", false}});
   const std::string later = cluster.Submit(1, 24, {{"run_ms", 1000}});
   cluster.WaitSucceeded(later, 24, absl::Seconds(30));
-  REQUIRE(cluster.Violation() == "");
+  REQUIRE(cluster.Violation() == "none");
 }
 
 }  // namespace berylgauge
