--- a/src/daemon/entry/entry_node.cc
+++ b/src/daemon/entry/entry_node.cc
@@ -56,6 +56,7 @@
     : m_settings(settings),
       m_entry(settings.node_id),
       m_incarnation(RandomIncarnation()),
+      m_started(m_clock.Now()),
       m_log(std::make_unique<HttpLogClient>(m_log_http, AuthorityOf(settings.entry->log_url))),
       m_loop("entry-clients"),
       m_agents(StreamClientFactory(m_loop, &m_metrics)),
@@ -200,7 +201,8 @@
                                        .internal_address = m_settings.entry->internal.ToString(),
                                        .caller_address = m_settings.entry->callers.ToString(),
                                        .availability_zone = m_settings.availability_zone,
-                                       .leaving = m_leaving.load()};
+                                       // An entry that lacks records cannot own a share, so none may prefer it.
+                                       .leaving = m_leaving.load() || HasGap()};
   m_members_writer->Append({EncodeEntryAnnouncement(announcement)},
                            [this](const Result<Offset>&) { m_announcement_pending.store(false); });
 }
@@ -269,10 +271,15 @@
   if (m_leaving.load()) return "shutting down";
   const TailProof proof = m_config->TailProofNow();
   if (proof.at == InfinitePast()) return "the configuration was not read yet";
+  // By then every live agent has reported; before, requests would be refused for services that have endpoints.
+  if (m_clock.Now() - m_started < m_settings.timing.endpoint_silent) return "waiting for the heartbeats of the agents";
+  if (HasGap()) return "records that were not read yet are no longer retained";
   // A log outage must not take every entry out of the balancer: requests need no log once the configuration is known.
   return std::nullopt;
 }
 
+bool EntryNode::HasGap() const { return m_config->HasGap() || m_shares->HasGap(); }
+
 bool EntryNode::Shutdown() {
   LogEvent(LogLevel::kInfo, "entry_leaving", {{"entry", m_entry.value()}});
   m_leaving.store(true);
--- a/src/daemon/entry/share_controller.cc
+++ b/src/daemon/entry/share_controller.cc
@@ -106,7 +106,7 @@
 }
 
 void ShareController::HandleAnswers(const ShareInputs& inputs, MonotonicTime now, ShareDecisions& decisions) {
-  for (const StartAnswer& answer : inputs.answers) {
+  for (const CommandAnswer& answer : inputs.answers) {
     const Task* task = inputs.jobs.FindTask(answer.key.task);
     if (task == nullptr || !task->HasLiveAttempt() || task->attempt != answer.key.attempt) continue;
     const AnswerKind kind = answer.answer.kind;
@@ -119,9 +119,11 @@
     // Any other answer leaves open whether the attempt runs; the agent's heartbeats will tell.
     if (!not_run) continue;
     m_placer.RecordRefused(answer.key, answer.worker, now);
-    End(answer.key.task, *task, AttemptOutcome::kNotRun, "",
-        "refused by " + answer.worker.value() + ": " + std::string(kRefusalReasonNames.NameOf(answer.answer.reason)),
-        decisions);
+    const std::string detail = kind == AnswerKind::kNotRun
+                                   ? "not started by " + answer.worker.value()
+                                   : "refused by " + answer.worker.value() + ": " +
+                                         std::string(kRefusalReasonNames.NameOf(answer.answer.reason));
+    End(answer.key.task, *task, AttemptOutcome::kNotRun, "", detail, decisions);
   }
 }
 
@@ -140,6 +142,10 @@
     const Task* task = inputs.jobs.FindTask(ended.task);
     if (task == nullptr || !task->HasLiveAttempt() || task->attempt != ended.attempt) continue;
     if (task->worker != heartbeat.worker) continue;
+    // The failure may be the worker's fault, so the next attempt runs on another one if there is room.
+    if (ended.outcome == ReportedAttemptOutcome::kFailed) {
+      m_placer.RecordRefused({.task = ended.task, .attempt = ended.attempt}, heartbeat.worker, now);
+    }
     End(ended.task, *task, ToOutcome(ended.outcome), ended.checkpoint, ended.detail, decisions);
   }
   if (heartbeat.reconciled) HandleMissing(inputs, heartbeat, listed, decisions);
--- a/src/daemon/messages/attempt_messages.cc
+++ b/src/daemon/messages/attempt_messages.cc
@@ -30,7 +30,7 @@
   return message;
 }
 
-Incarnation ReadIncarnation(JsonObjectReader& reader, const std::string& key) {
+Incarnation ReadIncarnation(JsonObjectReader& reader, const char* key = "agent") {
   return std::strtoull(reader.String(key).c_str(), nullptr, 10);
 }
 
@@ -111,7 +111,7 @@
     message.end.key = ReadKey(reader);
     message.end.share = static_cast<std::uint32_t>(reader.Integer("share", {.max = UINT32_MAX}));
     message.end.offset = reader.Integer("offset", {.min = kNoOffset});
-    message.end.agent_incarnation = ReadIncarnation(reader, "agent");
+    message.end.agent_incarnation = ReadIncarnation(reader);
     message.end.placed_incarnation = ReadIncarnation(reader, "placed");
     message.with_checkpoint = reader.Boolean("checkpoint");
     return message;
--- a/src/state/job_spec.cc
+++ b/src/state/job_spec.cc
@@ -7,10 +7,10 @@
 namespace {
 
 constexpr std::int64_t kMaxTasks = 1'000;
-constexpr std::int64_t kMaxRunSeconds = 30 * 24 * 3600;
-constexpr std::int64_t kMaxGraceMs = 24 * 3600 * 1000;
+constexpr std::int64_t kMaxRunSeconds = std::int64_t{30} * 24 * 3600;
+constexpr std::int64_t kMaxGraceMs = std::int64_t{24} * 3600 * 1000;
 /// Attempts that a restarted agent took over run under this grace until their owner tells the one of the job.
-constexpr std::int64_t kMinGraceMs = 60 * 1000;
+constexpr std::int64_t kMinGraceMs = 60'000;
 constexpr std::size_t kMaxCommandBytes = 4'096;
 
 }  // namespace
--- a/src/state/snapshot.cc
+++ b/src/state/snapshot.cc
@@ -6,7 +6,7 @@
 namespace berylgauge {
 namespace {
 
-constexpr std::size_t kPartBytes = 256 * 1024;
+constexpr std::size_t kPartBytes = std::size_t{256} * 1024;
 constexpr std::int64_t kMaxParts = 10'000;
 
 }  // namespace
--- a/tests/unit/daemon/share_world.cc
+++ b/tests/unit/daemon/share_world.cc
@@ -27,7 +27,7 @@
   std::unique_ptr<Placer> placer;
   std::unique_ptr<ShareController> controller;
   std::vector<Heartbeat> heartbeats;
-  std::vector<StartAnswer> answers;
+  std::vector<CommandAnswer> answers;
   std::map<WorkerId, MonotonicTime> last_heard;
   std::optional<ShareDecisions> paused;
 };
