Judge workers and jobs by the failures of all shares

Cause: the owner of a share parked a task after three failures, whatever worker they happened on. A worker that fails every task could therefore park the tasks of every job, and nothing kept new work away from it.

Ruled out: state in the controller of each share alone (a worker needs failures of several jobs, which are spread over the shares, and a change of owner would lose them); a new record for each conclusion (more appends, and the conclusion follows from records that are in the log already); parking all tasks of a parked job (TaskParked is final, and a task that never failed may succeed).

Change: JobsState keeps the newest 4,096 accepted task changes of a share. FailureMonitor, one for each entry, feeds FailureAttribution with those of all shares, whoever owns them. It replaces max_failures and failure_backoff. A worker in quarantine is marked in its WorkerView; a decision that still picks it, because the view is older, is dropped. A worker gets one trial at a time in each entry, from the decision on. Of a parked job the task that failed most is parked, with the evidence as detail, cut to what the fold accepts; its other tasks go on when its failures are out of the evidence, at the latest after the longest delay.

At a change of owner nothing is lost, because the next owner has folded the same records.

Before the first fold of a trial's placement, two entries may each place one.

ShareWorld has four jobs of two teams and different importance, and a worker may fail everything that runs on it.

--- a/src/daemon/entry/entry_node.cc
+++ b/src/daemon/entry/entry_node.cc
@@ -109,6 +109,7 @@
                                    .workers = m_workers,
                                    .agents = m_agents,
                                    .placer = m_placer,
+                                   .failures = m_failures,
                                    .placer_mutex = m_placer_mutex};
   const TimingSettings& timing = m_settings.timing;
   std::vector<std::unique_ptr<ShareRunner>> runners;
@@ -202,10 +203,10 @@
 
 void EntryNode::OnHeartbeat(const Heartbeat& heartbeat, MonotonicTime now) {
   const WorkerDirectory::Entry entry{.last = heartbeat, .liveness = WorkerLiveness::kLive, .last_heard = now};
-  const WorkerView view =
-      m_config->state().Read([&](const ConfigState& config) { return WorkerViewOf(entry, config); });
+  WorkerView view = m_config->state().Read([&](const ConfigState& config) { return WorkerViewOf(entry, config); });
   {
     const absl::MutexLock lock(&m_placer_mutex);
+    view.quarantined = !m_failures.MayPlace(heartbeat.worker, now);
     m_placer.UpsertWorker(view);
   }
   RegisterAgent(heartbeat);
--- a/src/daemon/entry/entry_node.h
+++ b/src/daemon/entry/entry_node.h
@@ -15,6 +15,7 @@
 #include "daemon/entry/agent_clients.h"
 #include "daemon/entry/config_stream.h"
 #include "daemon/entry/entry_directory.h"
+#include "daemon/entry/failure_monitor.h"
 #include "daemon/entry/heartbeat_service.h"
 #include "daemon/entry/operator_api.h"
 #include "daemon/entry/request_router.h"
@@ -67,6 +68,7 @@
   RequestRouter m_router;
   absl::Mutex m_placer_mutex;
   Placer m_placer ABSL_GUARDED_BY(m_placer_mutex);
+  FailureMonitor m_failures ABSL_GUARDED_BY(m_placer_mutex);
   std::set<TeamId> m_quota_teams ABSL_GUARDED_BY(m_placer_mutex);
   std::unique_ptr<ConfigStream> m_config;
   std::unique_ptr<StreamFollower> m_members;
--- a/src/daemon/entry/share_controller.cc
+++ b/src/daemon/entry/share_controller.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "daemon/entry/failure_monitor.h"
 #include "schedule/placer.h"
 #include "state/config_state.h"
 #include "state/jobs_state.h"
@@ -18,8 +19,6 @@
 /// Tasks considered for placement in one step; bounds the time of a step when many wait.
 constexpr std::size_t kMaxPlacementsPerStep = 200;
 
-constexpr int kMaxBackoffDoublings = 8;
-
 AttemptOutcome ToOutcome(ReportedAttemptOutcome outcome) {
   switch (outcome) {
     case ReportedAttemptOutcome::kSucceeded:
@@ -47,8 +46,8 @@
 
 }  // namespace
 
-ShareController::ShareController(ShareControllerOptions options, Placer& placer)
-    : m_options(std::move(options)), m_placer(placer) {}
+ShareController::ShareController(ShareControllerOptions options, Placer& placer, FailureMonitor& failures)
+    : m_options(std::move(options)), m_placer(placer), m_failures(failures) {}
 
 bool ShareController::IsOwner(const JobsState& jobs) const {
   return jobs.epoch() > 0 && !jobs.released() && jobs.owner() == m_options.entry &&
@@ -64,6 +63,8 @@
   ShareDecisions decisions;
   m_epoch = inputs.jobs.epoch();
   m_ended.clear();
+  // Also while another entry owns the share, so that a change of owner loses no evidence.
+  m_failures.Observe(m_options.share, inputs.jobs, now);
   // Without the tail of the log, what this entry knows may be out of date, and it could write nothing anyway.
   if (!inputs.log_is_fresh) return decisions;
   DecideOwnership(inputs, now, decisions);
@@ -293,15 +294,7 @@
 
 void ShareController::PlaceTask(const ShareInputs& inputs, const TaskId& id, const Job& job, const Task& task,
                                 MonotonicTime now, absl::BitGenRef random, ShareDecisions& decisions) {
-  if (task.failures >= m_options.max_failures) {
-    decisions.records.emplace_back(TaskParked{
-        .epoch = m_epoch, .task = id, .detail = "failed " + std::to_string(task.failures) + " times: " + task.detail});
-    return;
-  }
-  if (IsBackingOff(id, task, now)) {
-    m_wait_reasons[id] = "backing-off";
-    return;
-  }
+  if (HoldBackFailing(id, now, decisions)) return;
   const PlacementRequest request{
       .key = {.task = id, .attempt = task.attempt + 1},
       .team = job.spec.team,
@@ -322,6 +315,13 @@
     m_wait_reasons[id] = std::string(kPlacementReasonNames.NameOf(decision.reason));
     return;
   }
+  // The view of the worker is older than its quarantine, or another task is its trial.
+  if (!m_failures.MayPlace(decision.worker, now)) {
+    m_placer.RecordRefused(request.key, decision.worker, now);
+    m_wait_reasons[id] = "worker-in-quarantine";
+    return;
+  }
+  m_failures.RecordDecided(decision.worker, now);
   m_wait_reasons.erase(id);
   m_start_tokens -= 1;
   decisions.records.emplace_back(TaskPlaced{.epoch = m_epoch,
@@ -333,14 +333,19 @@
                                             .reason = std::string(kPlacementReasonNames.NameOf(decision.reason))});
 }
 
-bool ShareController::IsBackingOff(const TaskId& id, const Task& task, MonotonicTime now) {
-  if (task.failures == 0) return false;
-  const int doublings = std::min<int>(static_cast<int>(task.failures) - 1, kMaxBackoffDoublings);
-  const MonotonicTime retry_at =
-      m_retry_at.try_emplace(id, now + m_options.failure_backoff * (1 << doublings)).first->second;
-  if (now < retry_at) return true;
-  m_retry_at.erase(id);
-  return false;
+bool ShareController::HoldBackFailing(const TaskId& id, MonotonicTime now, ShareDecisions& decisions) {
+  JobId job;
+  std::size_t index = 0;
+  if (!ParseTaskId(id, &job, &index)) return true;
+  if (m_failures.ShouldPark(job, id, now)) {
+    m_wait_reasons.erase(id);
+    decisions.records.emplace_back(
+        TaskParked{.epoch = m_epoch, .task = id, .detail = m_failures.DescribeEvidence(job)});
+    return true;
+  }
+  if (m_failures.MayRetry(job, now)) return false;
+  m_wait_reasons[id] = "backing-off";
+  return true;
 }
 
 void ShareController::End(const TaskId& id, const Task& task, AttemptOutcome outcome, std::string checkpoint,
--- a/src/daemon/entry/share_controller.h
+++ b/src/daemon/entry/share_controller.h
@@ -18,6 +18,7 @@
 
 namespace berylgauge {
 
+class FailureMonitor;
 class Placer;
 
 /// Identity of an entry and the times of its rights as owner of a share.
@@ -31,18 +32,17 @@
   absl::Duration outage_grace = absl::Milliseconds(3'900'000);
   absl::Duration start_repeat = absl::Seconds(1);  ///< a start command without effect is sent again after this
   absl::Duration stop_repeat = absl::Seconds(5);
-  absl::Duration handover_after = absl::Seconds(5);   ///< another entry must be preferred for this long
-  std::uint32_t max_failures = 3;                     ///< a task that failed this often is parked
-  absl::Duration failure_backoff = absl::Seconds(1);  ///< after the first failure; doubles with each further one
+  absl::Duration handover_after = absl::Seconds(5);  ///< another entry must be preferred for this long
 };
 
 /// Decisions of an entry about one share of the jobs: claim it, place its tasks, follow their attempts.
 ///
 /// Pure: the caller appends the records, waits until they have been folded, and then sends the messages. Holds nothing
-/// that the log does not, but for times and repeats, so that a new owner goes on where the former one was.
+/// that the log does not, but for times and repeats, so that a new owner goes on where the former one was. What is
+/// known of faulty workers and jobs is in the `FailureMonitor` of the entry.
 class ShareController {
  public:
-  ShareController(ShareControllerOptions options, Placer& placer);
+  ShareController(ShareControllerOptions options, Placer& placer, FailureMonitor& failures);
 
   /// Decides about ownership and, as owner, about all tasks. Call it again when the records were folded.
   ShareDecisions Step(const ShareInputs& inputs, MonotonicTime now, absl::BitGenRef random);
@@ -81,7 +81,7 @@
   void PlaceWaiting(const ShareInputs& inputs, MonotonicTime now, absl::BitGenRef random, ShareDecisions& decisions);
   void PlaceTask(const ShareInputs& inputs, const TaskId& id, const Job& job, const Task& task, MonotonicTime now,
                  absl::BitGenRef random, ShareDecisions& decisions);
-  bool IsBackingOff(const TaskId& id, const Task& task, MonotonicTime now);
+  bool HoldBackFailing(const TaskId& id, MonotonicTime now, ShareDecisions& decisions);
 
   void End(const TaskId& id, const Task& task, AttemptOutcome outcome, std::string checkpoint, std::string detail,
            ShareDecisions& decisions);
@@ -91,6 +91,7 @@
 
   const ShareControllerOptions m_options;
   Placer& m_placer;
+  FailureMonitor& m_failures;
   ShareEpoch m_epoch = 0;  ///< of the state in the present step
   std::optional<MonotonicTime> m_owner_since;
   std::optional<MonotonicTime> m_other_preferred_since;
@@ -98,7 +99,6 @@
   std::map<AttemptKey, AttemptTimes> m_times;
   std::map<std::pair<AttemptKey, Incarnation>, MonotonicTime> m_terms_sent;
   std::map<std::pair<WorkerId, Offset>, MonotonicTime> m_revoked_since;
-  std::map<TaskId, MonotonicTime> m_retry_at;
   std::map<TaskId, std::string> m_wait_reasons;
   double m_start_tokens = 0;
   MonotonicTime m_start_tokens_at = InfinitePast();
--- a/src/daemon/entry/share_runner.cc
+++ b/src/daemon/entry/share_runner.cc
@@ -31,7 +31,7 @@
       m_options(std::move(options)),
       m_stream("jobs-" + std::to_string(m_options.controller.share)),
       m_inbox(std::make_shared<ShareInbox>()),
-      m_controller(m_options.controller, context.placer) {
+      m_controller(m_options.controller, context.placer, context.failures) {
   m_follower = std::make_unique<StreamFollower>(
       context.log, context.clock, m_state,
       StreamFollowerOptions{.stream = m_stream, .snapshot_stream = "snapshot-" + m_stream});
--- a/src/daemon/entry/share_runner.h
+++ b/src/daemon/entry/share_runner.h
@@ -22,6 +22,7 @@
 class Clock;
 class ConfigStream;
 class EntryDirectory;
+class FailureMonitor;
 class LogClient;
 class WorkerDirectory;
 
@@ -35,7 +36,8 @@
   const WorkerDirectory& workers;
   AgentClients& agents;
   Placer& placer;
-  absl::Mutex& placer_mutex;
+  FailureMonitor& failures;
+  absl::Mutex& placer_mutex;  ///< protects `placer` and `failures`
 };
 
 struct ShareRunnerOptions {
--- a/src/state/jobs_state.cc
+++ b/src/state/jobs_state.cc
@@ -1,5 +1,7 @@
 #include "state/jobs_state.h"
 
+#include <utility>
+
 #include "base/json_object_reader.h"
 #include "state/batch.h"
 
@@ -9,6 +11,10 @@
 /// Finished jobs kept for queries. 13,000 jobs a day in 8 shares make this about a day.
 constexpr std::size_t kMaxFinalJobs = 1'600;
 
+/// A reader looks every 100 ms and a share folds some tens of records per second, so only the first look of a process
+/// that has just read the stream can miss events, and then the oldest.
+constexpr std::size_t kMaxRecentEvents = 4'096;
+
 constexpr std::size_t kMaxJobsInSnapshot = 1'000'000;
 
 }  // namespace
@@ -83,6 +89,12 @@
   task->placed_at = offset;
   task->reason = record.reason;
   SetState(record.task, *task, TaskState::kPlaced);
+  NoteEvent({.kind = TaskEventKind::kPlaced,
+             .offset = offset,
+             .task = record.task,
+             .attempt = record.attempt,
+             .worker = record.worker,
+             .detail = ""});
   return FoldOutcome::kAccepted;
 }
 
@@ -96,7 +108,7 @@
   return FoldOutcome::kAccepted;
 }
 
-FoldOutcome JobsState::Fold(const TaskEnded& record, Offset /*offset*/) {
+FoldOutcome JobsState::Fold(const TaskEnded& record, Offset offset) {
   if (record.epoch != m_epoch) return FoldOutcome::kStaleEpoch;
   Job* job = nullptr;
   Task* task = MutableTask(record.task, &job);
@@ -111,11 +123,18 @@
   } else {
     SetState(record.task, *task, job->cancelled ? TaskState::kCancelled : TaskState::kWaiting);
   }
+  NoteEvent({.kind = TaskEventKind::kEnded,
+             .offset = offset,
+             .task = record.task,
+             .attempt = record.attempt,
+             .worker = task->worker,
+             .outcome = record.outcome,
+             .detail = record.detail});
   NoteIfFinal(record.task, *job);
   return FoldOutcome::kAccepted;
 }
 
-FoldOutcome JobsState::Fold(const TaskParked& record, Offset /*offset*/) {
+FoldOutcome JobsState::Fold(const TaskParked& record, Offset offset) {
   if (record.epoch != m_epoch) return FoldOutcome::kStaleEpoch;
   Job* job = nullptr;
   Task* task = MutableTask(record.task, &job);
@@ -123,6 +142,12 @@
   if (task->state != TaskState::kWaiting) return FoldOutcome::kWrongState;
   task->detail = record.detail;
   SetState(record.task, *task, TaskState::kParked);
+  NoteEvent({.kind = TaskEventKind::kParked,
+             .offset = offset,
+             .task = record.task,
+             .attempt = task->attempt,
+             .worker = task->worker,
+             .detail = ""});
   NoteIfFinal(record.task, *job);
   return FoldOutcome::kAccepted;
 }
@@ -164,6 +189,7 @@
   JobId job_id;
   std::size_t index = 0;
   if (!ParseTaskId(task, &job_id, &index)) return;
+  NoteEvent({.kind = TaskEventKind::kJobFinal, .offset = m_offset, .task = task, .worker = {}, .detail = ""});
   m_final_jobs.push_back(job_id);
   while (m_final_jobs.size() > kMaxFinalJobs) {
     m_jobs.erase(m_final_jobs.front());
@@ -171,6 +197,11 @@
   }
 }
 
+void JobsState::NoteEvent(TaskEvent event) {
+  if (m_recent_events.size() >= kMaxRecentEvents) m_recent_events.pop_front();
+  m_recent_events.push_back(std::move(event));
+}
+
 nlohmann::json JobsState::ToJson() const {
   nlohmann::json jobs = nlohmann::json::array();
   for (const auto& [id, job] : m_jobs) {
--- a/src/state/jobs_state.h
+++ b/src/state/jobs_state.h
@@ -13,6 +13,7 @@
 #include "state/fold_outcome.h"
 #include "state/job.h"
 #include "state/jobs_records.h"
+#include "state/task_event.h"
 
 namespace berylgauge {
 
@@ -40,6 +41,10 @@
   /// Tasks with an attempt that may run.
   const std::set<TaskId>& live() const { return m_live; }
 
+  /// The newest accepted changes of tasks, oldest first. Not part of a snapshot: a reader that started from one sees
+  /// only what was folded since.
+  const std::deque<TaskEvent>& recent_events() const { return m_recent_events; }
+
   /// Returns nothing for an unknown job or task.
   const Job* FindJob(const JobId& job) const;
   const Task* FindTask(const TaskId& task) const;
@@ -63,6 +68,7 @@
   Task* MutableTask(const TaskId& task, Job** job);
   void SetState(const TaskId& id, Task& task, TaskState state);
   void NoteIfFinal(const TaskId& task, const Job& job);
+  void NoteEvent(TaskEvent event);
 
   Offset m_offset = kNoOffset;
   ShareEpoch m_epoch = 0;
@@ -73,6 +79,7 @@
   std::map<JobId, Job> m_jobs;
   std::set<TaskId> m_waiting;
   std::set<TaskId> m_live;
+  std::deque<TaskEvent> m_recent_events;
   std::deque<JobId> m_final_jobs;  ///< in order of their end; the oldest are forgotten
 };
 
--- /dev/null
+++ b/src/state/task_event.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+
+#include "base/ids.h"
+#include "state/task.h"
+
+namespace berylgauge {
+
+enum class TaskEventKind {
+  kPlaced,
+  kEnded,
+  kParked,
+  kJobFinal,  ///< no task of the job can change any more
+};
+
+/// An accepted change of a task, for those that judge workers and jobs by what happened on them.
+struct TaskEvent {
+  TaskEventKind kind = TaskEventKind::kPlaced;
+  Offset offset = kNoOffset;  ///< of the batch; several events may have the same
+  TaskId task;
+  AttemptNumber attempt = 0;
+  WorkerId worker;
+  AttemptOutcome outcome = AttemptOutcome::kNotRun;  ///< for `kEnded`
+  std::string detail;                                ///< for `kEnded`
+};
+
+}  // namespace berylgauge
--- a/tests/unit/daemon/share_controller_property_test.cc
+++ b/tests/unit/daemon/share_controller_property_test.cc
@@ -45,7 +45,7 @@
   const int worker = Pick(ShareWorld::kWorkers);
   const int entry = Pick(ShareWorld::kEntries);
   const auto any_message = [&] { return static_cast<std::size_t>(Pick(static_cast<int>(world.message_count()))); };
-  switch (Pick(33)) {
+  switch (Pick(35)) {
     case 0:
     case 1:
     case 2:
@@ -99,6 +99,9 @@
       return;
     case 29:
       return world.WakeFormerAgent(worker);
+    case 30:
+    case 31:
+      return world.FailAllTasks(worker);
     default:
       return world.Advance(Pick(10) == 0 ? absl::Seconds(30) : absl::Milliseconds(100 + 400 * Pick(4)));
   }
@@ -143,8 +146,11 @@
 TEST_CASE("without faults every task succeeds in its first attempt", "[share]") {
   ShareWorld world({}, 1);
   const auto all_done = [&] {
-    const Job* job = world.jobs().FindJob(JobId("job"));
-    return job != nullptr && job->IsFinal();
+    for (int i = 0; i < ShareWorld::kJobs; ++i) {
+      const Job* job = world.jobs().FindJob(ShareWorld::IdOfJob(i));
+      if (job == nullptr || !job->IsFinal()) return false;
+    }
+    return true;
   };
   for (int i = 0; i < 200 && !all_done(); ++i) {
     for (int worker = 0; worker < ShareWorld::kWorkers; ++worker) {
@@ -158,10 +164,48 @@
     world.Advance(absl::Milliseconds(100));
   }
   REQUIRE(all_done());
-  for (const Task& task : world.jobs().FindJob(JobId("job"))->tasks) {
-    CHECK(task.state == TaskState::kSucceeded);
-    CHECK(task.attempt == 1);
+  for (int i = 0; i < ShareWorld::kJobs; ++i) {
+    for (const Task& task : world.jobs().FindJob(ShareWorld::IdOfJob(i))->tasks) {
+      CHECK(task.state == TaskState::kSucceeded);
+      CHECK(task.attempt == 1);
+    }
+  }
+}
+
+// Guards against a faulty worker that uses up the attempts of every job, against jobs that are blamed for it, and
+// against a new owner that starts to learn from nothing.
+TEST_CASE("a worker that fails everything is taken out and the work done elsewhere", "[share]") {
+  ShareWorld world({}, 1);
+  bool was_out = false;
+  bool was_out_for_other_entry = false;
+  const auto unfinished = [&] {
+    int count = 0;
+    for (int i = 0; i < ShareWorld::kJobs; ++i) {
+      for (const Task& task : world.jobs().FindJob(ShareWorld::IdOfJob(i))->tasks) {
+        if (task.state != TaskState::kSucceeded) ++count;
+      }
+    }
+    return count;
+  };
+  for (int i = 0; i < 600 && unfinished() > 0; ++i) {
+    for (int worker = 0; worker < ShareWorld::kWorkers; ++worker) {
+      world.ReadReport(worker);
+      world.SendHeartbeat(worker, -1, true);
+      world.RunCommands(worker, false);
+    }
+    world.FailAllTasks(0);
+    world.FinishTask(1, 0, true);
+    world.StepEntry(0);
+    world.WatchEntry(1);
+    while (world.message_count() > 0) world.DeliverMessage(0, false);
+    world.Advance(absl::Milliseconds(100));
+    was_out = was_out || world.IsQuarantined(0, 0);
+    was_out_for_other_entry = was_out_for_other_entry || world.IsQuarantined(1, 0);
+    CHECK_FALSE(world.IsQuarantined(0, 1));
   }
+  CHECK(unfinished() == 0);
+  CHECK(was_out);
+  CHECK(was_out_for_other_entry);
 }
 
 }  // namespace
--- a/tests/unit/daemon/share_world.cc
+++ b/tests/unit/daemon/share_world.cc
@@ -14,7 +14,10 @@
 
 constexpr absl::Duration kGrace = absl::Seconds(20);
 constexpr absl::Duration kWorkerSilent = absl::Seconds(5);
-const JobId kJob("job");
+/// Short enough that quarantine and its trials fit into a random history.
+constexpr WorkerQuarantineOptions kQuarantine{
+    .failed_jobs = 2, .first_pause = absl::Seconds(2), .longest_pause = absl::Seconds(8)};
+constexpr JobBackoffOptions kBackoff{.first_delay = absl::Seconds(1), .longest_delay = absl::Seconds(4)};
 
 AvailabilityZoneId ZoneOfWorker(int worker) { return AvailabilityZoneId("zone-" + std::to_string(worker)); }
 
@@ -25,6 +28,7 @@
   Incarnation incarnation = 0;
   std::uint64_t sequence = 0;
   std::unique_ptr<Placer> placer;
+  std::unique_ptr<FailureMonitor> failures;
   std::unique_ptr<ShareController> controller;
   std::vector<Heartbeat> heartbeats;
   std::vector<StartAnswer> answers;
@@ -53,13 +57,16 @@
     m_workers.back()->worker = std::make_unique<FakeWorker>(m_workers.back()->id.value());
     m_workers.back()->agent = MakeAgent(i);
   }
-  JobSpec spec;
-  spec.name = "j";
-  spec.team = TeamId("t");
-  spec.job_class = "batch";
-  spec.task_count = kTasks;
-  spec.resources = {.cpu_millis = 100, .memory_mb = 100, .accelerators = 0, .slots = 1};
-  AppendJobs("caller", &m_caller_sequence, {JobSubmitted{.job = kJob, .spec = spec}});
+  for (int i = 0; i < kJobs; ++i) {
+    JobSpec spec;
+    spec.name = "j";
+    spec.team = TeamId("team-" + std::to_string(i % 2));
+    spec.importance = 2 * i + 1;
+    spec.job_class = "batch";
+    spec.task_count = i == 0 ? kTasks : 1;
+    spec.resources = {.cpu_millis = 100, .memory_mb = 100, .accelerators = 0, .slots = 1};
+    AppendJobs("caller", &m_caller_sequence, {JobSubmitted{.job = IdOfJob(i), .spec = spec}});
+  }
 }
 
 ShareWorld::~ShareWorld() = default;
@@ -73,12 +80,11 @@
   model.last_heard.clear();
   model.paused.reset();
   model.placer = std::make_unique<Placer>();
-  model.controller = std::make_unique<ShareController>(ShareControllerOptions{.entry = model.id,
-                                                                              .incarnation = model.incarnation,
-                                                                              .worker_silent = kWorkerSilent,
-                                                                              .outage_grace = kGrace,
-                                                                              .max_failures = 100},
-                                                       *model.placer);
+  model.failures = std::make_unique<FailureMonitor>(kQuarantine, kBackoff);
+  model.controller = std::make_unique<ShareController>(
+      ShareControllerOptions{
+          .entry = model.id, .incarnation = model.incarnation, .worker_silent = kWorkerSilent, .outage_grace = kGrace},
+      *model.placer, *model.failures);
 }
 
 std::unique_ptr<AgentCore> ShareWorld::MakeAgent(int worker) {
@@ -165,6 +171,8 @@
   CarryOut(entry, Decide(entry));
 }
 
+void ShareWorld::WatchEntry(int entry) { Decide(entry); }
+
 void ShareWorld::PauseEntry(int entry) {
   EntryModel& model = *m_entries[static_cast<std::size_t>(entry)];
   if (!model.paused) model.paused = Decide(entry);
@@ -227,7 +235,9 @@
   entry.heartbeats.push_back(heartbeat);
   entry.last_heard[model.id] = m_now;
   const WorkerDirectory::Entry known{.last = heartbeat, .liveness = WorkerLiveness::kLive, .last_heard = m_now};
-  entry.placer->UpsertWorker(WorkerViewOf(known, m_config));
+  WorkerView view = WorkerViewOf(known, m_config);
+  view.quarantined = !entry.failures->MayPlace(model.id, m_now);
+  entry.placer->UpsertWorker(view);
 }
 
 void ShareWorld::TraceHeartbeat(const WorkerModel& model, const Heartbeat& heartbeat, int target, bool reply_arrives) {
@@ -309,6 +319,16 @@
   fake.Finish(running[index % running.size()], success ? WorkerTaskState::kSucceeded : WorkerTaskState::kFailed);
 }
 
+void ShareWorld::FailAllTasks(int worker) {
+  FakeWorker& fake = *m_workers[static_cast<std::size_t>(worker)]->worker;
+  for (const AttemptKey& key : fake.Running()) fake.Finish(key, WorkerTaskState::kFailed);
+}
+
+bool ShareWorld::IsQuarantined(int entry, int worker) const {
+  return !m_entries[static_cast<std::size_t>(entry)]->failures->MayPlace(
+      m_workers[static_cast<std::size_t>(worker)]->id, m_now);
+}
+
 void ShareWorld::RestartAgent(int worker) {
   Trace(absl::StrCat("restart agent ", worker));
   WorkerModel& model = *m_workers[static_cast<std::size_t>(worker)];
@@ -330,7 +350,7 @@
   AppendConfig({PlanConfirmed{.plan = plan, .operator_name = "o"}});
 }
 
-void ShareWorld::Cancel() { AppendJobs("caller", &m_caller_sequence, {JobCancelled{.job = kJob}}); }
+void ShareWorld::Cancel() { AppendJobs("caller", &m_caller_sequence, {JobCancelled{.job = IdOfJob(0)}}); }
 
 void ShareWorld::Advance(absl::Duration duration) {
   m_now = m_now + duration;
--- a/tests/unit/daemon/share_world.h
+++ b/tests/unit/daemon/share_world.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "daemon/agent/agent_core.h"
+#include "daemon/entry/failure_monitor.h"
 #include "daemon/entry/share_controller.h"
 #include "fake_worker.h"
 #include "schedule/placer.h"
@@ -25,7 +26,8 @@
  public:
   static constexpr int kEntries = 2;
   static constexpr int kWorkers = 2;
-  static constexpr int kTasks = 3;
+  static constexpr int kTasks = 3;  ///< of the first job; the others have one each
+  static constexpr int kJobs = 4;
 
   struct Options {
     /// Broken variant: an agent forgets that it was given an incarnation and accepts commands for any.
@@ -39,6 +41,7 @@
 
   // What can happen.
   void StepEntry(int entry);
+  void WatchEntry(int entry);  ///< reads the log and loses its decisions
   void PauseEntry(int entry);  ///< decides now, carries out on `ResumeEntry`
   void ResumeEntry(int entry);
   void RestartEntry(int entry);
@@ -49,6 +52,7 @@
   void ReadReport(int worker);
   void RunCommands(int worker, bool lose_answers);
   void FinishTask(int worker, std::size_t index, bool success);
+  void FailAllTasks(int worker);  ///< as a faulty worker does
   void RestartAgent(int worker);
   void WakeFormerAgent(int worker);  ///< the agent that was replaced goes on as if it had only been paused
   void RebootWorker(int worker);
@@ -56,6 +60,11 @@
   void Cancel();
   void Advance(absl::Duration duration);
 
+  static JobId IdOfJob(int job) { return JobId(job == 0 ? "job" : "job-" + std::to_string(job)); }
+
+  /// True if the entry has taken the worker out.
+  bool IsQuarantined(int entry, int worker) const;
+
   /// Starts at the workers so far.
   int starts() const;
 
