Order waiting tasks by PendingQueue and follow attempts that are due

Cause: each step of an owner, every 100 ms, parsed and sorted all waiting tasks of its share and looked at all live attempts; each heartbeat looked at all of them again. Only importance counted for the order, and the same 200 tasks were considered in each step, so that others waited behind tasks that found no room.

Change: PendingQueue orders by urgency, importance, deadline slack and the share of the team. A task without room is deferred for 500 ms, urgent work for 100 ms; room that becomes free releases these tasks at once, so that it does not go to whichever task is due. A deferred task keeps its place by arrival. AttemptSchedule holds the time at which each live attempt and each worker has to be looked at next, and the attempts of each worker. Both follow the events of the fold and are built anew by a new owner or when events were missed. A new configuration makes all attempts due, because it is rare and may concern any. Deadlines are given on the wall clock, so ShareInputs has it; only the order of waiting tasks depends on it.

--- a/src/daemon/entry/failure_monitor.cc
+++ b/src/daemon/entry/failure_monitor.cc
@@ -48,6 +48,9 @@
   std::size_t index = 0;
   if (!ParseTaskId(event.task, &job, &index)) return;
   switch (event.kind) {
+    case TaskEventKind::kSubmitted:
+    case TaskEventKind::kCancelled:
+      return;
     case TaskEventKind::kPlaced:
       return ApplyPlaced(event, now);
     case TaskEventKind::kEnded:
--- a/src/daemon/entry/share_controller.cc
+++ b/src/daemon/entry/share_controller.cc
@@ -1,6 +1,9 @@
 #include "daemon/entry/share_controller.h"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <algorithm>
+#include <deque>
 #include <utility>
 #include <vector>
 
@@ -19,6 +22,20 @@
 /// Tasks considered for placement in one step; bounds the time of a step when many wait.
 constexpr std::size_t kMaxPlacementsPerStep = 200;
 
+/// Until a task without room is considered again, unless room becomes free earlier. Shorter for urgent work, which has
+/// to start within 1.3 s.
+constexpr absl::Duration kPlacementRetry = absl::Milliseconds(500);
+constexpr absl::Duration kUrgentRetry = absl::Milliseconds(100);
+
+/// Until a decision whose record was not folded is taken again.
+constexpr absl::Duration kDecisionRetry = absl::Seconds(1);
+
+/// Until an attempt that has to be stopped asks again for a token of the eviction limit.
+constexpr absl::Duration kEvictionRetry = absl::Milliseconds(200);
+
+/// Until the attempts of a silent worker are looked at again.
+constexpr absl::Duration kSilentRecheck = absl::Seconds(1);
+
 AttemptOutcome ToOutcome(ReportedAttemptOutcome outcome) {
   switch (outcome) {
     case ReportedAttemptOutcome::kSucceeded:
@@ -75,6 +92,7 @@
 void ShareController::DecideOwnership(const ShareInputs& inputs, MonotonicTime now, ShareDecisions& decisions) {
   if (!IsOwner(inputs.jobs)) {
     m_owner_since.reset();
+    m_indexed.reset();
     m_other_preferred_since.reset();
     if (!inputs.leaving && MayClaim(inputs)) {
       decisions.records.emplace_back(ShareClaimed{
@@ -100,12 +118,82 @@
 
 void ShareController::StepAsOwner(const ShareInputs& inputs, MonotonicTime now, absl::BitGenRef random,
                                   ShareDecisions& decisions) {
+  UpdateIndexes(inputs, now);
   HandleAnswers(inputs, now, decisions);
   for (const Heartbeat& heartbeat : inputs.heartbeats) HandleHeartbeat(inputs, heartbeat, now, decisions);
   FollowAttempts(inputs, now, decisions);
   PlaceWaiting(inputs, now, random, decisions);
 }
 
+void ShareController::UpdateIndexes(const ShareInputs& inputs, MonotonicTime now) {
+  if (!m_indexed || m_indexed_epoch != m_epoch || *m_indexed < inputs.jobs.events_lost_until()) {
+    RebuildIndexes(inputs, now);
+  } else {
+    const std::deque<TaskEvent>& events = inputs.jobs.recent_events();
+    const auto first = std::upper_bound(events.begin(), events.end(), *m_indexed,
+                                        [](Offset offset, const TaskEvent& event) { return offset < event.offset; });
+    for (auto it = first; it != events.end(); ++it) ApplyEvent(inputs, *it, now);
+  }
+  m_indexed = inputs.jobs.offset();
+  m_indexed_epoch = m_epoch;
+  // Drains, losses, revocations and new agents change what has to be done about attempts anywhere, and are rare.
+  if (m_indexed_config != inputs.config.offset()) m_schedule.SetAllDue(now);
+  m_indexed_config = inputs.config.offset();
+}
+
+void ShareController::RebuildIndexes(const ShareInputs& inputs, MonotonicTime now) {
+  m_schedule.Clear();
+  m_queue = PendingQueue();
+  for (const TaskId& id : inputs.jobs.live()) m_schedule.Add(id, inputs.jobs.FindTask(id)->worker, now);
+  for (const TaskId& id : inputs.jobs.waiting()) Enqueue(inputs, id, now);
+}
+
+void ShareController::ApplyEvent(const ShareInputs& inputs, const TaskEvent& event, MonotonicTime now) {
+  JobId job_id;
+  std::size_t index = 0;
+  if (!ParseTaskId(event.task, &job_id, &index)) return;
+  const Job* job = inputs.jobs.FindJob(job_id);
+  const std::size_t task_count = job == nullptr ? 0 : job->tasks.size();
+  switch (event.kind) {
+    case TaskEventKind::kSubmitted:
+      for (std::size_t i = 0; i < task_count; ++i) Enqueue(inputs, MakeTaskId(job_id, i), now);
+      return;
+    case TaskEventKind::kCancelled:
+      for (std::size_t i = 0; i < task_count; ++i) m_schedule.SetDue(MakeTaskId(job_id, i), now);
+      return;
+    case TaskEventKind::kPlaced:
+      m_queue.Remove({.task = event.task, .attempt = event.attempt});
+      m_schedule.Add(event.task, event.worker, now);
+      return;
+    case TaskEventKind::kEnded:
+      m_schedule.Remove(event.task);
+      Enqueue(inputs, event.task, now);
+      return;
+    case TaskEventKind::kParked:
+    case TaskEventKind::kJobFinal:
+      return;  // the queue drops tasks that do not wait any more when they come first
+  }
+}
+
+void ShareController::Enqueue(const ShareInputs& inputs, const TaskId& id, MonotonicTime now) {
+  JobId job_id;
+  std::size_t index = 0;
+  if (!ParseTaskId(id, &job_id, &index)) return;
+  const Job* job = inputs.jobs.FindJob(job_id);
+  if (job == nullptr || job->tasks[index].state != TaskState::kWaiting) return;
+  PendingTask pending{.request = {.key = {.task = id, .attempt = job->tasks[index].attempt + 1},
+                                  .team = job->spec.team,
+                                  .job_class = job->spec.job_class,
+                                  .resources = job->spec.resources,
+                                  .importance = static_cast<int>(job->spec.importance),
+                                  .urgent = job->spec.IsUrgent()}};
+  if (job->spec.deadline_unix_ms != 0) {
+    const absl::Duration to_deadline = absl::FromUnixMillis(job->spec.deadline_unix_ms) - inputs.wall_now;
+    pending.latest_start = now + (to_deadline - absl::Seconds(job->spec.run_estimate_s));
+  }
+  m_queue.Push(std::move(pending));
+}
+
 void ShareController::HandleAnswers(const ShareInputs& inputs, MonotonicTime now, ShareDecisions& decisions) {
   for (const StartAnswer& answer : inputs.answers) {
     const Task* task = inputs.jobs.FindTask(answer.key.task);
@@ -187,8 +275,9 @@
 void ShareController::HandleMissing(const ShareInputs& inputs, const Heartbeat& heartbeat,
                                     const std::set<AttemptKey>& listed, ShareDecisions& decisions) {
   const AgentHistory& agents = inputs.config.AgentsOf(heartbeat.worker);
-  for (const TaskId& id : inputs.jobs.live()) {
+  for (const TaskId& id : m_schedule.TasksOn(heartbeat.worker)) {
     const Task* task = inputs.jobs.FindTask(id);
+    if (task == nullptr || !task->HasLiveAttempt()) continue;
     if (task->worker != heartbeat.worker || !agents.IsFormer(task->agent_incarnation)) continue;
     if (listed.contains({.task = id, .attempt = task->attempt})) continue;
     // The agent that could start this attempt was superseded, and the worker does not list it.
@@ -197,48 +286,73 @@
 }
 
 void ShareController::FollowAttempts(const ShareInputs& inputs, MonotonicTime now, ShareDecisions& decisions) {
-  for (const TaskId& id : inputs.jobs.live()) {
+  FollowWorkers(inputs, now);
+  for (const TaskId& id : m_schedule.Due(now)) {
     JobId job_id;
     std::size_t index = 0;
-    if (!ParseTaskId(id, &job_id, &index)) continue;
-    const Job* job = inputs.jobs.FindJob(job_id);
-    FollowAttempt(inputs, id, *job, job->tasks[index], now, decisions);
+    const Task* task = inputs.jobs.FindTask(id);
+    if (task == nullptr || !task->HasLiveAttempt() || !ParseTaskId(id, &job_id, &index)) {
+      m_schedule.Remove(id);
+      continue;
+    }
+    m_schedule.SetDue(id, FollowAttempt(inputs, id, *inputs.jobs.FindJob(job_id), *task, now, decisions));
+  }
+}
+
+void ShareController::FollowWorkers(const ShareInputs& inputs, MonotonicTime now) {
+  for (const WorkerId& worker : m_schedule.DueWorkers(now)) {
+    const absl::Duration silence = SilenceOf(inputs, worker, now);
+    if (silence < m_options.worker_silent) {
+      m_schedule.SetWorkerDue(worker, now + (m_options.worker_silent - silence));
+      continue;
+    }
+    for (const TaskId& id : m_schedule.TasksOn(worker)) m_schedule.SetDue(id, now);
+    m_schedule.SetWorkerDue(worker, now + kSilentRecheck);
   }
 }
 
-void ShareController::FollowAttempt(const ShareInputs& inputs, const TaskId& id, const Job& job, const Task& task,
-                                    MonotonicTime now, ShareDecisions& decisions) {
+absl::Duration ShareController::SilenceOf(const ShareInputs& inputs, const WorkerId& worker, MonotonicTime now) const {
+  const absl::Duration owner_for = now - *m_owner_since;
+  return std::min(owner_for, inputs.silence_of(worker).value_or(owner_for));
+}
+
+MonotonicTime ShareController::FollowAttempt(const ShareInputs& inputs, const TaskId& id, const Job& job,
+                                             const Task& task, MonotonicTime now, ShareDecisions& decisions) {
   const AttemptKey key{.task = id, .attempt = task.attempt};
-  if (m_ended.contains(key)) return;
+  if (m_ended.contains(key)) return now + kDecisionRetry;
   if (inputs.config.WorkerState(task.worker) == AvailabilityState::kLost) {
     End(id, task, AttemptOutcome::kLost, "", "operators declared the worker lost", decisions);
-    return;
+    return now + kDecisionRetry;
   }
-  const absl::Duration owner_for = now - *m_owner_since;
-  const absl::Duration silence = std::min(owner_for, inputs.silence_of(task.worker).value_or(owner_for));
-  if (silence >= m_options.worker_silent) {
+  if (SilenceOf(inputs, task.worker, now) >= m_options.worker_silent) {
     FollowSilentWorker(inputs, id, job, task, now, decisions);
-    return;
+    return now + kSilentRecheck;
   }
-  AttemptTimes& times = m_times[key];
   const bool drained = inputs.config.ZoneState(task.availability_zone) != AvailabilityState::kOpen ||
                        inputs.config.WorkerState(task.worker) != AvailabilityState::kOpen;
-  if (job.cancelled || drained) {
-    if (now < times.next_stop) return;
-    if (!job.cancelled && !TakeEvictionToken(inputs, now)) return;
-    times.next_stop = now + m_options.stop_repeat;
-    const EndCommand end{.key = key,
-                         .share = static_cast<std::uint32_t>(m_options.share),
-                         .offset = task.placed_at,
-                         .agent_incarnation = inputs.config.AgentsOf(task.worker).Current(),
-                         .placed_incarnation = task.agent_incarnation};
-    decisions.stops.push_back({.worker = task.worker, .message = {.end = end, .with_checkpoint = !job.cancelled}});
-    return;
-  }
-  if (task.state != TaskState::kPlaced || now < times.next_start) return;
-  if (inputs.config.AgentsOf(task.worker).IsFormer(task.agent_incarnation)) return;
+  if (job.cancelled || drained) return StopAttempt(inputs, key, job, task, now, decisions);
+  if (task.state != TaskState::kPlaced) return InfiniteFuture();
+  if (inputs.config.AgentsOf(task.worker).IsFormer(task.agent_incarnation)) return InfiniteFuture();
+  AttemptTimes& times = m_times[key];
+  if (now < times.next_start) return times.next_start;
   times.next_start = now + m_options.start_repeat;
   decisions.starts.push_back({.worker = task.worker, .message = MakeStart(inputs, id, job, task)});
+  return times.next_start;
+}
+
+MonotonicTime ShareController::StopAttempt(const ShareInputs& inputs, const AttemptKey& key, const Job& job,
+                                           const Task& task, MonotonicTime now, ShareDecisions& decisions) {
+  AttemptTimes& times = m_times[key];
+  if (now < times.next_stop) return times.next_stop;
+  if (!job.cancelled && !TakeEvictionToken(inputs, now)) return now + kEvictionRetry;
+  times.next_stop = now + m_options.stop_repeat;
+  const EndCommand end{.key = key,
+                       .share = static_cast<std::uint32_t>(m_options.share),
+                       .offset = task.placed_at,
+                       .agent_incarnation = inputs.config.AgentsOf(task.worker).Current(),
+                       .placed_incarnation = task.agent_incarnation};
+  decisions.stops.push_back({.worker = task.worker, .message = {.end = end, .with_checkpoint = !job.cancelled}});
+  return times.next_stop;
 }
 
 void ShareController::FollowSilentWorker(const ShareInputs& inputs, const TaskId& id, const Job& job, const Task& task,
@@ -274,52 +388,54 @@
 void ShareController::PlaceWaiting(const ShareInputs& inputs, MonotonicTime now, absl::BitGenRef random,
                                    ShareDecisions& decisions) {
   Refill(static_cast<double>(inputs.config.Limit(LimitName::kStartsPerSecond)), now, m_start_tokens, m_start_tokens_at);
-  std::vector<std::pair<std::int64_t, TaskId>> order;
-  for (const TaskId& id : inputs.jobs.waiting()) {
-    JobId job_id;
-    std::size_t index = 0;
-    if (!ParseTaskId(id, &job_id, &index)) continue;
-    order.emplace_back(-inputs.jobs.FindJob(job_id)->spec.importance, id);
-  }
-  const std::size_t count = std::min(order.size(), kMaxPlacementsPerStep);
-  std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count), order.end());
-  for (std::size_t i = 0; i < count && m_start_tokens >= 1; ++i) {
-    JobId job_id;
-    std::size_t index = 0;
-    ParseTaskId(order[i].second, &job_id, &index);
-    const Job* job = inputs.jobs.FindJob(job_id);
-    PlaceTask(inputs, order[i].second, *job, job->tasks[index], now, random, decisions);
+  const bool room_became_free =
+      !decisions.records.empty() || std::any_of(inputs.heartbeats.begin(), inputs.heartbeats.end(),
+                                                [](const Heartbeat& heartbeat) { return !heartbeat.ended.empty(); });
+  // What comes first in order must not find that room taken by what happens to be due.
+  if (room_became_free) m_queue.Release(now + kPlacementRetry);
+  absl::flat_hash_map<TeamId, double> shares;
+  const auto share_of = [&](const TeamId& team) {
+    const auto [it, inserted] = shares.try_emplace(team, 0);
+    if (inserted) it->second = m_placer.TeamShare(team);
+    return it->second;
+  };
+  for (std::size_t i = 0; i < kMaxPlacementsPerStep && m_start_tokens >= 1; ++i) {
+    std::optional<PendingTask> pending = m_queue.Pop(now, share_of);
+    if (!pending) return;
+    const AttemptKey& key = pending->request.key;
+    const Task* task = inputs.jobs.FindTask(key.task);
+    if (task == nullptr || task->state != TaskState::kWaiting || task->attempt + 1 != key.attempt) {
+      m_wait_reasons.erase(key.task);
+      continue;
+    }
+    const MonotonicTime retry_at = PlaceTask(inputs, pending->request, now, random, decisions);
+    shares.erase(pending->request.team);
+    m_queue.Defer(std::move(*pending), retry_at);
   }
 }
 
-void ShareController::PlaceTask(const ShareInputs& inputs, const TaskId& id, const Job& job, const Task& task,
-                                MonotonicTime now, absl::BitGenRef random, ShareDecisions& decisions) {
-  if (HoldBackFailing(id, now, decisions)) return;
-  const PlacementRequest request{
-      .key = {.task = id, .attempt = task.attempt + 1},
-      .team = job.spec.team,
-      .job_class = job.spec.job_class,
-      .resources = job.spec.resources,
-      .importance = static_cast<int>(job.spec.importance),
-      .urgent = job.spec.IsUrgent(),
-  };
+MonotonicTime ShareController::PlaceTask(const ShareInputs& inputs, const PlacementRequest& request, MonotonicTime now,
+                                         absl::BitGenRef random, ShareDecisions& decisions) {
+  const TaskId& id = request.key.task;
+  const MonotonicTime retry_at = now + (request.urgent ? kUrgentRetry : kPlacementRetry);
+  if (HoldBackFailing(id, now, decisions)) return now + kDecisionRetry;
   const PlacementDecision decision = m_placer.Place(request, now, random);
   if (IsNever(decision.reason)) {
     decisions.records.emplace_back(
         TaskParked{.epoch = m_epoch,
                    .task = id,
                    .detail = "can never run: " + std::string(kPlacementReasonNames.NameOf(decision.reason))});
-    return;
+    return now + kDecisionRetry;
   }
   if (!decision.placed()) {
     m_wait_reasons[id] = std::string(kPlacementReasonNames.NameOf(decision.reason));
-    return;
+    return retry_at;
   }
   // The view of the worker is older than its quarantine, or another task is its trial.
   if (!m_failures.MayPlace(decision.worker, now)) {
     m_placer.RecordRefused(request.key, decision.worker, now);
     m_wait_reasons[id] = "worker-in-quarantine";
-    return;
+    return retry_at;
   }
   m_failures.RecordDecided(decision.worker, now);
   m_wait_reasons.erase(id);
@@ -331,6 +447,7 @@
                                             .availability_zone = inputs.zone_of(decision.worker),
                                             .agent_incarnation = decision.agent_incarnation,
                                             .reason = std::string(kPlacementReasonNames.NameOf(decision.reason))});
+  return now + kDecisionRetry;
 }
 
 bool ShareController::HoldBackFailing(const TaskId& id, MonotonicTime now, ShareDecisions& decisions) {
--- a/src/daemon/entry/share_controller.h
+++ b/src/daemon/entry/share_controller.h
@@ -11,15 +11,18 @@
 
 #include "base/ids.h"
 #include "base/monotonic_time.h"
+#include "daemon/entry/attempt_schedule.h"
 #include "daemon/entry/share_decisions.h"
 #include "daemon/entry/share_inputs.h"
 #include "schedule/attempt_key.h"
+#include "schedule/pending_queue.h"
 #include "state/job.h"
 
 namespace berylgauge {
 
 class FailureMonitor;
 class Placer;
+struct TaskEvent;
 
 /// Identity of an entry and the times of its rights as owner of a share.
 struct ShareControllerOptions {
@@ -63,6 +66,11 @@
   bool MayClaim(const ShareInputs& inputs) const;
   void StepAsOwner(const ShareInputs& inputs, MonotonicTime now, absl::BitGenRef random, ShareDecisions& decisions);
 
+  void UpdateIndexes(const ShareInputs& inputs, MonotonicTime now);
+  void RebuildIndexes(const ShareInputs& inputs, MonotonicTime now);
+  void ApplyEvent(const ShareInputs& inputs, const TaskEvent& event, MonotonicTime now);
+  void Enqueue(const ShareInputs& inputs, const TaskId& id, MonotonicTime now);
+
   void HandleAnswers(const ShareInputs& inputs, MonotonicTime now, ShareDecisions& decisions);
   void HandleHeartbeat(const ShareInputs& inputs, const Heartbeat& heartbeat, MonotonicTime now,
                        ShareDecisions& decisions);
@@ -72,15 +80,21 @@
   void HandleMissing(const ShareInputs& inputs, const Heartbeat& heartbeat, const std::set<AttemptKey>& listed,
                      ShareDecisions& decisions);
   void FollowAttempts(const ShareInputs& inputs, MonotonicTime now, ShareDecisions& decisions);
-  void FollowAttempt(const ShareInputs& inputs, const TaskId& id, const Job& job, const Task& task, MonotonicTime now,
-                     ShareDecisions& decisions);
+  void FollowWorkers(const ShareInputs& inputs, MonotonicTime now);
+  absl::Duration SilenceOf(const ShareInputs& inputs, const WorkerId& worker, MonotonicTime now) const;
+  /// Returns when the attempt has to be looked at again if nothing happens to it or its worker.
+  MonotonicTime FollowAttempt(const ShareInputs& inputs, const TaskId& id, const Job& job, const Task& task,
+                              MonotonicTime now, ShareDecisions& decisions);
+  MonotonicTime StopAttempt(const ShareInputs& inputs, const AttemptKey& key, const Job& job, const Task& task,
+                            MonotonicTime now, ShareDecisions& decisions);
   void FollowSilentWorker(const ShareInputs& inputs, const TaskId& id, const Job& job, const Task& task,
                           MonotonicTime now, ShareDecisions& decisions);
   static void Revoke(const WorkerId& worker, ShareDecisions& decisions);
   bool TakeEvictionToken(const ShareInputs& inputs, MonotonicTime now);
   void PlaceWaiting(const ShareInputs& inputs, MonotonicTime now, absl::BitGenRef random, ShareDecisions& decisions);
-  void PlaceTask(const ShareInputs& inputs, const TaskId& id, const Job& job, const Task& task, MonotonicTime now,
-                 absl::BitGenRef random, ShareDecisions& decisions);
+  /// Returns when the task has to be considered again unless it was placed by then.
+  MonotonicTime PlaceTask(const ShareInputs& inputs, const PlacementRequest& request, MonotonicTime now,
+                          absl::BitGenRef random, ShareDecisions& decisions);
   bool HoldBackFailing(const TaskId& id, MonotonicTime now, ShareDecisions& decisions);
 
   void End(const TaskId& id, const Task& task, AttemptOutcome outcome, std::string checkpoint, std::string detail,
@@ -96,6 +110,14 @@
   std::optional<MonotonicTime> m_owner_since;
   std::optional<MonotonicTime> m_other_preferred_since;
   std::set<AttemptKey> m_ended;  ///< ended in the present step
+
+  // Indexes of the share, kept only while this entry owns it.
+  std::optional<Offset> m_indexed;  ///< up to where events are contained; nothing if the indexes have to be built
+  ShareEpoch m_indexed_epoch = 0;
+  Offset m_indexed_config = kNoOffset;
+  AttemptSchedule m_schedule;
+  PendingQueue m_queue;
+
   std::map<AttemptKey, AttemptTimes> m_times;
   std::map<std::pair<AttemptKey, Incarnation>, MonotonicTime> m_terms_sent;
   std::map<std::pair<WorkerId, Offset>, MonotonicTime> m_revoked_since;
--- a/src/daemon/entry/share_inputs.h
+++ b/src/daemon/entry/share_inputs.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <absl/time/time.h>
+
 #include <functional>
 #include <optional>
 #include <string>
@@ -35,6 +37,9 @@
   std::optional<EntryId> preferred_entry;
   bool leaving = false;  ///< this entry is shutting down
 
+  /// Wall clock, for the deadlines that teams give. Only the order of waiting tasks depends on it.
+  absl::Time wall_now;
+
   std::vector<Heartbeat> heartbeats;  ///< that arrived since the last step, at most one for each worker
   std::vector<StartAnswer> answers;   ///< that arrived since the last step
 
--- a/src/daemon/entry/share_runner.cc
+++ b/src/daemon/entry/share_runner.cc
@@ -106,6 +106,7 @@
           .owner_silence = m_context.entries.SilenceOf(jobs.owner(), now),
           .preferred_entry = m_context.entries.PreferredEntry(share, now),
           .leaving = content.leaving,
+          .wall_now = m_context.clock.WallNow(),
           .heartbeats = std::move(content.heartbeats),
           .answers = std::move(content.answers),
           .zone_of = [this](const WorkerId& worker) { return m_context.workers.ZoneOf(worker); },
--- a/src/schedule/pending_queue.cc
+++ b/src/schedule/pending_queue.cc
@@ -30,8 +30,10 @@
 void PendingQueue::Insert(PendingTask task, std::optional<MonotonicTime> deferred_until) {
   const AttemptKey key = task.request.key;
   Remove(key);
-  const auto where = m_tasks.emplace(
-      key, Waiting{.task = std::move(task), .sequence = m_next_sequence++, .deferred_until = deferred_until});
+  if (!task.arrival.has_value()) task.arrival = m_next_sequence++;
+  const Sequence sequence = *task.arrival;
+  const auto where =
+      m_tasks.emplace(key, Waiting{.task = std::move(task), .sequence = sequence, .deferred_until = deferred_until});
   if (deferred_until.has_value()) {
     m_deferred.emplace(deferred_until->SinceBoot(), key);
   } else {
@@ -61,8 +63,8 @@
   return true;
 }
 
-void PendingQueue::ReleaseDue(MonotonicTime now) {
-  while (!m_deferred.empty() && m_deferred.begin()->first <= now.SinceBoot()) {
+void PendingQueue::Release(MonotonicTime until) {
+  while (!m_deferred.empty() && m_deferred.begin()->first <= until.SinceBoot()) {
     const AttemptKey key = m_deferred.begin()->second;
     m_deferred.erase(m_deferred.begin());
     Waiting& waiting = m_tasks.at(key);
@@ -72,7 +74,7 @@
 }
 
 std::optional<PendingTask> PendingQueue::Pop(MonotonicTime now, ShareOf share_of) {
-  ReleaseDue(now);
+  Release(now);
   if (m_levels.empty()) return std::nullopt;
   std::optional<std::tuple<SlackBand, double, Place>> best_rank;
   AttemptKey best;
--- a/src/schedule/pending_queue.h
+++ b/src/schedule/pending_queue.h
@@ -25,6 +25,8 @@
   PlacementRequest request;  ///< `deadline_slack` is set by the queue
   /// Deadline minus the expected run time; infinite without a deadline.
   MonotonicTime latest_start = InfiniteFuture();
+  /// Order of arrival, set by the queue at the first insertion, so that a deferred task keeps its place.
+  std::optional<std::uint64_t> arrival;
 };
 
 /// How much time is left until the latest start. Bands instead of exact times, so that teams share fairly within one.
@@ -71,6 +73,9 @@
   /// Adds a task that is not considered before `until`.
   void Defer(PendingTask task, MonotonicTime until);
 
+  /// Makes tasks eligible that were deferred until `until` or earlier, for example because room has become free.
+  void Release(MonotonicTime until);
+
   /// Removes a task, for example when it was cancelled. Returns false if it does not wait.
   bool Remove(const AttemptKey& key);
 
@@ -106,7 +111,6 @@
   static Level LevelOf(const PendingTask& task);
   void Insert(PendingTask task, std::optional<MonotonicTime> deferred_until);
   void Enqueue(const AttemptKey& key, const Waiting& waiting);
-  void ReleaseDue(MonotonicTime now);
 
   std::map<Level, std::map<TeamId, std::map<Place, AttemptKey>>> m_levels;
   std::set<std::pair<absl::Duration, AttemptKey>> m_deferred;
--- a/src/state/jobs_state.cc
+++ b/src/state/jobs_state.cc
@@ -35,17 +35,22 @@
   return std::visit([&](const auto& r) { return Fold(r, offset); }, record);
 }
 
-FoldOutcome JobsState::Fold(const JobSubmitted& record, Offset /*offset*/) {
+FoldOutcome JobsState::Fold(const JobSubmitted& record, Offset offset) {
   if (m_jobs.contains(record.job)) return FoldOutcome::kRepeat;
   Job& job = m_jobs[record.job];
   job.spec = record.spec;
   job.submitted_unix_ms = record.submitted_unix_ms;
   job.tasks.resize(static_cast<std::size_t>(record.spec.task_count));
   for (std::size_t i = 0; i < job.tasks.size(); ++i) m_waiting.insert(MakeTaskId(record.job, i));
+  NoteEvent({.kind = TaskEventKind::kSubmitted,
+             .offset = offset,
+             .task = MakeTaskId(record.job, 0),
+             .worker = {},
+             .detail = ""});
   return FoldOutcome::kAccepted;
 }
 
-FoldOutcome JobsState::Fold(const JobCancelled& record, Offset /*offset*/) {
+FoldOutcome JobsState::Fold(const JobCancelled& record, Offset offset) {
   const auto it = m_jobs.find(record.job);
   if (it == m_jobs.end()) return FoldOutcome::kUnknownObject;
   Job& job = it->second;
@@ -53,6 +58,11 @@
   if (job.IsFinal()) return FoldOutcome::kWrongState;
   job.cancelled = true;
   job.cancelled_by = record.requested_by;
+  NoteEvent({.kind = TaskEventKind::kCancelled,
+             .offset = offset,
+             .task = MakeTaskId(record.job, 0),
+             .worker = {},
+             .detail = ""});
   for (std::size_t i = 0; i < job.tasks.size(); ++i) {
     if (job.tasks[i].state != TaskState::kWaiting) continue;
     SetState(MakeTaskId(record.job, i), job.tasks[i], TaskState::kCancelled);
@@ -198,7 +208,10 @@
 }
 
 void JobsState::NoteEvent(TaskEvent event) {
-  if (m_recent_events.size() >= kMaxRecentEvents) m_recent_events.pop_front();
+  if (m_recent_events.size() >= kMaxRecentEvents) {
+    m_events_lost_until = m_recent_events.front().offset;
+    m_recent_events.pop_front();
+  }
   m_recent_events.push_back(std::move(event));
 }
 
@@ -253,6 +266,7 @@
     failure.code = FailureCode::kCorrupt;
     return tl::make_unexpected(failure);
   }
+  next.m_events_lost_until = next.m_offset;
   *this = std::move(next);
   return {};
 }
--- a/src/state/jobs_state.h
+++ b/src/state/jobs_state.h
@@ -45,6 +45,10 @@
   /// only what was folded since.
   const std::deque<TaskEvent>& recent_events() const { return m_recent_events; }
 
+  /// Newest offset of which events may be missing in `recent_events`; a reader that has not looked since has to read
+  /// the whole state again.
+  Offset events_lost_until() const { return m_events_lost_until; }
+
   /// Returns nothing for an unknown job or task.
   const Job* FindJob(const JobId& job) const;
   const Task* FindTask(const TaskId& task) const;
@@ -80,6 +84,7 @@
   std::set<TaskId> m_waiting;
   std::set<TaskId> m_live;
   std::deque<TaskEvent> m_recent_events;
+  Offset m_events_lost_until = kNoOffset;
   std::deque<JobId> m_final_jobs;  ///< in order of their end; the oldest are forgotten
 };
 
--- a/src/state/task_event.h
+++ b/src/state/task_event.h
@@ -8,6 +8,8 @@
 namespace berylgauge {
 
 enum class TaskEventKind {
+  kSubmitted,  ///< all tasks of the job wait
+  kCancelled,  ///< the job of the task; its live attempts have to be stopped
   kPlaced,
   kEnded,
   kParked,
--- a/tests/unit/daemon/share_world.cc
+++ b/tests/unit/daemon/share_world.cc
@@ -140,6 +140,7 @@
       .owner_silence = absl::Seconds(60),
       .preferred_entry = model.id,
       .leaving = false,
+      .wall_now = absl::UnixEpoch() + (m_now - MonotonicTime()),
       .heartbeats = std::exchange(model.heartbeats, {}),
       .answers = std::exchange(model.answers, {}),
       .zone_of = [this](const WorkerId& worker) { return ZoneOfWorker(IndexOf(worker)); },
--- a/tests/unit/schedule/pending_queue_test.cc
+++ b/tests/unit/schedule/pending_queue_test.cc
@@ -174,6 +174,20 @@
   return true;
 }
 
+// Guards against a task that loses its place to later ones because it was tried too early, and against deferred tasks
+// that do not get the room that has become free.
+TEST_CASE("a deferred task keeps its place and can be released early", "[pending_queue]") {
+  PendingQueue queue;
+  for (const char* name : {"a", "b", "c"}) queue.Push(TaskOf({name}));
+  std::optional<PendingTask> first = queue.Pop(At(0), ShareOf);
+  REQUIRE(first.has_value());
+  queue.Defer(std::move(*first), At(10));
+  queue.Release(At(9));
+  CHECK(queue.Pop(At(0), ShareOf)->request.key.task == TaskId("b"));
+  queue.Release(At(10));
+  CHECK(PopAll(queue, At(0)) == std::vector<std::string>{"a", "c"});
+}
+
 // Guards against an index that returns another task than a full sort would.
 TEST_CASE("pending queue agrees with a sort of all tasks", "[pending_queue][property]") {
   CHECK(rc::check("same task", [] {
