Count the running tasks of all shares for team quotas

Cause: the placer of an entry counted only what the entry had placed itself. With several entries each granted a team its whole quota, and after a restart or a change of owner the tasks that ran already were not counted. A placement that the log refused stayed booked, and so did those of a former owner.

Ruled out: a sum over all shares in each step (its cost grows with the running tasks); counting only at a change of owner (other entries place all the time).

Change: ShareUsage, one for each share in each entry, passes the accepted placements and ends of the fold on to Placer::RecordRunning and RecordEnded, whoever owns the share. Bookings of placements that were not accepted are dropped. An attempt that a heartbeat lists counts as started, because the answer to its start command may be lost.

Between a decision and its fold other entries do not know of it, so a quota can be exceeded by what several owners decide within that time.

The property test compares the count of each team with the fold in each step without decisions.

--- a/src/daemon/entry/share_controller.cc
+++ b/src/daemon/entry/share_controller.cc
@@ -64,7 +64,7 @@
 }  // namespace
 
 ShareController::ShareController(ShareControllerOptions options, Placer& placer, FailureMonitor& failures)
-    : m_options(std::move(options)), m_placer(placer), m_failures(failures) {}
+    : m_options(std::move(options)), m_placer(placer), m_failures(failures), m_usage(placer) {}
 
 bool ShareController::IsOwner(const JobsState& jobs) const {
   return jobs.epoch() > 0 && !jobs.released() && jobs.owner() == m_options.entry &&
@@ -82,6 +82,9 @@
   m_ended.clear();
   // Also while another entry owns the share, so that a change of owner loses no evidence.
   m_failures.Observe(m_options.share, inputs.jobs, now);
+  // The order matters: a rejected placement has to be settled as long as this process knows that it booked it.
+  if (inputs.log_is_fresh) m_usage.SettleDecided(inputs.jobs);
+  m_usage.Update(inputs.jobs, IsOwner(inputs.jobs));
   // Without the tail of the log, what this entry knows may be out of date, and it could write nothing anyway.
   if (!inputs.log_is_fresh) return decisions;
   DecideOwnership(inputs, now, decisions);
@@ -259,6 +262,8 @@
     decisions.stops.push_back({.worker = heartbeat.worker, .message = {.end = end, .with_checkpoint = false}});
     return;
   }
+  // The answer to the start command may have been lost; without it the attempt would be counted twice on its worker.
+  if (task->state == TaskState::kPlaced) m_placer.RecordStarted(key, now);
   if (task->state == TaskState::kPlaced && running.state == ReportedAttemptState::kRunning) {
     decisions.records.emplace_back(TaskStarted{.epoch = m_epoch, .task = running.task, .attempt = running.attempt});
   }
@@ -438,6 +443,7 @@
     return retry_at;
   }
   m_failures.RecordDecided(decision.worker, now);
+  m_usage.RecordDecided(request.key, decision.worker);
   m_wait_reasons.erase(id);
   m_start_tokens -= 1;
   decisions.records.emplace_back(TaskPlaced{.epoch = m_epoch,
--- a/src/daemon/entry/share_controller.h
+++ b/src/daemon/entry/share_controller.h
@@ -14,6 +14,7 @@
 #include "daemon/entry/attempt_schedule.h"
 #include "daemon/entry/share_decisions.h"
 #include "daemon/entry/share_inputs.h"
+#include "daemon/entry/share_usage.h"
 #include "schedule/attempt_key.h"
 #include "schedule/pending_queue.h"
 #include "state/job.h"
@@ -106,6 +107,7 @@
   const ShareControllerOptions m_options;
   Placer& m_placer;
   FailureMonitor& m_failures;
+  ShareUsage m_usage;
   ShareEpoch m_epoch = 0;  ///< of the state in the present step
   std::optional<MonotonicTime> m_owner_since;
   std::optional<MonotonicTime> m_other_preferred_since;
--- a/tests/unit/daemon/share_world.cc
+++ b/tests/unit/daemon/share_world.cc
@@ -12,6 +12,7 @@
 namespace berylgauge {
 namespace {
 
+constexpr int kTeams = 2;
 constexpr absl::Duration kGrace = absl::Seconds(20);
 constexpr absl::Duration kWorkerSilent = absl::Seconds(5);
 /// Short enough that quarantine and its trials fit into a random history.
@@ -21,6 +22,8 @@
 
 AvailabilityZoneId ZoneOfWorker(int worker) { return AvailabilityZoneId("zone-" + std::to_string(worker)); }
 
+TeamId TeamOfJob(int job) { return TeamId("team-" + std::to_string(job % kTeams)); }
+
 }  // namespace
 
 struct ShareWorld::EntryModel {
@@ -60,7 +63,7 @@
   for (int i = 0; i < kJobs; ++i) {
     JobSpec spec;
     spec.name = "j";
-    spec.team = TeamId("team-" + std::to_string(i % 2));
+    spec.team = TeamOfJob(i);
     spec.importance = 2 * i + 1;
     spec.job_class = "batch";
     spec.task_count = i == 0 ? kTasks : 1;
@@ -150,7 +153,27 @@
         return m_now - it->second;
       },
   };
-  return model.controller->Step(inputs, m_now, m_random);
+  ShareDecisions decisions = model.controller->Step(inputs, m_now, m_random);
+  // What was just decided is not folded yet, so only a step without records can be compared.
+  if (decisions.records.empty()) CheckUsage(*model.placer);
+  return decisions;
+}
+
+void ShareWorld::CheckUsage(const Placer& placer) {
+  std::map<TeamId, Resources> use;
+  for (const TaskId& id : m_jobs.live()) {
+    JobId job_id;
+    std::size_t index = 0;
+    if (!ParseTaskId(id, &job_id, &index)) continue;
+    const JobSpec& spec = m_jobs.FindJob(job_id)->spec;
+    use[spec.team] += spec.resources;
+  }
+  for (int i = 0; i < kTeams; ++i) {
+    const TeamId team = TeamOfJob(i);
+    if (placer.TeamUse(team) == use[team]) continue;
+    m_usage_problem =
+        absl::StrCat("team ", team.value(), " uses ", use[team].slots, " slots, counted ", placer.TeamUse(team).slots);
+  }
 }
 
 void ShareWorld::CarryOut(int entry, const ShareDecisions& decisions) {
@@ -365,6 +388,7 @@
 }
 
 std::string ShareWorld::Problem() const {
+  if (!m_usage_problem.empty()) return m_usage_problem;
   std::map<TaskId, std::string> running;
   for (const std::unique_ptr<WorkerModel>& model : m_workers) {
     if (model->worker->repeated_starts() > 0) return "an attempt was started twice on " + model->id.value();
--- a/tests/unit/daemon/share_world.h
+++ b/tests/unit/daemon/share_world.h
@@ -90,6 +90,7 @@
 
   void Trace(const std::string& line);
   ShareDecisions Decide(int entry);
+  void CheckUsage(const Placer& placer);
   void CarryOut(int entry, const ShareDecisions& decisions);
   void AppendJobs(const std::string& writer, std::uint64_t* sequence, const std::vector<JobsRecord>& records);
   void AppendConfig(const std::vector<ConfigRecord>& records);
@@ -104,6 +105,7 @@
 
   const Options m_options;
   std::string m_trace;
+  std::string m_usage_problem;
   MonotonicTime m_now;
   std::mt19937_64 m_random;
   Incarnation m_next_incarnation = 1;
