--- a/src/daemon/entry/entry_node.cc
+++ b/src/daemon/entry/entry_node.cc
@@ -102,8 +102,8 @@
 }
 
 void EntryNode::MakeStreams() {
-  m_config =
-      std::make_unique<ConfigStream>(*m_log, m_clock, m_entry.value(), m_incarnation, [this](const ConfigState& config) { OnConfigChange(config); });
+  m_config = std::make_unique<ConfigStream>(*m_log, m_clock, m_entry.value(), m_incarnation,
+                                            [this](const ConfigState& config) { OnConfigChange(config); });
   m_members = std::make_unique<StreamFollower>(
       *m_log, m_clock, m_entries, StreamFollowerOptions{.stream = kMembersStream, .tail_records = kMembersTail});
   m_members_writer = std::make_unique<StreamWriter>(
@@ -124,6 +124,7 @@
                                    .workers = m_workers,
                                    .agents = m_agents,
                                    .placer = m_placer,
+                                   .failures = m_failures,
                                    .placer_mutex = m_placer_mutex};
   const TimingSettings& timing = m_settings.timing;
   std::vector<std::unique_ptr<ShareRunner>> runners;
@@ -218,10 +219,10 @@
 
 void EntryNode::OnHeartbeat(const Heartbeat& heartbeat, MonotonicTime now) {
   const WorkerDirectory::Entry entry{.last = heartbeat, .liveness = WorkerLiveness::kLive, .last_heard = now};
-  const WorkerView view =
-      m_config->state().Read([&](const ConfigState& config) { return WorkerViewOf(entry, config); });
+  WorkerView view = m_config->state().Read([&](const ConfigState& config) { return WorkerViewOf(entry, config); });
   {
     const absl::MutexLock lock(&m_placer_mutex);
+    view.quarantined = !m_failures.MayPlace(heartbeat.worker, now);
     m_placer.UpsertWorker(view);
   }
   RegisterAgent(heartbeat);
--- a/src/daemon/entry/share_runner.cc
+++ b/src/daemon/entry/share_runner.cc
@@ -30,7 +30,7 @@
       m_options(std::move(options)),
       m_stream("jobs-" + std::to_string(m_options.controller.share)),
       m_inbox(std::make_shared<ShareInbox>()),
-      m_controller(m_options.controller, context.placer),
+      m_controller(m_options.controller, context.placer, context.failures),
       m_snapshots(m_options.snapshots),
       m_config_snapshots(m_options.snapshots) {
   m_follower = std::make_unique<StreamFollower>(
@@ -107,6 +107,7 @@
           .owner_silence = m_context.entries.SilenceOf(jobs.owner(), now),
           .preferred_entry = m_context.entries.PreferredEntry(share, now),
           .leaving = content.leaving,
+          .wall_now = m_context.clock.WallNow(),
           .heartbeats = std::move(content.heartbeats),
           .answers = std::move(content.answers),
           .zone_of = [this](const WorkerId& worker) { return m_context.workers.ZoneOf(worker); },
--- a/src/daemon/entry/share_runner.h
+++ b/src/daemon/entry/share_runner.h
@@ -24,6 +24,7 @@
 class Clock;
 class ConfigStream;
 class EntryDirectory;
+class FailureMonitor;
 class LogClient;
 class WorkerDirectory;
 
@@ -37,7 +38,8 @@
   const WorkerDirectory& workers;
   AgentClients& agents;
   Placer& placer;
-  absl::Mutex& placer_mutex;
+  FailureMonitor& failures;
+  absl::Mutex& placer_mutex;  ///< protects `placer` and `failures`
 };
 
 struct ShareRunnerOptions {
--- a/src/daemon/streams/shared_state.h
+++ b/src/daemon/streams/shared_state.h
@@ -49,7 +49,7 @@
       const absl::MutexLock lock(&m_mutex);
       restored = m_state.Restore(snapshot);
     }
-    if (restored && m_on_change) m_on_change();
+    if (restored && m_on_change) m_on_change(m_state);
     return restored;
   }
 
