Look for missing attempts only after a restart of the agent

Cause: for each heartbeat of a reconciled agent, the owner of a share went through all live tasks of the share, although only attempts of a former agent can be missing. The work grew with workers x tasks.

Ruled out: an index of tasks by worker, which every fold would have to keep up and which is not needed while no agent has been replaced.

Change: return at once if the worker has had only one agent. No former incarnation exists then, so the loop could not find anything.

The test program daemon passes.

Conclusion: the cost now grows with the heartbeats.

--- a/src/daemon/entry/share_controller.cc
+++ b/src/daemon/entry/share_controller.cc
@@ -186,6 +186,8 @@
 void ShareController::HandleMissing(const ShareInputs& inputs, const Heartbeat& heartbeat,
                                     const std::set<AttemptKey>& listed, ShareDecisions& decisions) {
   const AgentHistory& agents = inputs.config.AgentsOf(heartbeat.worker);
+  // Without this, each heartbeat of each worker would go through all live tasks of the share.
+  if (agents.agents().size() < 2) return;
   for (const TaskId& id : inputs.jobs.live()) {
     const Task* task = inputs.jobs.FindTask(id);
     if (task->worker != heartbeat.worker || !agents.IsFormer(task->agent_incarnation)) continue;
