--- a/src/schedule/job_backoff.cc
+++ b/src/schedule/job_backoff.cc
@@ -1,6 +1,7 @@
 #include "schedule/job_backoff.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -45,6 +46,13 @@
   return workers.size();
 }
 
+std::size_t JobBackoff::MostFailuresOfOneTask(const Record& record) {
+  std::map<TaskId, std::size_t> failures;
+  std::size_t most = 0;
+  for (const JobFailure& failure : record.failures) most = std::max(most, ++failures[failure.key.task]);
+  return most;
+}
+
 bool JobBackoff::IsParked(const Record& record) const {
   return record.failures.size() >= m_options.park_failures && CountWorkers(record) >= m_options.park_workers;
 }
@@ -61,8 +69,11 @@
   if (found == m_records.end()) return InfinitePast();
   const Record& record = found->second;
   if (IsParked(record)) return InfiniteFuture();
-  const std::size_t count = record.failures.size();
-  if (CountWorkers(record) < m_options.delay_workers && count < m_options.delay_failures) return InfinitePast();
+  // With one worker involved the worker may be at fault. Several tasks that failed there once each say nothing about
+  // the job; one task that fails there again and again does, as on a site where only that worker can run it.
+  const bool one_worker = CountWorkers(record) < m_options.delay_workers;
+  const std::size_t count = one_worker ? MostFailuresOfOneTask(record) : record.failures.size();
+  if (one_worker && count < m_options.delay_failures) return InfinitePast();
   const std::size_t doublings = std::min(count - std::min(count, m_options.delay_workers), kMaxDoublings);
   const absl::Duration delay =
       std::min(m_options.first_delay * static_cast<double>(std::size_t{1} << doublings), m_options.longest_delay);
--- a/src/schedule/job_backoff.h
+++ b/src/schedule/job_backoff.h
@@ -18,7 +18,7 @@
   std::size_t delay_workers = 2;  ///< good workers that must have failed the job before it is delayed
   std::size_t park_workers = 3;   ///< good workers that must have failed the job before it is parked
   std::size_t park_failures = 6;  ///< failures on good workers before it is parked
-  /// Failures on good workers after which it is delayed although fewer workers were involved, as on a site where only
+  /// Failures of one task after which the job is delayed although fewer workers were involved, as on a site where only
   /// one worker can run it.
   std::size_t delay_failures = 3;
   absl::Duration first_delay = absl::Seconds(10);  ///< doubles with each further failure
@@ -79,6 +79,7 @@
   };
 
   static std::size_t CountWorkers(const Record& record);
+  static std::size_t MostFailuresOfOneTask(const Record& record);
   bool IsParked(const Record& record) const;
 
   JobBackoffOptions m_options;
