--- a/src/daemon/entry/share_runner.cc
+++ b/src/daemon/entry/share_runner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 #include <utility>
+#include <variant>
 
 #include "base/clock.h"
 #include "base/event_log.h"
@@ -23,6 +24,14 @@
 /// One wait for the log; it is repeated until the records are folded or the runner stops.
 constexpr absl::Duration kAppendWait = absl::Seconds(1);
 
+void LogRightsChange(const ConfigRecord& record) {
+  if (const auto* revoked = std::get_if<WorkerRevoked>(&record)) {
+    LogEvent(LogLevel::kWarning, "worker_revoked", {{"worker", revoked->worker.value()}});
+  } else if (const auto* cleared = std::get_if<WorkerCleared>(&record)) {
+    LogEvent(LogLevel::kInfo, "worker_cleared", {{"worker", cleared->worker.value()}});
+  }
+}
+
 }  // namespace
 
 ShareRunner::ShareRunner(const ShareRunnerContext& context, ShareRunnerOptions options)
@@ -120,8 +129,7 @@
 
 bool ShareRunner::CarryOut(const ShareDecisions& decisions) {
   if (!decisions.config_records.empty()) {
-    LogEvent(LogLevel::kWarning, "worker_rights_changed",
-             {{"share", m_options.controller.share}, {"records", decisions.config_records.size()}});
+    for (const ConfigRecord& record : decisions.config_records) LogRightsChange(record);
     const Result<Offset> offset = m_context.config.AppendAndWait(decisions.config_records, kAppendWait);
     if (!offset) LogEvent(LogLevel::kWarning, "config_append_failed", {{"reason", offset.error().message}});
   }
