Read numbers in text, jobs of tasks and ended attempts in one place

Ruled out: reading them as JSON integers, which are signed here. Change: ReadDecimalText, which reports malformed numbers; JobsState::FindJobOf and JobsState::IsEndRecorded, called by the program and by the model. Conclusion: malformed numbers in records and messages are refused now; nothing else behaves differently.

--- a/src/daemon/entry/share_controller.cc
+++ b/src/daemon/entry/share_controller.cc
@@ -276,11 +276,8 @@
   const auto sent = std::make_pair(key, heartbeat.incarnation);
   if (heartbeat.incarnation == task->agent_incarnation || now < m_terms_sent[sent] + m_options.stop_repeat) return;
   m_terms_sent[sent] = now;
-  JobId job_id;
-  std::size_t index = 0;
-  if (!ParseTaskId(running.task, &job_id, &index)) return;
   decisions.terms.push_back(
-      {.worker = heartbeat.worker, .message = {.key = key, .terms = TermsOf(*inputs.jobs.FindJob(job_id))}});
+      {.worker = heartbeat.worker, .message = {.key = key, .terms = TermsOf(*inputs.jobs.FindJobOf(running.task))}});
 }
 
 void ShareController::HandleMissing(const ShareInputs& inputs, const Heartbeat& heartbeat,
@@ -299,14 +296,12 @@
 void ShareController::FollowAttempts(const ShareInputs& inputs, MonotonicTime now, ShareDecisions& decisions) {
   FollowWorkers(inputs, now);
   for (const TaskId& id : m_schedule.Due(now)) {
-    JobId job_id;
-    std::size_t index = 0;
     const Task* task = inputs.jobs.FindTask(id);
-    if (task == nullptr || !task->HasLiveAttempt() || !ParseTaskId(id, &job_id, &index)) {
+    if (task == nullptr || !task->HasLiveAttempt()) {
       m_schedule.Remove(id);
       continue;
     }
-    m_schedule.SetDue(id, FollowAttempt(inputs, id, *inputs.jobs.FindJob(job_id), *task, now, decisions));
+    m_schedule.SetDue(id, FollowAttempt(inputs, id, *inputs.jobs.FindJobOf(id), *task, now, decisions));
   }
 }
 
--- a/src/daemon/entry/share_map.cc
+++ b/src/daemon/entry/share_map.cc
@@ -27,12 +27,7 @@
   JobId job;
   std::size_t index = 0;
   if (!ParseTaskId(task, &job, &index)) return false;
-  return RunnerOf(job).state().Read([&](const JobsState& state) {
-    const Task* found = state.FindTask(task);
-    // An unknown task may be one that this entry has not read yet.
-    if (found == nullptr || found->attempt < attempt) return false;
-    return found->attempt > attempt || !found->HasLiveAttempt();
-  });
+  return RunnerOf(job).state().Read([&](const JobsState& state) { return state.IsEndRecorded(task, attempt); });
 }
 
 }  // namespace berylgauge
--- a/src/daemon/messages/attempt_messages.cc
+++ b/src/daemon/messages/attempt_messages.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/json_object_reader.h"
+#include "state/decimal_text.h"
 #include "state/resources_json.h"
 
 namespace berylgauge {
@@ -30,10 +31,6 @@
   return message;
 }
 
-Incarnation ReadIncarnation(JsonObjectReader& reader, const char* key = "agent") {
-  return std::strtoull(reader.String(key).c_str(), nullptr, 10);
-}
-
 AttemptKey ReadKey(JsonObjectReader& reader) {
   AttemptKey key;
   key.task = TaskId(reader.String("task"));
@@ -87,7 +84,7 @@
     command.share = static_cast<std::uint32_t>(reader.Integer("share", {.max = UINT32_MAX}));
     command.epoch = static_cast<ShareEpoch>(reader.Integer("epoch"));
     command.offset = reader.Integer("offset");
-    command.agent_incarnation = ReadIncarnation(reader, "agent");
+    command.agent_incarnation = ReadDecimalText(reader, "agent");
     command.config_version = reader.Integer("config", {.min = kNoOffset});
     command.checkpoint = reader.String("checkpoint", kOptionalText);
     command.command = reader.String("command", kOptionalText);
@@ -111,8 +108,8 @@
     message.end.key = ReadKey(reader);
     message.end.share = static_cast<std::uint32_t>(reader.Integer("share", {.max = UINT32_MAX}));
     message.end.offset = reader.Integer("offset", {.min = kNoOffset});
-    message.end.agent_incarnation = ReadIncarnation(reader);
-    message.end.placed_incarnation = ReadIncarnation(reader, "placed");
+    message.end.agent_incarnation = ReadDecimalText(reader, "agent");
+    message.end.placed_incarnation = ReadDecimalText(reader, "placed");
     message.with_checkpoint = reader.Boolean("checkpoint");
     return message;
   });
--- a/src/daemon/messages/members_records.cc
+++ b/src/daemon/messages/members_records.cc
@@ -1,6 +1,7 @@
 #include "daemon/messages/members_records.h"
 
 #include "base/json_object_reader.h"
+#include "state/decimal_text.h"
 
 namespace berylgauge {
 
@@ -18,7 +19,7 @@
   JsonObjectReader reader(document, "$", errors);
   EntryAnnouncement announcement;
   announcement.entry = EntryId(reader.String("entry"));
-  announcement.incarnation = std::strtoull(reader.String("incarnation").c_str(), nullptr, 10);
+  announcement.incarnation = ReadDecimalText(reader, "incarnation");
   announcement.internal_address = reader.String("internal");
   announcement.caller_address = reader.String("caller");
   announcement.availability_zone = AvailabilityZoneId(reader.String("zone"));
--- a/src/state/batch.cc
+++ b/src/state/batch.cc
@@ -1,6 +1,7 @@
 #include "state/batch.h"
 
 #include "base/json_object_reader.h"
+#include "state/decimal_text.h"
 
 namespace berylgauge {
 namespace {
@@ -27,7 +28,7 @@
   JsonObjectReader reader(document, "$", errors);
   Batch batch;
   batch.writer = reader.String("w");
-  batch.incarnation = std::strtoull(reader.String("i").c_str(), nullptr, 10);
+  batch.incarnation = ReadDecimalText(reader, "i");
   batch.sequence = static_cast<std::uint64_t>(reader.Integer("q", {.min = 1}));
   batch.seen = reader.Integer("s", {.min = kNoOffset});
   if (!document.is_object() || !document.contains("r") || !document["r"].is_array() ||
--- a/src/state/batch_deduplicator.cc
+++ b/src/state/batch_deduplicator.cc
@@ -4,6 +4,7 @@
 
 #include "base/json_object_reader.h"
 #include "state/batch.h"
+#include "state/decimal_text.h"
 
 namespace berylgauge {
 namespace {
@@ -42,7 +43,7 @@
   m_positions.clear();
   for (JsonObjectReader& item : reader.Objects("writers", kMaxWriters + 1)) {
     const std::string writer = item.String("writer");
-    const Incarnation incarnation = std::strtoull(item.String("incarnation").c_str(), nullptr, 10);
+    const Incarnation incarnation = ReadDecimalText(item, "incarnation");
     Position& position = m_positions[{writer, incarnation}];
     position.sequence = static_cast<std::uint64_t>(item.Integer("sequence"));
     position.offset = item.Integer("offset", {.min = kNoOffset});
--- a/src/state/claims_records.cc
+++ b/src/state/claims_records.cc
@@ -4,6 +4,7 @@
 #include <cstdlib>
 
 #include "base/json_object_reader.h"
+#include "state/decimal_text.h"
 
 namespace berylgauge {
 namespace {
@@ -62,7 +63,7 @@
   r.key = ReadKey(reader);
   r.request_digest = ReadDigest(reader, "digest");
   r.entry = EntryId(reader.String("entry"));
-  r.entry_incarnation = std::strtoull(reader.String("incarnation").c_str(), nullptr, 10);
+  r.entry_incarnation = ReadDecimalText(reader, "incarnation");
   if (r.entry_incarnation == 0) reader.AddError("incarnation", "must be a number above 0");
   r.request = RequestId(reader.String("request"));
   return r;
--- a/src/state/config_records.cc
+++ b/src/state/config_records.cc
@@ -1,6 +1,7 @@
 #include "state/config_records.h"
 
 #include "base/json_object_reader.h"
+#include "state/decimal_text.h"
 
 namespace berylgauge {
 namespace {
@@ -68,7 +69,7 @@
     case Kind::kRegister: {
       AgentRegistered r;
       r.worker = WorkerId(reader.String("worker"));
-      r.agent_incarnation = std::strtoull(reader.String("agent").c_str(), nullptr, 10);
+      r.agent_incarnation = ReadDecimalText(reader, "agent");
       return r;
     }
     case Kind::kRevoke:
--- a/src/state/jobs_records.cc
+++ b/src/state/jobs_records.cc
@@ -1,6 +1,7 @@
 #include "state/jobs_records.h"
 
 #include "base/json_object_reader.h"
+#include "state/decimal_text.h"
 
 namespace berylgauge {
 namespace {
@@ -49,10 +50,6 @@
   }
 };
 
-Incarnation ReadIncarnation(JsonObjectReader& reader, const std::string& key) {
-  return std::strtoull(reader.String(key).c_str(), nullptr, 10);
-}
-
 ShareEpoch ReadEpoch(JsonObjectReader& reader, const std::string& key) {
   return static_cast<ShareEpoch>(reader.Integer(key));
 }
@@ -81,7 +78,7 @@
 JobsRecord ReadClaim(JsonObjectReader& reader) {
   ShareClaimed r;
   r.entry = EntryId(reader.String("entry"));
-  r.entry_incarnation = ReadIncarnation(reader, "incarnation");
+  r.entry_incarnation = ReadDecimalText(reader, "incarnation");
   r.previous_epoch = ReadEpoch(reader, "previous");
   return r;
 }
@@ -95,7 +92,7 @@
   r.attempt = ReadAttempt(reader);
   r.worker = WorkerId(reader.String("worker"));
   r.availability_zone = AvailabilityZoneId(reader.String("zone"));
-  r.agent_incarnation = ReadIncarnation(reader, "agent");
+  r.agent_incarnation = ReadDecimalText(reader, "agent");
   r.reason = reader.String("reason", kOptionalText);
   return r;
 }
--- a/src/state/jobs_state.cc
+++ b/src/state/jobs_state.cc
@@ -4,6 +4,7 @@
 
 #include "base/json_object_reader.h"
 #include "state/batch.h"
+#include "state/decimal_text.h"
 
 namespace berylgauge {
 namespace {
@@ -176,6 +177,18 @@
   return &job->tasks[index];
 }
 
+const Job* JobsState::FindJobOf(const TaskId& task) const {
+  JobId job_id;
+  std::size_t index = 0;
+  return ParseTaskId(task, &job_id, &index) ? FindJob(job_id) : nullptr;
+}
+
+bool JobsState::IsEndRecorded(const TaskId& task, AttemptNumber attempt) const {
+  const Task* found = FindTask(task);
+  if (found == nullptr || found->attempt < attempt) return false;
+  return found->attempt > attempt || !found->HasLiveAttempt();
+}
+
 Task* JobsState::MutableTask(const TaskId& task, Job** job) {
   JobId job_id;
   std::size_t index = 0;
@@ -243,7 +256,7 @@
   next.m_offset = reader.Integer("offset", {.min = kNoOffset});
   next.m_epoch = static_cast<ShareEpoch>(reader.Integer("epoch"));
   next.m_owner = EntryId(reader.String("owner", optional_text));
-  next.m_owner_incarnation = std::strtoull(reader.String("owner_incarnation").c_str(), nullptr, 10);
+  next.m_owner_incarnation = ReadDecimalText(reader, "owner_incarnation");
   next.m_released = reader.Boolean("released");
   next.m_writers.Restore(reader);
   for (JsonObjectReader& item : reader.Objects("jobs", kMaxJobsInSnapshot)) {
--- a/src/state/jobs_state.h
+++ b/src/state/jobs_state.h
@@ -52,6 +52,11 @@
   /// Returns nothing for an unknown job or task.
   const Job* FindJob(const JobId& job) const;
   const Task* FindTask(const TaskId& task) const;
+  const Job* FindJobOf(const TaskId& task) const;
+
+  /// True if the attempt is known to have ended, so that its agent may forget it. False for an unknown task, which may
+  /// be one that was not read yet.
+  bool IsEndRecorded(const TaskId& task, AttemptNumber attempt) const;
 
   nlohmann::json ToJson() const;
 
--- a/src/state/snapshot.cc
+++ b/src/state/snapshot.cc
@@ -2,6 +2,7 @@
 
 #include "base/json_object_reader.h"
 #include "base/stable_hash.h"
+#include "state/decimal_text.h"
 
 namespace berylgauge {
 namespace {
@@ -37,7 +38,7 @@
   const Offset covers = reader.Integer("covers", {.min = kNoOffset});
   const std::int64_t part = reader.Integer("part", {.max = kMaxParts});
   const std::int64_t part_count = reader.Integer("parts", {.min = 1, .max = kMaxParts});
-  const std::uint64_t digest = std::strtoull(reader.String("digest").c_str(), nullptr, 10);
+  const std::uint64_t digest = ReadDecimalText(reader, "digest");
   const nlohmann::json data = reader.Json("data");
   if (!data.is_binary()) errors.Add("$.data", "must be binary");
   if (!errors.empty()) return NotRun(FailureCode::kCorrupt, errors.ToFailure().message);
--- a/src/state/task.cc
+++ b/src/state/task.cc
@@ -3,6 +3,7 @@
 #include <charconv>
 
 #include "base/json_object_reader.h"
+#include "state/decimal_text.h"
 
 namespace berylgauge {
 
@@ -27,7 +28,7 @@
   task.attempt = static_cast<AttemptNumber>(reader.Integer("attempt", {.max = UINT32_MAX}));
   task.worker = WorkerId(reader.String("worker", optional_text));
   task.availability_zone = AvailabilityZoneId(reader.String("availability_zone", optional_text));
-  task.agent_incarnation = std::strtoull(reader.String("agent_incarnation").c_str(), nullptr, 10);
+  task.agent_incarnation = ReadDecimalText(reader, "agent_incarnation");
   task.placed_at = reader.Integer("placed_at", {.min = kNoOffset});
   task.checkpoint = reader.String("checkpoint", optional_text);
   task.failures = static_cast<std::uint32_t>(reader.Integer("failures", {.max = UINT32_MAX}));
--- a/tests/unit/daemon/share_world.cc
+++ b/tests/unit/daemon/share_world.cc
@@ -291,10 +291,8 @@
   }
   if (agents.IsFormer(heartbeat.incarnation)) reply.worker_admission = WorkerAdmission::kSuperseded;
   for (const EndedAttemptReport& ended : heartbeat.ended) {
-    const Task* task = m_jobs.FindTask(ended.task);
-    const bool recorded =
-        task != nullptr && task->attempt >= ended.attempt && (task->attempt > ended.attempt || !task->HasLiveAttempt());
-    if (recorded) reply.acknowledged.push_back({.task = ended.task, .attempt = ended.attempt});
+    if (m_jobs.IsEndRecorded(ended.task, ended.attempt))
+      reply.acknowledged.push_back({.task = ended.task, .attempt = ended.attempt});
   }
   return reply;
 }
