Make a plan on the configuration as of its request

Cause: 'answers of the log are lost' failed now and then: a plan made through entry 1 directly after a change confirmed through entry 0 was based on the version before it, because a tail read up to 2 s earlier counted as present; the confirmation was then refused with 409. Change: a plan waits up to 2 s for a read that was begun after its request. Conclusion: a plan contains every change confirmed before it was asked for.

--- a/src/daemon/entry/operator_api.cc
+++ b/src/daemon/entry/operator_api.cc
@@ -8,6 +8,7 @@
 #include "base/event_log.h"
 #include "base/json_object_reader.h"
 #include "base/stable_hash.h"
+#include "daemon/common/await_drained.h"
 #include "daemon/common/random_incarnation.h"
 #include "daemon/entry/config_stream.h"
 #include "daemon/entry/entry_directory.h"
@@ -24,7 +25,7 @@
 /// How long an operator waits for the log before the outcome is reported as unknown.
 constexpr absl::Duration kLogWait = absl::Seconds(10);
 
-/// Age up to which the tail of the log counts as known for a plan.
+/// How long a plan waits for the tail of the log, and the age up to which `status` calls the log fresh.
 constexpr absl::Duration kFreshFor = absl::Seconds(2);
 
 constexpr std::size_t kThreads = 8;
@@ -101,7 +102,11 @@
   if (!body) return body;
   const Result<Intent> intent = ParseIntent(*body);
   if (!intent) return tl::make_unexpected(intent.error());
-  if (m_context.config.TailProofNow().at < m_context.clock.Now() - kFreshFor) {
+  // A plan must contain every change confirmed before it was asked for, through whatever entry, so only a read that was
+  // begun after the request counts.
+  const MonotonicTime arrived = m_context.clock.Now();
+  const auto is_known = [&] { return m_context.config.TailProofNow().at >= arrived; };
+  if (!AwaitDrained(m_context.clock, kFreshFor, absl::ZeroDuration(), is_known)) {
     return NotRun(FailureCode::kUnavailable, "the log cannot be read, so the present configuration is not known");
   }
   const Result<Plan> plan = m_plans.Make(*intent);
