--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -61,10 +61,10 @@
 
 }  // namespace
 
-void InitEventLog(std::string_view program, LogLevel level) {
+void InitEventLog(std::string_view program, LogLevel level, LogTarget target) {
   const auto layout = std::make_shared<log4cxx::PatternLayout>(
       "time=%d{yyyy-MM-dd}T%d{HH:mm:ss.SSS} level=%p program=" + std::string(program) + " %m%n");
-  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
+  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, target == LogTarget::kStandardError ? "System.err" : "System.out");
   EventLogger()->removeAllAppenders();
   EventLogger()->setAdditivity(false);
   EventLogger()->addAppender(appender);
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -23,8 +23,10 @@
   LogField(std::string_view k, T v) : key(k), value(std::to_string(v)) {}
 };
 
-/// Directs log lines to standard error at `level` and above. Call it once at the start of a program.
-void InitEventLog(std::string_view program, LogLevel level);
+enum class LogTarget { kStandardError, kStandardOutput };
+
+/// Directs log lines to `target` at `level` and above. Call it once at the start of a program.
+void InitEventLog(std::string_view program, LogLevel level, LogTarget target = LogTarget::kStandardError);
 
 /// Writes one line `event=NAME key=value ...`; values with spaces, quotes or control characters are quoted.
 void LogEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
--- a/src/base/failure.h
+++ b/src/base/failure.h
@@ -14,6 +14,7 @@
   kConflict,          ///< The state has changed since the caller read it.
   kRefused,           ///< A rule or a limit forbids the operation.
   kOverloaded,        ///< No capacity at present; may be retried later.
+  kConnectionRefused, ///< No process listens at the address.
   kUnavailable,       ///< The other side could not be reached or is shutting down.
   kDeadlineExceeded,  ///< The time allowed has passed.
   kCorrupt,           ///< The data read cannot be decoded.
@@ -27,6 +28,7 @@
     {FailureCode::kConflict, "conflict"},
     {FailureCode::kRefused, "refused"},
     {FailureCode::kOverloaded, "overloaded"},
+    {FailureCode::kConnectionRefused, "connection-refused"},
     {FailureCode::kUnavailable, "unavailable"},
     {FailureCode::kDeadlineExceeded, "deadline-exceeded"},
     {FailureCode::kCorrupt, "corrupt"},
--- a/src/cli/exit_code.cc
+++ b/src/cli/exit_code.cc
@@ -10,6 +10,7 @@
     case FailureCode::kConflict:
     case FailureCode::kRefused:
       return ExitCode::kRefused;
+    case FailureCode::kConnectionRefused:
     case FailureCode::kUnavailable:
     case FailureCode::kDeadlineExceeded:
     case FailureCode::kOverloaded:
--- a/src/cli/operator_client.h
+++ b/src/cli/operator_client.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "base/failure.h"
-#include "platform/http_client.h"
+#include "clients/http_client.h"
 
 namespace berylgauge {
 
--- a/src/platform/endpoint_client.h
+++ b/src/clients/endpoint_client.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "base/failure.h"
-#include "platform/header_list.h"
+#include "clients/header_list.h"
 
 namespace berylgauge {
 
--- a/src/platform/hop_by_hop_headers.cc
+++ b/src/clients/hop_by_hop_headers.cc
@@ -1,4 +1,4 @@
-#include "platform/hop_by_hop_headers.h"
+#include "clients/hop_by_hop_headers.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_split.h>
--- a/src/platform/hop_by_hop_headers.h
+++ b/src/clients/hop_by_hop_headers.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/header_list.h"
+#include "clients/header_list.h"
 
 namespace berylgauge {
 
--- a/src/platform/http_client.h
+++ b/src/clients/http_client.h
@@ -4,9 +4,9 @@
 
 #include "base/clock.h"
 #include "base/failure.h"
-#include "platform/curl_handle_pool.h"
-#include "platform/http_exchange.h"
-#include "platform/http_message.h"
+#include "clients/curl_handle_pool.h"
+#include "clients/http_exchange.h"
+#include "clients/http_message.h"
 
 namespace berylgauge {
 
--- a/src/platform/http_endpoint_client.cc
+++ b/src/clients/http_endpoint_client.cc
@@ -1,8 +1,8 @@
-#include "platform/http_endpoint_client.h"
+#include "clients/http_endpoint_client.h"
 
 #include <utility>
 
-#include "platform/hop_by_hop_headers.h"
+#include "clients/hop_by_hop_headers.h"
 
 namespace berylgauge {
 
--- a/src/platform/http_endpoint_client.h
+++ b/src/clients/http_endpoint_client.h
@@ -2,8 +2,8 @@
 
 #include <string>
 
-#include "platform/endpoint_client.h"
-#include "platform/http_client.h"
+#include "clients/endpoint_client.h"
+#include "clients/http_client.h"
 
 namespace berylgauge {
 
--- a/src/platform/http_exchange.cc
+++ b/src/clients/http_exchange.cc
@@ -1,4 +1,4 @@
-#include "platform/http_exchange.h"
+#include "clients/http_exchange.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
@@ -6,6 +6,7 @@
 #include <curl/curl.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <optional>
 #include <utility>
 
@@ -52,15 +53,17 @@
 
 Result<HttpResponse> HttpExchange::Run(void* curl, const std::string& origin, const std::string& target,
                                        absl::Duration timeout) {
-  char error_text[CURL_ERROR_SIZE] = "";
   curl_easy_reset(curl);
-  if (!SetOptions(curl, origin, target, timeout)) {
+  if (!Prepare(curl, origin, target, timeout)) {
     return NotRun(FailureCode::kInternal, "libcurl rejected an option of the request");
   }
-  curl_easy_setopt(curl, CURLOPT_ERRORBUFFER, error_text);
-  const CURLcode code = curl_easy_perform(curl);
+  return Finish(curl, curl_easy_perform(curl), origin, timeout);
+}
+
+Result<HttpResponse> HttpExchange::Finish(void* curl, int curl_code, const std::string& origin,
+                                          absl::Duration timeout) {
   curl_easy_setopt(curl, CURLOPT_ERRORBUFFER, nullptr);
-  if (code != CURLE_OK) return ToFailure(code, error_text, timeout);
+  if (curl_code != CURLE_OK) return ToFailure(curl, curl_code, timeout);
   long status = 0;
   curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
   m_response.status = static_cast<int>(status);
@@ -70,8 +73,8 @@
   return std::move(m_response);
 }
 
-bool HttpExchange::SetOptions(void* curl, const std::string& origin, const std::string& target,
-                              absl::Duration timeout) {
+bool HttpExchange::Prepare(void* curl, const std::string& origin, const std::string& target, absl::Duration timeout) {
+  static_assert(kErrorTextSize == CURL_ERROR_SIZE);
   bool ok = true;
   const auto set = [&](CURLoption option, auto value) { ok = ok && curl_easy_setopt(curl, option, value) == CURLE_OK; };
   set(CURLOPT_URL, (origin + "/").c_str());
@@ -90,6 +93,7 @@
   set(CURLOPT_HEADERDATA, static_cast<void*>(this));
   set(CURLOPT_WRITEFUNCTION, &HttpExchange::OnBody);
   set(CURLOPT_WRITEDATA, static_cast<void*>(this));
+  set(CURLOPT_ERRORBUFFER, m_error_text.data());
   ok = ok && SetMethodAndBody(curl) && BuildHeaderLines();
   set(CURLOPT_HTTPHEADER, m_header_lines);
   return ok;
@@ -227,15 +231,20 @@
   return "";
 }
 
-Result<HttpResponse> HttpExchange::ToFailure(int curl_code, const char* error_text, absl::Duration timeout) const {
+Result<HttpResponse> HttpExchange::ToFailure(void* curl, int curl_code, absl::Duration timeout) const {
   const auto code = static_cast<CURLcode>(curl_code);
   std::string message = m_rejection;
-  if (message.empty()) message = error_text[0] != '\0' ? error_text : curl_easy_strerror(code);
+  if (message.empty()) message = m_error_text[0] != '\0' ? m_error_text.data() : curl_easy_strerror(code);
   if (m_request_started) {
     // After the request was sent this code stands for an answer that is not HTTP/1, not for an unsuitable URL.
     const bool unknown_protocol = code == CURLE_UNSUPPORTED_PROTOCOL;
     return MayHaveRun(unknown_protocol ? FailureCode::kCorrupt : CodeOf(code), std::move(message));
   }
+  long os_error = 0;
+  curl_easy_getinfo(curl, CURLINFO_OS_ERRNO, &os_error);
+  if (code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED) {
+    return NotRun(FailureCode::kConnectionRefused, std::move(message));
+  }
   // The peer was not reached within the connect timeout, although the caller would have waited longer.
   if (code == CURLE_OPERATION_TIMEDOUT && m_options.connect_timeout < timeout) {
     return NotRun(FailureCode::kUnavailable, std::move(message));
--- a/src/platform/http_exchange.h
+++ b/src/clients/http_exchange.h
@@ -3,11 +3,13 @@
 #include <absl/strings/string_view.h>
 #include <absl/time/time.h>
 
+#include <array>
+#include <cstddef>
 #include <string>
 #include <string_view>
 
 #include "base/failure.h"
-#include "platform/http_message.h"
+#include "clients/http_message.h"
 
 struct curl_slist;
 
@@ -30,12 +32,20 @@
   /// Performs the exchange once. `origin` and `target` are the two parts of the URL.
   Result<HttpResponse> Run(void* curl, const std::string& origin, const std::string& target, absl::Duration timeout);
 
+  /// Sets all options of the handle, for a caller that performs the exchange itself. Returns false if libcurl rejects
+  /// one.
+  bool Prepare(void* curl, const std::string& origin, const std::string& target, absl::Duration timeout);
+
+  /// The answer, after libcurl reported `curl_code` for a prepared handle.
+  Result<HttpResponse> Finish(void* curl, int curl_code, const std::string& origin, absl::Duration timeout);
+
  private:
+  static constexpr std::size_t kErrorTextSize = 256;  ///< required by CURLOPT_ERRORBUFFER
+
   static int OnRequestStart(void* self, char*, char*, int, int);
   static std::size_t OnHeaderLine(char* data, std::size_t size, std::size_t count, void* self);
   static std::size_t OnBody(char* data, std::size_t size, std::size_t count, void* self);
 
-  bool SetOptions(void* curl, const std::string& origin, const std::string& target, absl::Duration timeout);
   bool SetMethodAndBody(void* curl);
   bool BuildHeaderLines();
   bool HasRequestHeader(absl::string_view name) const;
@@ -48,7 +58,7 @@
   /// Empty if the answer is whole, else the reason why it is not.
   std::string FindIncompleteness() const;
   bool AnswerHasBody() const;
-  Result<HttpResponse> ToFailure(int curl_code, const char* error_text, absl::Duration timeout) const;
+  Result<HttpResponse> ToFailure(void* curl, int curl_code, absl::Duration timeout) const;
 
   const HttpRequest& m_request;
   const HttpExchangeOptions& m_options;
@@ -59,6 +69,7 @@
   bool m_headers_complete = false;
   /// Set before the first byte of the request is passed to the connection; stays set whatever follows.
   bool m_request_started = false;
+  std::array<char, kErrorTextSize> m_error_text{};
   std::string m_rejection;  ///< why this class ended the exchange; empty if it did not
 };
 
--- a/src/platform/http_log_client.cc
+++ b/src/clients/http_log_client.cc
@@ -1,4 +1,4 @@
-#include "platform/http_log_client.h"
+#include "clients/http_log_client.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/escaping.h>
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "platform/json_answer.h"
+#include "clients/json_answer.h"
 
 namespace berylgauge {
 namespace {
--- a/src/platform/http_log_client.h
+++ b/src/clients/http_log_client.h
@@ -2,8 +2,8 @@
 
 #include <string>
 
-#include "platform/http_client.h"
-#include "platform/log_client.h"
+#include "clients/http_client.h"
+#include "clients/log_client.h"
 
 namespace berylgauge {
 
--- a/src/platform/http_message.h
+++ b/src/clients/http_message.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <string_view>
 
-#include "platform/header_list.h"
+#include "clients/header_list.h"
 
 namespace berylgauge {
 
--- a/src/platform/http_client.cc
+++ b/src/clients/http_request_check.cc
@@ -1,10 +1,10 @@
-#include "platform/http_client.h"
+#include "clients/http_request_check.h"
 
 #include <absl/strings/ascii.h>
 
 #include <algorithm>
 #include <array>
-#include <utility>
+#include <string_view>
 
 namespace berylgauge {
 namespace {
@@ -35,12 +35,8 @@
   return std::find(kFramingHeaders.begin(), kFramingHeaders.end(), lower_case) != kFramingHeaders.end();
 }
 
-struct UrlParts {
-  std::string origin;
-  std::string target;
-};
+}  // namespace
 
-/// Splits a URL into the part that names the peer and the part that is sent in the request line.
 Result<UrlParts> SplitUrl(const std::string& url) {
   if (!url.starts_with(kScheme)) {
     return NotRun(FailureCode::kInvalidArgument, "URL must begin with http://", "url");
@@ -70,27 +66,4 @@
   return {};
 }
 
-}  // namespace
-
-HttpClient::HttpClient(const HttpClientOptions& options)
-    : m_exchange_options{.max_body_bytes = options.max_body_bytes,
-                         .max_header_bytes = options.max_header_bytes,
-                         .connect_timeout = options.connect_timeout},
-      m_pool(options.pool) {}
-
-Result<HttpResponse> HttpClient::Call(const HttpRequest& request, absl::Duration timeout) {
-  if (timeout <= absl::ZeroDuration()) {
-    return NotRun(FailureCode::kDeadlineExceeded, "no time left before the request was sent");
-  }
-  if (const Result<void> checked = CheckRequest(request); !checked) return tl::make_unexpected(checked.error());
-  const Result<UrlParts> url = SplitUrl(request.url);
-  if (!url) return tl::make_unexpected(url.error());
-  CurlHandle handle = m_pool.Acquire(url->origin, m_clock.Now());
-  if (handle == nullptr) return NotRun(FailureCode::kInternal, "libcurl could not create a handle");
-  HttpExchange exchange(request, m_exchange_options);
-  Result<HttpResponse> response = exchange.Run(handle.get(), url->origin, url->target, timeout);
-  m_pool.Release(url->origin, std::move(handle), m_clock.Now());
-  return response;
-}
-
 }  // namespace berylgauge
--- a/src/platform/http_worker_client.cc
+++ b/src/clients/http_worker_client.cc
@@ -1,4 +1,4 @@
-#include "platform/http_worker_client.h"
+#include "clients/http_worker_client.h"
 
 #include <algorithm>
 #include <limits>
@@ -6,7 +6,7 @@
 #include <set>
 #include <utility>
 
-#include "platform/json_answer.h"
+#include "clients/json_answer.h"
 
 namespace berylgauge {
 namespace {
--- a/src/platform/http_worker_client.h
+++ b/src/clients/http_worker_client.h
@@ -3,8 +3,8 @@
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 
-#include "platform/http_client.h"
-#include "platform/worker_client.h"
+#include "clients/http_client.h"
+#include "clients/worker_client.h"
 
 namespace berylgauge {
 
--- a/src/platform/json_answer.cc
+++ b/src/clients/json_answer.cc
@@ -1,4 +1,4 @@
-#include "platform/json_answer.h"
+#include "clients/json_answer.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/platform/json_answer.h
+++ b/src/clients/json_answer.h
@@ -4,7 +4,7 @@
 
 #include "base/failure.h"
 #include "base/json_object_reader.h"
-#include "platform/http_message.h"
+#include "clients/http_message.h"
 
 namespace berylgauge {
 
--- /dev/null
+++ b/src/control/agent_link.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/monotonic_time.h"
+#include "control/agent_messages.h"
+#include "transport/event_loop.h"
+#include "transport/stream_client.h"
+
+namespace berylgauge::control {
+
+struct AgentLinkOptions {
+  std::string host;     ///< name of the agent's host
+  std::string address;  ///< numeric IP address
+  int port = 0;
+  /// How long the agent may hold a watch; also the time between two lease grants when nothing happens.
+  absl::Duration watch_wait = absl::Milliseconds(900);
+  absl::Duration answer_timeout = absl::Milliseconds(1000);
+  /// Time allowed for orders: a worker may take a while, and the orders are repeated after it.
+  absl::Duration orders_timeout = absl::Milliseconds(2500);
+  absl::Duration retry_pause = absl::Milliseconds(150);
+};
+
+/// The owner's connection to one agent: asks for news without end, and sends orders. Used on the loop's thread.
+class AgentLink {
+ public:
+  struct Listener {
+    /// Adds the lease, the acknowledgement and, for an agent that was started again, the traits.
+    std::function<void(const std::string& host, bool with_traits, WatchRequest& request)> on_prepare;
+    std::function<void(const std::string& host, const workflow::WorkerReport& report)> on_report;
+    std::function<void(const OrdersRequest& request, const OrdersAnswer& answer)> on_orders_answer;
+    /// The orders were not answered; with verdict `kNotRun` they were not received either.
+    std::function<void(const std::string& host, const OrdersRequest& request, const Failure& failure)>
+        on_orders_failure;
+    /// The agent has seen a newer owner.
+    std::function<void()> on_stale;
+  };
+
+  AgentLink(EventLoop& loop, AgentLinkOptions options, std::int64_t epoch, Listener listener);
+  ~AgentLink();
+
+  void Start();
+  void SendOrders(OrdersRequest request);
+
+  const AgentLinkOptions& options() const { return m_options; }
+
+ private:
+  void Watch();
+  void OnWatch(Result<StreamResponse> response);
+  void WatchLater();
+
+  EventLoop& m_loop;
+  const AgentLinkOptions m_options;
+  const std::int64_t m_epoch;
+  Listener m_listener;
+  std::unique_ptr<StreamClient> m_client;
+  std::uint64_t m_known_version = 0;
+  Incarnation m_known_incarnation = 0;
+  bool m_send_traits = true;
+  bool m_reachable = false;
+  EventLoop::TimerId m_timer;
+  std::shared_ptr<bool> m_alive;
+};
+
+}  // namespace berylgauge::control
--- /dev/null
+++ b/src/control/agent_node.cc
@@ -0,0 +1,461 @@
+#include "control/agent_node.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "base/event_log.h"
+
+namespace berylgauge::control {
+
+using workflow::ActiveRun;
+using workflow::RunEnd;
+using workflow::StartAnswer;
+using workflow::StartRefusal;
+using workflow::WorkerCondition;
+using workflow::WorkerLife;
+
+/// The answers of one message of orders.
+struct AgentNode::OrderBatch {
+  OrdersAnswer answer;
+  std::size_t pending = 0;
+  OrdersReply reply;
+};
+
+struct AgentNode::StartAttempt {
+  std::shared_ptr<OrderBatch> batch;
+  StartCall call;
+  MonotonicTime begun;
+  bool unanswered = false;  ///< a call had no answer, so it may be carried out later
+};
+
+struct AgentNode::StopAttempt {
+  std::shared_ptr<OrderBatch> batch;
+  StopCall call;
+};
+
+AgentNode::AgentNode(EventLoop& loop, WorkerPort& worker, MetricsRegistry& metrics, const AgentNodeOptions& options)
+    : m_loop(loop),
+      m_worker(worker),
+      m_options(options),
+      m_alive(std::make_shared<bool>(true)),
+      m_starts(metrics.GetCounter("berylgauge_agent_starts_total", "Starts that the worker accepted")),
+      m_refused_starts(metrics.GetCounter("berylgauge_agent_refused_starts_total", "Starts that were refused")),
+      m_ends(metrics.GetCounter("berylgauge_agent_ends_total", "Ends that the worker listed")),
+      m_hold_failures(metrics.GetCounter("berylgauge_agent_hold_failures_total", "Lists that the worker did not give")),
+      m_pace_changes(metrics.GetCounter("berylgauge_agent_pace_changes_total", "Changes of the pace of a run")) {}
+
+AgentNode::~AgentNode() {
+  *m_alive = false;
+  m_loop.CancelTimer(m_hold_timer);
+  m_loop.CancelTimer(m_watch_timer);
+}
+
+// ---- The worker
+
+void AgentNode::OnAnnouncement(const WorkerAnnouncement& announcement) {
+  if (m_announcement) {
+    const WorkerAnnouncement& present = *m_announcement;
+    if (announcement.life.born < present.life.born) return;
+    if (announcement.life == present.life && announcement.sequence <= present.sequence) return;
+  }
+  if (!m_announcement || announcement.life != m_announcement->life) BeginLife(announcement);
+  m_announcement = announcement;
+  SetCondition(announcement.draining ? WorkerCondition::kDraining : WorkerCondition::kReady, "announcement");
+}
+
+void AgentNode::BeginLife(const WorkerAnnouncement& announcement) {
+  LogEvent(LogLevel::kInfo, "worker_life",
+           {{"worker", announcement.life.worker}, {"born", announcement.life.born}, {"zone", announcement.zone}});
+  m_lists.reset();
+  m_lease_end_ms = 0;
+  m_acknowledged = 0;
+  m_last_end = 0;
+  m_refused_calls = 0;
+  m_traits.clear();
+  m_condition = WorkerCondition::kGone;
+  ScheduleHold(absl::ZeroDuration());
+}
+
+void AgentNode::OnLeave(const std::string& worker) {
+  if (m_announcement && m_announcement->life.worker == worker) SetCondition(WorkerCondition::kGone, "leave");
+}
+
+void AgentNode::SetCondition(WorkerCondition condition, const char* reason) {
+  if (m_condition == condition) return;
+  LogEvent(LogLevel::kInfo, "worker_condition",
+           {{"worker", m_announcement ? m_announcement->life.worker : ""},
+            {"from", workflow::kWorkerConditionNames.NameOf(m_condition)},
+            {"to", workflow::kWorkerConditionNames.NameOf(condition)},
+            {"reason", reason}});
+  const bool returns = m_condition == WorkerCondition::kGone;
+  m_condition = condition;
+  NoteChange();
+  if (returns) ScheduleHold(absl::ZeroDuration());
+}
+
+void AgentNode::NoteChange() {
+  ++m_version;
+  if (!m_watch || m_flush_deferred) return;
+  m_flush_deferred = true;
+  m_loop.Defer([this, alive = m_alive] {
+    if (!*alive) return;
+    m_flush_deferred = false;
+    FlushWatch();
+  });
+}
+
+// ---- Lists and lease
+
+void AgentNode::ScheduleHold(absl::Duration delay) {
+  if (m_hold_sent) return;
+  const MonotonicTime at = m_loop.Now() + delay;
+  if (m_hold_timer.valid()) {
+    if (m_hold_at <= at) return;
+    m_loop.CancelTimer(m_hold_timer);
+  }
+  m_hold_at = at;
+  m_hold_timer = m_loop.AddTimer(at, [this] {
+    m_hold_timer = {};
+    SendHold(true);
+  });
+}
+
+void AgentNode::SendHold(bool is_regular) {
+  if (!m_announcement || m_condition == WorkerCondition::kGone) return;
+  HoldCall call{.life = m_announcement->life, .epoch = m_epoch, .acknowledged = m_acknowledged, .lease_end_ms = {}};
+  if (m_lease_end_ms > 0) call.lease_end_ms = m_lease_end_ms;
+  if (is_regular) {
+    m_hold_sent = true;
+    if (!HasUnacknowledgedEnds() && m_lists) call.wait = IsPacing() ? m_options.paced_hold_wait : m_options.hold_wait;
+  }
+  m_worker.Hold(call, call.wait + m_options.call_timeout,
+                [this, life = call.life, is_regular, alive = m_alive](Result<HoldAnswer> answer) {
+                  if (*alive) OnHold(std::move(answer), life, is_regular);
+                });
+}
+
+void AgentNode::OnHold(Result<HoldAnswer> answer, const WorkerLife& life, bool is_regular) {
+  if (is_regular) m_hold_sent = false;
+  const bool is_present = m_announcement && m_announcement->life == life;
+  if (!is_present) {
+    ScheduleHold(absl::ZeroDuration());
+    return;
+  }
+  if (!answer) {
+    OnHoldFailure(answer.error());
+    return;
+  }
+  m_refused_calls = 0;
+  if (answer->born != life.born) {
+    // The worker was started again; its announcement follows.
+    SetCondition(WorkerCondition::kGone, "other-life");
+    return;
+  }
+  TakeLists(std::move(*answer));
+  if (is_regular) ScheduleHold(HasUnacknowledgedEnds() ? m_options.pending_pause : absl::ZeroDuration());
+}
+
+void AgentNode::OnHoldFailure(const Failure& failure) {
+  m_hold_failures.Add();
+  if (failure.code == FailureCode::kExpired) {
+    SetCondition(WorkerCondition::kGone, "other-life");
+    return;
+  }
+  if (failure.code == FailureCode::kConnectionRefused && ++m_refused_calls >= m_options.refused_calls) {
+    SetCondition(WorkerCondition::kGone, "connection-refused");
+    return;
+  }
+  ScheduleHold(m_options.retry_pause);
+}
+
+void AgentNode::TakeLists(HoldAnswer answer) {
+  if (m_lists && answer.clock_ms < m_lists->clock_ms) return;  // overtaken by a newer answer
+  const bool is_first = !m_lists;
+  std::int64_t last_end = m_last_end;
+  for (const RunEnd& end : answer.ends) last_end = std::max(last_end, end.number);
+  m_lists = std::move(answer);
+  if (last_end > m_last_end) m_ends.Add(static_cast<std::uint64_t>(last_end - m_last_end));
+  const bool has_news = is_first || last_end > m_last_end;
+  m_last_end = last_end;
+  if (has_news) NoteChange();
+  Pace();
+}
+
+bool AgentNode::HasUnacknowledgedEnds() const {
+  return m_lists && !m_lists->ends.empty() && m_last_end > m_acknowledged;
+}
+
+// ---- The owner
+
+bool AgentNode::AdoptEpoch(std::int64_t epoch) {
+  if (epoch < m_epoch) return false;
+  if (epoch == m_epoch) return true;
+  LogEvent(LogLevel::kInfo, "owner_adopted", {{"epoch", epoch}, {"former", m_epoch}});
+  m_epoch = epoch;
+  SendHold(false);  // so that the worker refuses what the former owner still sends
+  return true;
+}
+
+void AgentNode::OnWatch(const WatchRequest& request, WatchReply reply) {
+  if (!AdoptEpoch(request.epoch)) {
+    reply(std::nullopt);
+    return;
+  }
+  m_watched_at = m_loop.Now();
+  if (m_announcement && request.life == m_announcement->life) {
+    m_lease_end_ms = std::max(m_lease_end_ms, request.lease_end_ms);
+    if (request.acknowledged > m_acknowledged) {
+      m_acknowledged = request.acknowledged;
+      ScheduleHold(absl::ZeroDuration());
+    }
+    for (const TaskTraits& traits : request.traits) m_traits[traits.task] = traits;
+  }
+  if (m_watch) FlushWatch();  // the owner gave the former one up
+  m_watch = request;
+  m_watch_reply = std::move(reply);
+  const bool has_news = request.known_version != m_version || request.known_incarnation != m_options.incarnation;
+  if (has_news) {
+    FlushWatch();
+    return;
+  }
+  m_watch_timer = m_loop.AddTimer(m_loop.Now() + absl::Milliseconds(request.wait_ms), [this] { FlushWatch(); });
+}
+
+void AgentNode::FlushWatch() {
+  if (!m_watch) return;
+  m_loop.CancelTimer(m_watch_timer);
+  const WatchRequest request = *std::exchange(m_watch, std::nullopt);
+  WatchReply reply = std::move(m_watch_reply);
+  reply(MakeWatchAnswer(request));
+}
+
+WatchAnswer AgentNode::MakeWatchAnswer(const WatchRequest& request) {
+  WatchAnswer answer{.version = m_version, .report = {}};
+  workflow::WorkerReport& report = answer.report;
+  report.agent_incarnation = m_options.incarnation;
+  if (!m_announcement) return answer;
+  report.life = m_announcement->life;
+  report.condition = m_condition;
+  report.service = m_announcement->service;
+  report.zone = m_announcement->zone;
+  report.labels = m_announcement->labels;
+  report.capacity = m_announcement->capacity;
+  report.remaining_ms = m_announcement->remaining_ms;
+  if (!m_lists) return answer;
+  report.worker_clock_ms = m_lists->clock_ms;
+  const std::int64_t acknowledged = request.life == report.life ? request.acknowledged : 0;
+  for (const RunEnd& end : m_lists->ends) {
+    if (end.number > acknowledged) report.ends.push_back(end);
+  }
+  const bool is_first = request.known_version == 0 || request.known_incarnation != m_options.incarnation;
+  if (!is_first && m_loop.Now() - m_runs_sent_at < m_options.runs_interval) return answer;
+  m_runs_sent_at = m_loop.Now();
+  report.has_runs = true;
+  report.runs = m_lists->runs;
+  return answer;
+}
+
+void AgentNode::OnOrders(const OrdersRequest& request, OrdersReply reply) {
+  if (!AdoptEpoch(request.epoch)) {
+    reply(std::nullopt);
+    return;
+  }
+  auto batch = std::make_shared<OrderBatch>();
+  batch->reply = std::move(reply);
+  const bool is_present = m_announcement && request.life == m_announcement->life &&
+                          m_condition != WorkerCondition::kGone;
+  if (is_present) m_lease_end_ms = std::max(m_lease_end_ms, request.lease_end_ms);
+  std::vector<std::shared_ptr<StartAttempt>> starts;
+  for (const JobStarts& job : request.jobs) {
+    for (const workflow::StartOrder& order : job.starts) {
+      auto attempt = std::make_shared<StartAttempt>();
+      attempt->batch = batch;
+      attempt->begun = m_loop.Now();
+      attempt->call = {.life = request.life,
+                       .epoch = request.epoch,
+                       .task = order.task,
+                       .run = order.run,
+                       .payload = job.payload,
+                       .checkpoint = order.checkpoint,
+                       .ticket = order.ticket,
+                       .lease_end_ms = request.lease_end_ms};
+      m_traits[order.task] = {.task = order.task,
+                              .fills_idle_cpu = order.fills_idle_cpu,
+                              .tail_target_ms = order.tail_target_ms};
+      starts.push_back(std::move(attempt));
+    }
+  }
+  batch->pending = starts.size() + request.stops.size() + 1;
+  for (std::shared_ptr<StartAttempt>& attempt : starts) {
+    if (!is_present) {
+      FinishStart(*attempt, {.refusal = StartRefusal::kOtherLife});
+    } else if (m_condition != WorkerCondition::kReady) {
+      FinishStart(*attempt, {.refusal = StartRefusal::kDraining});
+    } else {
+      TryStart(std::move(attempt));
+    }
+  }
+  for (const workflow::StopOrder& order : request.stops) {
+    auto attempt = std::make_shared<StopAttempt>();
+    attempt->batch = batch;
+    attempt->call = {.life = request.life, .epoch = request.epoch, .task = order.task, .run = order.run};
+    if (is_present) {
+      TryStop(std::move(attempt));
+    } else {
+      // Nothing of that life runs any more.
+      batch->answer.stops.push_back({.task = order.task, .run = order.run, .end_listed = false});
+      FinishOne(*batch);
+    }
+  }
+  FinishOne(*batch);
+}
+
+void AgentNode::FinishOne(OrderBatch& batch) {
+  if (--batch.pending > 0) return;
+  batch.reply(std::move(batch.answer));
+}
+
+// ---- Starts and stops
+
+void AgentNode::TryStart(std::shared_ptr<StartAttempt> attempt) {
+  const StartCall& call = attempt->call;
+  m_worker.Start(call, m_options.call_timeout,
+                 [this, attempt, alive = m_alive](Result<StartAnswer> answer) {
+                   if (*alive) OnStart(attempt, std::move(answer));
+                 });
+}
+
+void AgentNode::OnStart(std::shared_ptr<StartAttempt> attempt, Result<StartAnswer> answer) {
+  const bool is_present = m_announcement && m_announcement->life == attempt->call.life &&
+                          m_condition != WorkerCondition::kGone;
+  if (answer) {
+    // After a call without an answer a refusal is not final: that call may still be carried out. The owner orders a
+    // stop, which settles it.
+    const bool is_refusal = answer->refusal != StartRefusal::kNone;
+    if (is_refusal && attempt->unanswered) answer->refusal = StartRefusal::kEnded;
+    FinishStart(*attempt, *answer);
+    return;
+  }
+  if (answer.error().code == FailureCode::kExpired || !is_present) {
+    FinishStart(*attempt, {.refusal = StartRefusal::kOtherLife});
+    return;
+  }
+  if (answer.error().verdict == Verdict::kMayHaveRun) attempt->unanswered = true;
+  const bool give_up = m_loop.Now() - attempt->begun > m_options.start_limit;
+  // A start of a former owner is not repeated; its successor settles the run.
+  if (give_up || attempt->call.epoch < m_epoch) {
+    FinishStart(*attempt, {.refusal = StartRefusal::kEnded});
+    return;
+  }
+  m_loop.AddTimer(m_loop.Now() + m_options.retry_pause, [this, attempt, alive = m_alive] {
+    if (*alive) TryStart(attempt);
+  });
+}
+
+void AgentNode::FinishStart(StartAttempt& attempt, StartAnswer answer) {
+  const bool accepted = answer.refusal == StartRefusal::kNone;
+  (accepted ? m_starts : m_refused_starts).Add();
+  LogEvent(accepted ? LogLevel::kInfo : LogLevel::kWarning, "start",
+           {{"task", attempt.call.task},
+            {"run", attempt.call.run},
+            {"epoch", attempt.call.epoch},
+            {"refusal", workflow::kStartRefusalNames.NameOf(answer.refusal)},
+            {"unanswered", attempt.unanswered},
+            {"ms", absl::ToInt64Milliseconds(m_loop.Now() - attempt.begun)}});
+  attempt.batch->answer.starts.push_back({.task = attempt.call.task, .run = attempt.call.run, .answer = answer});
+  FinishOne(*attempt.batch);
+}
+
+void AgentNode::TryStop(std::shared_ptr<StopAttempt> attempt) {
+  m_worker.Stop(attempt->call, m_options.call_timeout, [this, attempt, alive = m_alive](Result<void> answer) {
+    if (!*alive) return;
+    const bool is_over = !m_announcement || m_announcement->life != attempt->call.life ||
+                         m_condition == WorkerCondition::kGone || attempt->call.epoch < m_epoch;
+    if (answer || is_over) {
+      ResolveStop(attempt);
+      return;
+    }
+    m_loop.AddTimer(m_loop.Now() + m_options.retry_pause, [this, attempt, alive] {
+      if (*alive) TryStop(attempt);
+    });
+  });
+}
+
+void AgentNode::ResolveStop(std::shared_ptr<StopAttempt> attempt) {
+  const StopCall& call = attempt->call;
+  const HoldCall hold{.life = call.life, .epoch = m_epoch, .acknowledged = m_acknowledged, .lease_end_ms = {}};
+  m_worker.Hold(hold, m_options.call_timeout, [this, attempt, alive = m_alive](Result<HoldAnswer> answer) {
+    if (!*alive) return;
+    const StopCall& call = attempt->call;
+    const bool is_over = !m_announcement || m_announcement->life != call.life ||
+                         m_condition == WorkerCondition::kGone || call.epoch < m_epoch;
+    bool is_running = false;
+    bool end_listed = false;
+    if (answer && answer->born == call.life.born) {
+      is_running = std::any_of(answer->runs.begin(), answer->runs.end(), [&](const ActiveRun& run) {
+        return run.task == call.task && run.run == call.run;
+      });
+      end_listed = std::any_of(answer->ends.begin(), answer->ends.end(),
+                               [&](const RunEnd& end) { return end.task == call.task && end.run == call.run; });
+      TakeLists(std::move(*answer));
+    }
+    if (!is_over && (!answer || is_running)) {
+      m_loop.AddTimer(m_loop.Now() + m_options.retry_pause, [this, attempt, alive] {
+        if (*alive) ResolveStop(attempt);
+      });
+      return;
+    }
+    LogEvent(LogLevel::kInfo, "stop",
+             {{"task", call.task}, {"run", call.run}, {"epoch", call.epoch}, {"end_listed", end_listed}});
+    attempt->batch->answer.stops.push_back({.task = call.task, .run = call.run, .end_listed = end_listed || is_running});
+    FinishOne(*attempt->batch);
+  });
+}
+
+// ---- Pace
+
+bool AgentNode::IsPacing() const {
+  bool fills = false;
+  bool serves = false;
+  for (const ActiveRun& run : m_lists->runs) {
+    const auto traits = m_traits.find(run.task);
+    if (traits == m_traits.end()) continue;
+    fills = fills || traits->second.fills_idle_cpu;
+    serves = serves || traits->second.tail_target_ms > 0;
+  }
+  return fills && serves;
+}
+
+void AgentNode::Pace() {
+  std::vector<workflow::MeasuredRun> runs;
+  for (const ActiveRun& run : m_lists->runs) {
+    const auto traits = m_traits.find(run.task);
+    if (traits == m_traits.end()) continue;
+    runs.push_back({.task = run.task,
+                    .run = run.run,
+                    .fills_idle_cpu = traits->second.fills_idle_cpu,
+                    .tail_target_ms = traits->second.tail_target_ms,
+                    .measured = run.measured});
+  }
+  if (m_traits.size() > 2 * m_lists->runs.size() + 64) {
+    absl::flat_hash_set<std::string> present;
+    for (const ActiveRun& run : m_lists->runs) present.insert(run.task);
+    absl::erase_if(m_traits, [&](const auto& entry) { return !present.contains(entry.first); });
+  }
+  for (const workflow::PaceChange& change : m_pace.Decide(runs, m_loop.Now())) {
+    m_pace_changes.Add();
+    LogEvent(LogLevel::kInfo, "pace", {{"task", change.task}, {"run", change.run}, {"percent", change.percent}});
+    const PaceCall call{.life = m_announcement->life,
+                        .epoch = m_epoch,
+                        .task = change.task,
+                        .run = change.run,
+                        .percent = change.percent};
+    m_worker.Pace(call, m_options.call_timeout, [this, task = change.task, alive = m_alive](Result<void> answer) {
+      if (*alive && !answer) m_pace.ForgetChange(task);
+    });
+  }
+}
+
+}  // namespace berylgauge::control
--- /dev/null
+++ b/src/control/agent_node.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/functional/any_invocable.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/metrics.h"
+#include "base/monotonic_time.h"
+#include "control/agent_messages.h"
+#include "control/worker_announcement.h"
+#include "control/worker_port.h"
+#include "transport/event_loop.h"
+#include "workflow/pace_controller.h"
+
+namespace berylgauge::control {
+
+struct AgentNodeOptions {
+  Incarnation incarnation = 0;  ///< random, not 0
+  /// Longest wait of a call that lists what the worker runs. Shorter while pacing, because it reads half-second figures.
+  absl::Duration hold_wait = absl::Milliseconds(1000);
+  absl::Duration paced_hold_wait = absl::Milliseconds(500);
+  /// Time allowed for an answer of the worker on the same host, beyond any wait.
+  absl::Duration call_timeout = absl::Milliseconds(600);
+  /// Pause between two lists while ends wait for their acknowledgement, or after a failed call.
+  absl::Duration pending_pause = absl::Milliseconds(150);
+  absl::Duration retry_pause = absl::Milliseconds(60);
+  /// Calls that must find no listener in a row before the worker counts as gone.
+  int refused_calls = 2;
+  /// The whole list of runs is sent to the owner at most this often.
+  absl::Duration runs_interval = absl::Milliseconds(900);
+  /// A start that has no answer for this time is given up and left to the owner's stop; longer than any lease.
+  absl::Duration start_limit = absl::Seconds(6);
+};
+
+/// The logic of an agent: carries the owner's orders to its worker and the worker's lists to the owner.
+///
+/// Used on the loop's thread. It decides nothing about placement; it refuses orders of a former owner and starts on a
+/// worker that drains.
+class AgentNode {
+ public:
+  /// Nothing stands for "a newer owner has given orders".
+  using WatchReply = absl::AnyInvocable<void(std::optional<WatchAnswer>)>;
+  using OrdersReply = absl::AnyInvocable<void(std::optional<OrdersAnswer>)>;
+
+  AgentNode(EventLoop& loop, WorkerPort& worker, MetricsRegistry& metrics, const AgentNodeOptions& options);
+  ~AgentNode();
+
+  // Commands.
+  void OnAnnouncement(const WorkerAnnouncement& announcement);
+  void OnLeave(const std::string& worker);
+  void OnWatch(const WatchRequest& request, WatchReply reply);
+  void OnOrders(const OrdersRequest& request, OrdersReply reply);
+
+  // Queries.
+  std::int64_t epoch() const { return m_epoch; }
+  /// When an owner asked last.
+  MonotonicTime watched_at() const { return m_watched_at; }
+
+ private:
+  struct StartAttempt;
+  struct StopAttempt;
+  struct OrderBatch;
+
+  bool AdoptEpoch(std::int64_t epoch);
+  void BeginLife(const WorkerAnnouncement& announcement);
+  void SetCondition(workflow::WorkerCondition condition, const char* reason);
+  void NoteChange();
+
+  void ScheduleHold(absl::Duration delay);
+  void SendHold(bool is_regular);
+  void OnHold(Result<HoldAnswer> answer, const workflow::WorkerLife& life, bool is_regular);
+  void OnHoldFailure(const Failure& failure);
+  void TakeLists(HoldAnswer answer);
+  bool HasUnacknowledgedEnds() const;
+
+  void FlushWatch();
+  WatchAnswer MakeWatchAnswer(const WatchRequest& request);
+
+  void TryStart(std::shared_ptr<StartAttempt> attempt);
+  void OnStart(std::shared_ptr<StartAttempt> attempt, Result<workflow::StartAnswer> answer);
+  void FinishStart(StartAttempt& attempt, workflow::StartAnswer answer);
+  void TryStop(std::shared_ptr<StopAttempt> attempt);
+  void ResolveStop(std::shared_ptr<StopAttempt> attempt);
+  void FinishOne(OrderBatch& batch);
+
+  void Pace();
+  bool IsPacing() const;
+
+  EventLoop& m_loop;
+  WorkerPort& m_worker;
+  const AgentNodeOptions m_options;
+
+  std::int64_t m_epoch = 0;
+  MonotonicTime m_watched_at = InfinitePast();
+  std::optional<WorkerAnnouncement> m_announcement;  ///< newest of the present life
+  workflow::WorkerCondition m_condition = workflow::WorkerCondition::kGone;
+  std::int64_t m_lease_end_ms = 0;  ///< granted, on the worker's clock
+  std::int64_t m_acknowledged = 0;
+  std::optional<HoldAnswer> m_lists;  ///< newest of the present life
+  std::int64_t m_last_end = 0;        ///< highest number listed in the present life
+  int m_refused_calls = 0;
+
+  bool m_hold_sent = false;
+  EventLoop::TimerId m_hold_timer;
+  MonotonicTime m_hold_at;
+
+  std::uint64_t m_version = 1;
+  std::optional<WatchRequest> m_watch;
+  WatchReply m_watch_reply;
+  EventLoop::TimerId m_watch_timer;
+  bool m_flush_deferred = false;
+  MonotonicTime m_runs_sent_at = InfinitePast();
+
+  absl::flat_hash_map<std::string, TaskTraits> m_traits;
+  workflow::PaceController m_pace;
+  std::shared_ptr<bool> m_alive;
+
+  Counter& m_starts;
+  Counter& m_refused_starts;
+  Counter& m_ends;
+  Counter& m_hold_failures;
+  Counter& m_pace_changes;
+};
+
+}  // namespace berylgauge::control
--- /dev/null
+++ b/src/control/entry_node.cc
@@ -0,0 +1,317 @@
+#include "control/entry_node.h"
+
+#include <utility>
+
+#include "base/event_log.h"
+#include "workflow/job_codec.h"
+#include "workflow/record_keys.h"
+
+namespace berylgauge::control {
+
+using workflow::JobPhase;
+
+namespace {
+
+/// Time between two looks at whether the ownership should be claimed.
+constexpr absl::Duration kTickInterval = absl::Milliseconds(200);
+
+/// Time allowed for reading to the end of the submissions for an unknown id; clients wait at least 3 s.
+constexpr absl::Duration kLookupTimeout = absl::Milliseconds(1200);
+
+/// Pause before an owner that could not read all submissions tries again.
+constexpr absl::Duration kBeginRetryPause = absl::Milliseconds(100);
+
+/// A claim that cannot have been stored is given up after this time.
+constexpr absl::Duration kClaimGiveUp = absl::Seconds(1);
+
+/// Waits of the reads; a claim needs to see a silent progress partition soon after the owner's last sign.
+constexpr absl::Duration kProgressWait = absl::Milliseconds(500);
+
+}  // namespace
+
+EntryNode::EntryNode(EventLoop& loop, KeyedLog& log, const Clock& clock, const OperatorRecordDecoder& operators,
+                     MetricsRegistry& metrics, EntryNodeOptions options)
+    : m_loop(loop),
+      m_log(log),
+      m_clock(clock),
+      m_decoder(operators),
+      m_options(std::move(options)),
+      m_ownership(m_options.ownership),
+      m_last_owner_sign(loop.Now()),
+      m_submissions(loop, log,
+                    {.partition = m_options.submissions, .producer = m_options.host + "." + m_options.incarnation}),
+      m_submission_tail(loop, log,
+                        {.partition = m_options.submissions, .min_interval = m_options.follower_interval},
+                        {.on_record = [this](const KeyedRecord& record) { OnSubmissionRecord(record); },
+                         .on_reset = [] {},
+                         .on_end = [this] { ConsiderClaim(); }}),
+      m_progress_tail(loop, log,
+                      {.partition = m_options.progress,
+                       .wait = kProgressWait,
+                       .min_interval = m_options.follower_interval},
+                      {.on_record = [this](const KeyedRecord& record) { OnProgressRecord(record); },
+                       .on_reset = [] {},
+                       .on_end = [this] { ConsiderClaim(); }}),
+      m_operator_tail(loop, log, {.partition = m_options.operators},
+                      {.on_record = [this](const KeyedRecord& record) { OnOperatorRecord(record); },
+                       .on_reset = [this] { OnOperatorReset(); },
+                       .on_end = [this] { ApplyLimits(); }}),
+      m_alive(std::make_shared<bool>(true)),
+      m_accepted(metrics.GetCounter("berylgauge_jobs_accepted_total", "Jobs that were stored")),
+      m_refused(metrics.GetCounter("berylgauge_jobs_refused_total", "Jobs that were refused and not stored")),
+      m_cancelled(metrics.GetCounter("berylgauge_jobs_cancelled_total", "Cancellations that were stored")),
+      m_claims(metrics.GetCounter("berylgauge_owner_claims_total", "Claims of the ownership that were stored")),
+      m_is_owner(metrics.GetGauge("berylgauge_is_owner", "1 while this entry owns the scheduling decisions")),
+      m_jobs(metrics.GetGauge("berylgauge_jobs", "Jobs known to this entry")),
+      m_config_version(metrics.GetGauge("berylgauge_config_version", "Version of the configuration in force")) {}
+
+EntryNode::~EntryNode() {
+  *m_alive = false;
+  m_loop.CancelTimer(m_timer);
+}
+
+void EntryNode::Start() {
+  m_operator_tail.Start();
+  m_submission_tail.Start();
+  m_progress_tail.Start();
+  Tick();
+}
+
+void EntryNode::Tick() {
+  m_jobs.Set(static_cast<std::int64_t>(m_index.size()));
+  ConsiderClaim();
+  m_timer = m_loop.AddTimer(m_loop.Now() + kTickInterval, [this] { Tick(); });
+}
+
+bool EntryNode::IsReady(MonotonicTime now) const {
+  if (m_leaving || !m_queues || !m_submission_tail.is_loaded() || !m_progress_tail.is_loaded()) return false;
+  return now - m_operator_tail.answered_at() <= m_options.store_silence + absl::Milliseconds(1500) &&
+         !m_submissions.IsRefusing(now);
+}
+
+// ---- Requests
+
+void EntryNode::Submit(const workflow::JobDefinition& job, absl::AnyInvocable<void(SubmitOutcome)> callback) {
+  const workflow::JobIndex::Job* known = m_index.Find(job.id);
+  if (known != nullptr && !known->definition.empty()) {
+    m_loop.Defer([callback = std::move(callback)]() mutable { callback(SubmitOutcome::kAccepted); });
+    return;
+  }
+  m_submissions.Add({{.key = job.id, .value = EncodeJob(job)}},
+                    [this, alive = m_alive, id = job.id,
+                     callback = std::move(callback)](AppendOutcome outcome) mutable {
+                      if (!*alive) return;
+                      const bool stored = outcome == AppendOutcome::kStored;
+                      (stored ? m_accepted : m_refused).Add();
+                      callback(stored ? SubmitOutcome::kAccepted : SubmitOutcome::kRefused);
+                    });
+}
+
+void EntryNode::Cancel(const std::string& job, absl::AnyInvocable<void(CancelOutcome)> callback) {
+  QueryPhase(job, [this, alive = m_alive, job, callback = std::move(callback)](std::optional<JobPhase> phase) mutable {
+    if (!*alive) return;
+    if (!phase) {
+      callback(CancelOutcome::kUnknownJob);
+      return;
+    }
+    if (IsFinal(*phase)) {
+      callback(CancelOutcome::kCancelled);
+      return;
+    }
+    m_submissions.Add({{.key = workflow::CancellationKey(job), .value = std::string(workflow::kCancellationValue)}},
+                      [this, alive, job, callback = std::move(callback)](AppendOutcome outcome) mutable {
+                        if (!*alive) return;
+                        const bool stored = outcome == AppendOutcome::kStored;
+                        if (stored) {
+                          m_cancelled.Add();
+                          // Clients of this entry see it at once; the tail applies it again.
+                          m_index.ApplySubmission(workflow::CancellationKey(job), workflow::kCancellationValue);
+                          if (m_owner != nullptr) m_owner->OnCancellation(job);
+                        }
+                        callback(stored ? CancelOutcome::kCancelled : CancelOutcome::kFailed);
+                      });
+  });
+}
+
+void EntryNode::QueryPhase(const std::string& job,
+                           absl::AnyInvocable<void(std::optional<JobPhase>)> callback) {
+  const std::optional<JobPhase> phase = m_index.PhaseOf(job);
+  if (phase) {
+    callback(phase);
+    return;
+  }
+  m_submission_tail.ReadToEnd(kLookupTimeout,
+                              [this, alive = m_alive, job, callback = std::move(callback)](bool) mutable {
+                                if (*alive) callback(m_index.PhaseOf(job));
+                              });
+}
+
+// ---- Records
+
+void EntryNode::OnSubmissionRecord(const KeyedRecord& record) {
+  m_index.ApplySubmission(record.key, record.value);
+  if (m_owner == nullptr || record.value.empty()) return;
+  if (record.key.back() == workflow::kCancellationMark) {
+    m_owner->OnCancellation(record.key.substr(0, record.key.size() - 1));
+  } else {
+    m_owner->OnSubmission(record.key);
+  }
+}
+
+void EntryNode::OnProgressRecord(const KeyedRecord& record) {
+  m_index.ApplyProgress(record.key, record.value);
+  m_last_owner_sign = m_loop.Now();
+}
+
+void EntryNode::OnOperatorRecord(const KeyedRecord& record) {
+  Result<OperatorRecord> decoded = m_decoder.Decode(record.key, record.value);
+  if (!decoded) {
+    LogEvent(LogLevel::kWarning, "operator_record_unreadable",
+             {{"key", record.key}, {"offset", record.offset}, {"reason", decoded.error().message}});
+    return;
+  }
+  switch (decoded->kind) {
+    case OperatorRecord::Kind::kQueues:
+      if (!decoded->queues || (m_queues && decoded->queues->version() < m_queues->version())) return;
+      m_queues = std::move(decoded->queues);
+      m_config_version.Set(m_queues->version());
+      LogEvent(LogLevel::kInfo, "configuration",
+               {{"version", m_queues->version()}, {"queues", m_queues->size()}, {"offset", record.offset}});
+      return;
+    case OperatorRecord::Kind::kEvacuation:
+      LogEvent(LogLevel::kInfo, "evacuation",
+               {{"zone", decoded->zone}, {"removed", decoded->removed}, {"offset", record.offset}});
+      if (decoded->removed) {
+        m_evacuated_zones.erase(decoded->zone);
+      } else {
+        m_evacuated_zones.insert(decoded->zone);
+      }
+      ApplyLimits();
+      return;
+    case OperatorRecord::Kind::kOther:
+      LogEvent(LogLevel::kWarning, "operator_record_ignored", {{"key", record.key}, {"offset", record.offset}});
+      return;
+  }
+}
+
+void EntryNode::OnOperatorReset() { m_evacuated_zones.clear(); }
+
+void EntryNode::ApplyLimits() {
+  if (m_owner != nullptr) m_owner->SetLimits({.evacuated_zones = m_evacuated_zones});
+}
+
+// ---- Ownership
+
+void EntryNode::ConsiderClaim() {
+  if (m_owner != nullptr || m_claiming || m_leaving) return;
+  const workflow::OwnerRecord& owner = m_index.owner();
+  const OwnershipView view{.loaded = m_submission_tail.is_loaded() && m_progress_tail.is_loaded() &&
+                                     m_operator_tail.is_loaded(),
+                           .at_end = m_progress_tail.is_at_end(),
+                           .answered_at = m_progress_tail.answered_at(),
+                           .has_owner = !owner.holder.empty(),
+                           .owner_is_self = owner.holder == m_options.host + "." + m_options.incarnation,
+                           .last_sign = m_last_owner_sign};
+  if (m_ownership.ShouldClaim(view, m_loop.Now())) Claim();
+}
+
+void EntryNode::Claim() {
+  m_claiming = true;
+  m_progress_tail.Pause();
+  const workflow::OwnerRecord record{.epoch = m_index.owner().epoch + 1,
+                                     .holder = m_options.host + "." + m_options.incarnation};
+  LogEvent(LogLevel::kInfo, "owner_claim",
+           {{"epoch", record.epoch},
+            {"former", m_index.owner().holder},
+            {"silence_ms", absl::ToInt64Milliseconds(m_loop.Now() - m_last_owner_sign)},
+            {"position", m_progress_tail.position()}});
+  auto writer = std::make_unique<LogWriter>(
+      m_loop, m_log,
+      LogWriterOptions{.partition = m_options.progress, .producer = "owner", .epoch = record.epoch});
+  LogWriter& claim = *writer;
+  claim.Write({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(record)}}, m_progress_tail.position(),
+              kClaimGiveUp,
+              [this, record, writer = std::move(writer), alive = m_alive](const AppendAnswer& answer) mutable {
+                if (*alive) OnClaimed(answer, std::move(writer), record);
+              });
+}
+
+void EntryNode::OnClaimed(const AppendAnswer& answer, std::unique_ptr<LogWriter> writer,
+                          const workflow::OwnerRecord& record) {
+  m_claiming = false;
+  if (answer.outcome != AppendOutcome::kStored) {
+    LogEvent(LogLevel::kInfo, "owner_claim_failed",
+             {{"epoch", record.epoch},
+              {"outcome", kAppendOutcomeNames.NameOf(answer.outcome)},
+              {"reason", answer.detail}});
+    m_ownership.OnClaimFailed(m_loop.Now());
+    m_progress_tail.Resume(m_progress_tail.position());
+    // Freed after this call, which runs inside it.
+    m_loop.Defer([writer = std::move(writer)] {});
+    return;
+  }
+  m_claims.Add();
+  m_is_owner.Set(1);
+  m_progress_end = answer.end;
+  m_index.ApplyProgress(workflow::kOwnerKey, EncodeOwner(record));
+  m_submission_tail.SetMinInterval(absl::ZeroDuration());
+  m_owner = std::make_unique<OwnerRole>(
+      m_loop, m_log, m_clock, std::move(writer), m_index,
+      OwnerRoleOptions{.record = record,
+                       .members = m_options.members,
+                       .agent_port = m_options.agent_port,
+                       .scheduler = m_options.scheduler},
+      OwnerRole::Listener{
+          .on_deposed = [this] { EndOwnership(); },
+          .on_stored =
+              [this](const std::vector<KeyedRecord>& records, std::int64_t end) {
+                for (const KeyedRecord& stored : records) m_index.ApplyProgress(stored.key, stored.value);
+                m_progress_end = end;
+              },
+          .on_retired =
+              [this](const std::vector<std::string>& jobs) {
+                for (const std::string& job : jobs) {
+                  m_submissions.Add({{.key = job, .value = {}}, {.key = workflow::CancellationKey(job), .value = {}}},
+                                    [job](AppendOutcome outcome) {
+                                      if (outcome == AppendOutcome::kStored) return;
+                                      // It stays in the store until an owner starts anew and retires it again.
+                                      LogEvent(LogLevel::kWarning, "job_not_removed", {{"job", job}});
+                                    });
+                }
+              }});
+  BeginOwnership();
+}
+
+void EntryNode::BeginOwnership() {
+  if (m_owner == nullptr || m_owner->begun()) return;
+  m_submission_tail.ReadToEnd(kLookupTimeout, [this, alive = m_alive](bool complete) {
+    if (!*alive || m_owner == nullptr) return;
+    if (!complete) {
+      m_loop.AddTimer(m_loop.Now() + kBeginRetryPause, [this, alive] {
+        if (*alive) BeginOwnership();
+      });
+      return;
+    }
+    ApplyLimits();
+    m_owner->Begin();
+  });
+}
+
+void EntryNode::EndOwnership() {
+  m_is_owner.Set(0);
+  m_last_owner_sign = m_loop.Now();
+  m_submission_tail.SetMinInterval(m_options.follower_interval);
+  m_progress_tail.Resume(m_progress_end);
+  m_loop.Defer([owner = std::move(m_owner)] {});
+}
+
+void EntryNode::HandOver(std::function<void()> done) {
+  m_leaving = true;
+  if (m_owner == nullptr) {
+    done();
+    return;
+  }
+  m_owner->HandOver(std::move(done));
+}
+
+}  // namespace berylgauge::control
--- /dev/null
+++ b/src/control/entry_node.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/functional/any_invocable.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "control/keyed_log.h"
+#include "control/operator_settings.h"
+#include "control/owner_role.h"
+#include "control/ownership_policy.h"
+#include "control/partition_tail.h"
+#include "control/queue_table.h"
+#include "control/submission_queue.h"
+#include "transport/event_loop.h"
+#include "workflow/job_index.h"
+
+namespace berylgauge::control {
+
+struct EntryNodeOptions {
+  std::string host;
+  std::string incarnation;  ///< random text that tells the runs of this process apart
+  LogPartition submissions;
+  LogPartition progress;
+  LogPartition operators;
+  LogPartition members;
+  int agent_port = 0;
+  OwnershipOptions ownership;
+  workflow::SchedulerOptions scheduler;
+  /// Time between two reads of an entry that is not the owner; clients see the end of a job this much later.
+  absl::Duration follower_interval = absl::Milliseconds(100);
+  /// The entry asks for no new connections when the store has not answered for this long.
+  absl::Duration store_silence = absl::Milliseconds(1600);
+};
+
+enum class SubmitOutcome {
+  kAccepted,
+  kRefused,  ///< the job was not stored and never will be
+};
+
+enum class CancelOutcome {
+  kCancelled,
+  kUnknownJob,
+  kFailed,  ///< not stored; the client may repeat it
+};
+
+/// The logic of an entry: accepts and cancels jobs, answers for their state, follows the configuration, and takes part in
+/// the choice of the owner. Used on the loop's thread.
+class EntryNode {
+ public:
+  EntryNode(EventLoop& loop, KeyedLog& log, const Clock& clock, const OperatorRecordDecoder& operators,
+            MetricsRegistry& metrics, EntryNodeOptions options);
+  ~EntryNode();
+
+  void Start();
+
+  // Commands.
+  /// The callback may never be called while it stays unknown whether the job was stored.
+  void Submit(const workflow::JobDefinition& job, absl::AnyInvocable<void(SubmitOutcome)> callback);
+  void Cancel(const std::string& job, absl::AnyInvocable<void(CancelOutcome)> callback);
+  /// Gives the ownership up, if this entry has it; `done` is called when that is stored.
+  void HandOver(std::function<void()> done);
+
+  // Queries.
+  /// Nothing for a job that does not exist. Reads to the end of the log for an id that is not known here.
+  void QueryPhase(const std::string& job, absl::AnyInvocable<void(std::optional<workflow::JobPhase>)> callback);
+  int WaitingIn(std::string_view queue) const { return m_index.WaitingIn(queue); }
+  /// Null before the first configuration.
+  const QueueTable* queues() const { return m_queues ? &*m_queues : nullptr; }
+  bool IsReady(MonotonicTime now) const;
+  bool IsRefusing(MonotonicTime now) const { return m_submissions.IsRefusing(now); }
+  bool IsOwner() const { return m_owner != nullptr; }
+  const OwnerRole* owner() const { return m_owner.get(); }
+  const workflow::JobIndex& index() const { return m_index; }
+
+ private:
+  void OnSubmissionRecord(const KeyedRecord& record);
+  void OnProgressRecord(const KeyedRecord& record);
+  void OnOperatorRecord(const KeyedRecord& record);
+  void OnOperatorReset();
+  void ApplyLimits();
+  void ConsiderClaim();
+  void Claim();
+  void OnClaimed(const AppendAnswer& answer, std::unique_ptr<LogWriter> writer, const workflow::OwnerRecord& record);
+  void BeginOwnership();
+  void EndOwnership();
+  void Tick();
+
+  EventLoop& m_loop;
+  KeyedLog& m_log;
+  const Clock& m_clock;
+  const OperatorRecordDecoder& m_decoder;
+  const EntryNodeOptions m_options;
+  workflow::JobIndex m_index;
+  std::optional<QueueTable> m_queues;
+  absl::flat_hash_set<std::string> m_evacuated_zones;
+  OwnershipPolicy m_ownership;
+  MonotonicTime m_last_owner_sign;
+  SubmissionQueue m_submissions;
+  PartitionTail m_submission_tail;
+  PartitionTail m_progress_tail;
+  PartitionTail m_operator_tail;
+  bool m_claiming = false;
+  bool m_leaving = false;
+  std::int64_t m_progress_end = 0;  ///< while owner: end of the progress partition
+  std::unique_ptr<OwnerRole> m_owner;
+  EventLoop::TimerId m_timer;
+  std::shared_ptr<bool> m_alive;
+
+  Counter& m_accepted;
+  Counter& m_refused;
+  Counter& m_cancelled;
+  Counter& m_claims;
+  Gauge& m_is_owner;
+  Gauge& m_jobs;
+  Gauge& m_config_version;
+};
+
+}  // namespace berylgauge::control
--- /dev/null
+++ b/src/control/owner_role.cc
@@ -0,0 +1,301 @@
+#include "control/owner_role.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/event_log.h"
+#include "control/member_record.h"
+#include "workflow/record_keys.h"
+
+namespace berylgauge::control {
+
+using workflow::Batch;
+using workflow::PoolWorker;
+using workflow::StartOrder;
+using workflow::StopOrder;
+
+OwnerRole::OwnerRole(EventLoop& loop, KeyedLog& log, const Clock& clock, std::unique_ptr<LogWriter> writer,
+                     const workflow::JobIndex& index, OwnerRoleOptions options, Listener listener)
+    : m_loop(loop),
+      m_log(log),
+      m_clock(clock),
+      m_options(std::move(options)),
+      m_listener(std::move(listener)),
+      m_index(index),
+      m_writer(std::move(writer)),
+      m_signed_at(loop.Now()),
+      m_alive(std::make_shared<bool>(true)) {}
+
+OwnerRole::~OwnerRole() {
+  *m_alive = false;
+  m_loop.CancelTimer(m_timer);
+}
+
+void OwnerRole::Begin() {
+  const MonotonicTime now = m_loop.Now();
+  m_scheduler = std::make_unique<workflow::Scheduler>(m_options.scheduler, now);
+  m_scheduler->SetLimits(m_limits);
+  m_index.ForEachJob([&](const std::string& id, const workflow::JobIndex::Job& job) {
+    m_scheduler->AddJob(id, job, now);
+  });
+  LogEvent(LogLevel::kInfo, "owner_begins",
+           {{"epoch", m_options.record.epoch},
+            {"jobs", m_index.size()},
+            {"placed", m_scheduler->PlacedTasks()},
+            {"waiting", m_scheduler->WaitingTasks()}});
+  m_members = std::make_unique<PartitionTail>(
+      m_loop, m_log,
+      PartitionTailOptions{.partition = m_options.members, .wait = absl::Milliseconds(2000)},
+      PartitionTail::Listener{.on_record = [this](const KeyedRecord& record) { OnMember(record); },
+                              .on_reset = [] {},
+                              .on_end = [] {}});
+  m_members->Start();
+  Kick();
+}
+
+// ---- Events
+
+void OwnerRole::OnSubmission(const std::string& job) {
+  const workflow::JobIndex::Job* recorded = m_index.Find(job);
+  if (m_scheduler == nullptr || recorded == nullptr) return;
+  m_scheduler->AddJob(job, *recorded, m_loop.Now());
+  Kick();
+}
+
+void OwnerRole::OnCancellation(const std::string& job) {
+  if (m_scheduler == nullptr) return;
+  m_scheduler->CancelJob(job, m_loop.Now());
+  Kick();
+}
+
+void OwnerRole::SetLimits(workflow::PlacementLimits limits) {
+  m_limits = std::move(limits);
+  if (m_scheduler == nullptr) return;
+  m_scheduler->SetLimits(m_limits);
+  Kick();
+}
+
+void OwnerRole::HandOver(std::function<void()> done) {
+  m_handed_over = std::move(done);
+  m_handing_over = true;
+  Kick();
+}
+
+void OwnerRole::OnMember(const KeyedRecord& record) {
+  const Result<MemberRecord> member = DecodeMember(record.value);
+  if (!member) {
+    LogEvent(LogLevel::kWarning, "member_unreadable", {{"host", record.key}, {"reason", member.error().message}});
+    return;
+  }
+  std::unique_ptr<AgentLink>& link = m_links[record.key];
+  if (link != nullptr && link->options().address == member->address) return;
+  link = std::make_unique<AgentLink>(
+      m_loop, AgentLinkOptions{.host = record.key, .address = member->address, .port = member->port},
+      m_options.record.epoch, MakeLinkListener());
+  link->Start();
+}
+
+AgentLink::Listener OwnerRole::MakeLinkListener() {
+  AgentLink::Listener listener;
+  listener.on_prepare = [this](const std::string& host, bool with_traits, WatchRequest& request) {
+    const PoolWorker* worker = m_scheduler->FindWorker(host);
+    if (worker == nullptr) return;
+    request.life = worker->life;
+    request.acknowledged = worker->ends_durable;
+    if (IsValid(m_loop.Now())) request.lease_end_ms = m_scheduler->LeaseEndFor(*worker);
+    if (!with_traits) return;
+    for (const auto& [task, held] : worker->runs) {
+      const workflow::StepDefinition& step = *task.step->definition;
+      request.traits.push_back({.task = task.step->TaskNameOf(task.index),
+                                .fills_idle_cpu = step.fills_idle_cpu,
+                                .tail_target_ms = step.tail_target_ms});
+    }
+  };
+  listener.on_report = [this](const std::string& host, const workflow::WorkerReport& report) {
+    m_scheduler->OnReport(host, report, m_loop.Now());
+    Kick();
+  };
+  listener.on_orders_answer = [this](const OrdersRequest& request, const OrdersAnswer& answer) {
+    OnOrdersAnswer(request, answer);
+  };
+  listener.on_orders_failure = [this](const std::string& host, const OrdersRequest& request, const Failure& failure) {
+    OnOrdersFailure(host, request, failure);
+  };
+  // An append shows whether there is a newer owner in truth.
+  listener.on_stale = [this] {
+    m_signed_at = InfinitePast();
+    Kick();
+  };
+  return listener;
+}
+
+// ---- The cycle
+
+void OwnerRole::Kick() {
+  if (m_run_deferred) return;
+  m_run_deferred = true;
+  m_loop.Defer([this, alive = m_alive] {
+    if (!*alive) return;
+    m_run_deferred = false;
+    Run();
+  });
+}
+
+void OwnerRole::Run() {
+  if (m_deposed) return;
+  const MonotonicTime now = m_loop.Now();
+  if (m_scheduler != nullptr && !m_handing_over) {
+    m_scheduler->Advance(now, UnixNow());
+    SendStops(m_scheduler->TakeStops());
+  }
+  if (!m_writer->is_busy()) {
+    std::optional<Batch> batch;
+    if (m_scheduler != nullptr) batch = m_scheduler->TakeBatch(now);
+    if (batch) {
+      std::vector<KeyedRecord> records;
+      for (auto& [key, value] : batch->records) records.push_back({.key = std::move(key), .value = std::move(value)});
+      WriteBatch(std::move(records), false);
+    } else if (m_handing_over) {
+      workflow::OwnerRecord record = m_options.record;
+      record.holder.clear();
+      WriteBatch({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(record)}}, true);
+    } else if (now - m_signed_at >= m_options.sign_interval) {
+      WriteBatch({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(m_options.record)}}, true);
+    }
+  }
+  const MonotonicTime next = m_scheduler != nullptr ? m_scheduler->NextDeadline(now) : InfiniteFuture();
+  ScheduleRun(std::min(next, now + m_options.sign_interval));
+}
+
+void OwnerRole::ScheduleRun(MonotonicTime at) {
+  m_loop.CancelTimer(m_timer);
+  m_timer = m_loop.AddTimer(at, [this] { Run(); });
+}
+
+void OwnerRole::WriteBatch(std::vector<KeyedRecord> records, bool is_sign) {
+  m_signed_at = m_loop.Now();
+  std::vector<KeyedRecord> copy = records;
+  m_writer->Write(std::move(copy), std::nullopt, std::nullopt,
+                  [this, records = std::move(records), is_sign](const AppendAnswer& answer) {
+                    OnWritten(answer, records, is_sign);
+                  });
+}
+
+void OwnerRole::OnWritten(const AppendAnswer& answer, const std::vector<KeyedRecord>& records, bool is_sign) {
+  if (answer.outcome != AppendOutcome::kStored) {
+    LogEvent(LogLevel::kWarning, "owner_deposed",
+             {{"epoch", m_options.record.epoch},
+              {"outcome", kAppendOutcomeNames.NameOf(answer.outcome)},
+              {"reason", answer.detail}});
+    m_deposed = true;
+    m_listener.on_deposed();
+    return;
+  }
+  m_listener.on_stored(records, answer.end);
+  if (is_sign) {
+    if (m_handing_over && m_handed_over) std::exchange(m_handed_over, nullptr)();
+  } else {
+    const std::vector<std::string> retired = m_scheduler->RetiredInBatch();
+    SendStarts(m_scheduler->OnBatchDurable(m_loop.Now()));
+    if (!retired.empty()) m_listener.on_retired(retired);
+  }
+  Kick();
+}
+
+bool OwnerRole::IsValid(MonotonicTime now) const {
+  return !m_deposed && now - m_writer->proven_at() <= m_options.validity;
+}
+
+// ---- Orders
+
+void OwnerRole::SendStarts(std::vector<StartOrder> starts) {
+  if (m_handing_over) return;
+  absl::flat_hash_map<std::string, OrdersRequest> by_agent;
+  for (StartOrder& start : starts) {
+    const workflow::JobDefinition* job = m_scheduler->FindJob(start.job);
+    if (job == nullptr) continue;
+    OrdersRequest& request = by_agent[start.agent];
+    request.life = start.life;
+    const auto same_job = std::find_if(request.jobs.begin(), request.jobs.end(), [&](const JobStarts& other) {
+      return other.starts.front().job == start.job;
+    });
+    if (same_job != request.jobs.end()) {
+      same_job->starts.push_back(std::move(start));
+    } else {
+      request.jobs.push_back({.payload = job->payload, .starts = {std::move(start)}});
+    }
+  }
+  for (auto& [agent, request] : by_agent) SendTo(agent, std::move(request));
+}
+
+void OwnerRole::SendStops(std::vector<StopOrder> stops) {
+  absl::flat_hash_map<std::string, OrdersRequest> by_agent;
+  for (StopOrder& stop : stops) {
+    OrdersRequest& request = by_agent[stop.agent];
+    if (!request.stops.empty() && request.life != stop.life) continue;  // a former life; nothing of it is left
+    request.life = stop.life;
+    request.stops.push_back(std::move(stop));
+  }
+  for (auto& [agent, request] : by_agent) SendTo(agent, std::move(request));
+}
+
+void OwnerRole::SendTo(const std::string& agent, OrdersRequest request) {
+  const auto link = m_links.find(agent);
+  const PoolWorker* worker = m_scheduler->FindWorker(agent);
+  if (link == m_links.end() || worker == nullptr || worker->life != request.life) return;
+  if (!IsValid(m_loop.Now()) && !request.jobs.empty()) {
+    // Without a recent append this process may have a successor that waits for its last orders to end.
+    OnOrdersFailure(agent, request,
+                    {.code = FailureCode::kUnavailable, .message = "ownership is not proven", .field = {}});
+    return;
+  }
+  request.lease_end_ms = request.jobs.empty() ? 0 : m_scheduler->LeaseEndFor(*worker);
+  link->second->SendOrders(std::move(request));
+}
+
+void OwnerRole::OnOrdersAnswer(const OrdersRequest& request, const OrdersAnswer& answer) {
+  const MonotonicTime now = m_loop.Now();
+  for (const OrdersAnswer::Started& start : answer.starts) {
+    m_scheduler->OnStartAnswer(start.task, start.run, request.life, start.answer, now);
+  }
+  for (const OrdersAnswer::Stopped& stop : answer.stops) {
+    m_scheduler->OnStopAnswer(stop.task, stop.run, request.life, stop.end_listed, now);
+  }
+  Kick();
+}
+
+void OwnerRole::OnOrdersFailure(const std::string& agent, const OrdersRequest& request, const Failure& failure) {
+  LogEvent(LogLevel::kWarning, "orders_failed",
+           {{"host", agent},
+            {"worker", request.life.worker},
+            {"jobs", request.jobs.size()},
+            {"stops", request.stops.size()},
+            {"verdict", kVerdictNames.NameOf(failure.verdict)},
+            {"reason", failure.message}});
+  OrdersRequest again{.life = request.life, .jobs = {}, .stops = {}};
+  for (const JobStarts& job : request.jobs) {
+    for (const StartOrder& start : job.starts) {
+      if (failure.verdict == Verdict::kNotRun && !start.was_sent) {
+        m_scheduler->OnStartAnswer(start.task, start.run, request.life,
+                                   {.refusal = workflow::StartRefusal::kLate}, m_loop.Now());
+      } else if (m_scheduler->IsStarting(start)) {
+        JobStarts repeated{.payload = job.payload, .starts = {start}};
+        repeated.starts.front().was_sent = true;
+        again.jobs.push_back(std::move(repeated));
+      }
+    }
+  }
+  for (const StopOrder& stop : request.stops) {
+    if (m_scheduler->IsStopping(stop)) again.stops.push_back(stop);
+  }
+  Kick();
+  if (again.jobs.empty() && again.stops.empty()) return;
+  m_loop.AddTimer(m_loop.Now() + AgentLinkOptions{}.retry_pause,
+                  [this, agent, again = std::move(again), alive = m_alive]() mutable {
+                    if (*alive) SendTo(agent, std::move(again));
+                  });
+}
+
+std::int64_t OwnerRole::UnixNow() const { return absl::ToUnixMillis(m_clock.WallNow()); }
+
+}  // namespace berylgauge::control
--- /dev/null
+++ b/src/control/owner_role.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "control/agent_link.h"
+#include "control/keyed_log.h"
+#include "control/log_writer.h"
+#include "control/partition_tail.h"
+#include "transport/event_loop.h"
+#include "workflow/job_index.h"
+#include "workflow/scheduler.h"
+
+namespace berylgauge::control {
+
+struct OwnerRoleOptions {
+  workflow::OwnerRecord record;  ///< as claimed
+  LogPartition members;          ///< addresses of the agents
+  int agent_port = 0;
+  /// Time between two signs of life in the progress partition; other entries wait three times as long.
+  absl::Duration sign_interval = absl::Milliseconds(400);
+  /// Leases are granted and starts sent only while the newest successful append is younger than this.
+  absl::Duration validity = absl::Milliseconds(4500);
+  workflow::SchedulerOptions scheduler;
+};
+
+/// What the owner does: drives the scheduler, writes its batches, and talks to all agents. Used on the loop's thread.
+class OwnerRole {
+ public:
+  struct Listener {
+    /// Another entry has claimed the progress partition. The role must be destroyed soon.
+    std::function<void()> on_deposed;
+    /// These records of the progress partition are stored.
+    std::function<void(const std::vector<KeyedRecord>& records, std::int64_t end)> on_stored;
+    std::function<void(const std::vector<std::string>& jobs)> on_retired;
+  };
+
+  /// `writer` has stored the claim. `index` must outlive the role.
+  OwnerRole(EventLoop& loop, KeyedLog& log, const Clock& clock, std::unique_ptr<LogWriter> writer,
+            const workflow::JobIndex& index, OwnerRoleOptions options, Listener listener);
+  ~OwnerRole();
+
+  /// The submissions are complete as of the claim; begins to schedule.
+  void Begin();
+
+  void OnSubmission(const std::string& job);
+  void OnCancellation(const std::string& job);
+  void SetLimits(workflow::PlacementLimits limits);
+
+  /// Writes a record that lets another entry claim at once; `done` is called when it is stored or failed.
+  void HandOver(std::function<void()> done);
+
+  bool begun() const { return m_scheduler != nullptr; }
+  const workflow::Scheduler* scheduler() const { return m_scheduler.get(); }
+
+ private:
+  struct PendingOrders {
+    std::string agent;
+    OrdersRequest request;
+  };
+
+  void Kick();
+  void Run();
+  void ScheduleRun(MonotonicTime at);
+  void WriteBatch(std::vector<KeyedRecord> records, bool is_sign);
+  void OnWritten(const AppendAnswer& answer, const std::vector<KeyedRecord>& records, bool is_sign);
+  bool IsValid(MonotonicTime now) const;
+  void SendStarts(std::vector<workflow::StartOrder> starts);
+  void SendStops(std::vector<workflow::StopOrder> stops);
+  void SendTo(const std::string& agent, OrdersRequest request);
+  void OnMember(const KeyedRecord& record);
+  void OnOrdersAnswer(const OrdersRequest& request, const OrdersAnswer& answer);
+  void OnOrdersFailure(const std::string& agent, const OrdersRequest& request, const Failure& failure);
+  AgentLink::Listener MakeLinkListener();
+  std::int64_t UnixNow() const;
+
+  EventLoop& m_loop;
+  KeyedLog& m_log;
+  const Clock& m_clock;
+  const OwnerRoleOptions m_options;
+  Listener m_listener;
+  const workflow::JobIndex& m_index;
+  workflow::PlacementLimits m_limits;
+  std::unique_ptr<LogWriter> m_writer;
+  std::unique_ptr<workflow::Scheduler> m_scheduler;
+  std::unique_ptr<PartitionTail> m_members;
+  absl::flat_hash_map<std::string, std::unique_ptr<AgentLink>> m_links;
+  MonotonicTime m_signed_at;
+  bool m_run_deferred = false;
+  bool m_deposed = false;
+  bool m_handing_over = false;
+  std::function<void()> m_handed_over;
+  EventLoop::TimerId m_timer;
+  std::shared_ptr<bool> m_alive;
+};
+
+}  // namespace berylgauge::control
--- /dev/null
+++ b/src/control/partition_tail.cc
@@ -0,0 +1,197 @@
+#include "control/partition_tail.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/event_log.h"
+
+namespace berylgauge::control {
+namespace {
+
+/// Pause before a read is repeated after a failure; doubles up to the longest.
+constexpr absl::Duration kFirstRetryPause = absl::Milliseconds(50);
+constexpr absl::Duration kLongestRetryPause = absl::Milliseconds(400);
+
+/// Longest factor by which repeated timeouts extend the timeout of a read.
+constexpr int kMaxTimeoutFactor = 4;
+
+}  // namespace
+
+PartitionTail::PartitionTail(EventLoop& loop, KeyedLog& log, PartitionTailOptions options, Listener listener)
+    : m_loop(loop),
+      m_log(log),
+      m_options(std::move(options)),
+      m_listener(std::move(listener)),
+      m_alive(std::make_shared<bool>(true)) {}
+
+PartitionTail::~PartitionTail() {
+  *m_alive = false;
+  m_loop.CancelTimer(m_timer);
+}
+
+void PartitionTail::Start() { LoadPage({}); }
+
+void PartitionTail::Pause() {
+  m_paused = true;
+  ++m_generation;
+  m_loop.CancelTimer(m_timer);
+}
+
+void PartitionTail::Resume(std::int64_t position) {
+  if (!m_paused) return;
+  m_paused = false;
+  m_position = std::max(m_position, position);
+  Read();
+}
+
+void PartitionTail::LoadPage(const std::string& after) {
+  if (after.empty()) {
+    m_pages.clear();
+    m_load_begun = m_loop.Now();
+  }
+  const MonotonicTime begun = m_loop.Now();
+  const int factor = std::min(1 + m_failures, kMaxTimeoutFactor);
+  m_log.ReadNewest(m_options.partition, after, m_options.answer_timeout * factor,
+                   [this, begun, generation = m_generation, alive = m_alive](Result<LogNewestPage> page) {
+                     if (*alive && generation == m_generation) OnPage(std::move(page), begun);
+                   });
+}
+
+void PartitionTail::OnPage(Result<LogNewestPage> page, MonotonicTime begun) {
+  if (!page) {
+    RetryLater(page.error());
+    return;
+  }
+  m_failures = 0;
+  m_answered_at = m_loop.Now();
+  if (m_pages.empty() && begun == m_load_begun) m_first_page_end = page->end;
+  m_last_page_end = page->end;
+  for (KeyedRecord& record : page->records) m_pages.push_back(std::move(record));
+  if (page->next_after) {
+    LoadPage(*page->next_after);
+    return;
+  }
+  m_listener.on_reset();
+  m_loaded_offsets.clear();
+  const bool is_snapshot = m_first_page_end == m_last_page_end;
+  for (const KeyedRecord& record : m_pages) {
+    m_listener.on_record(record);
+    if (!is_snapshot) m_loaded_offsets[record.key] = record.offset;
+  }
+  LogEvent(LogLevel::kInfo, "partition_loaded",
+           {{"topic", m_options.partition.topic},
+            {"partition", m_options.partition.number},
+            {"records", m_pages.size()},
+            {"end", m_first_page_end}});
+  m_pages.clear();
+  m_pages.shrink_to_fit();
+  m_position = m_first_page_end;
+  m_loaded = true;
+  if (is_snapshot) {
+    m_complete_as_of = m_load_begun;
+    m_at_end = true;
+    m_listener.on_end();
+  }
+  ScheduleRead(absl::ZeroDuration());
+}
+
+void PartitionTail::ScheduleRead(absl::Duration delay) {
+  if (m_paused) return;
+  const MonotonicTime earliest = m_read_begun + m_options.min_interval;
+  const MonotonicTime at = std::max(m_loop.Now() + delay, earliest);
+  if (at <= m_loop.Now()) {
+    Read();
+    return;
+  }
+  m_loop.CancelTimer(m_timer);
+  m_timer = m_loop.AddTimer(at, [this] { Read(); });
+}
+
+void PartitionTail::Read() {
+  if (m_paused) return;
+  if (!m_loaded) {
+    LoadPage({});
+    return;
+  }
+  m_read_begun = m_loop.Now();
+  const int factor = std::min(1 + m_failures, kMaxTimeoutFactor);
+  m_log.Read(m_options.partition, m_position, m_options.wait, m_options.wait + m_options.answer_timeout * factor,
+             [this, begun = m_read_begun, generation = m_generation, alive = m_alive](Result<LogReadAnswer> answer) {
+               if (*alive && generation == m_generation) OnRead(std::move(answer), begun);
+             });
+}
+
+void PartitionTail::OnRead(Result<LogReadAnswer> answer, MonotonicTime begun) {
+  if (!answer) {
+    RetryLater(answer.error());
+    return;
+  }
+  m_failures = 0;
+  m_answered_at = m_loop.Now();
+  if (answer->expired) {
+    LogEvent(LogLevel::kInfo, "history_expired",
+             {{"topic", m_options.partition.topic},
+              {"partition", m_options.partition.number},
+              {"position", m_position}});
+    m_loaded = false;
+    LoadPage({});
+    return;
+  }
+  Apply(*answer, begun);
+  ScheduleRead(absl::ZeroDuration());
+}
+
+void PartitionTail::Apply(const LogReadAnswer& answer, MonotonicTime begun) {
+  for (const KeyedRecord& record : answer.records) {
+    if (record.offset < m_position) continue;
+    m_position = record.offset + 1;
+    const auto loaded = m_loaded_offsets.find(record.key);
+    if (loaded != m_loaded_offsets.end() && record.offset <= loaded->second) continue;
+    m_listener.on_record(record);
+  }
+  if (m_position >= m_last_page_end) m_loaded_offsets.clear();
+  m_at_end = m_position >= answer.end;
+  if (m_at_end) {
+    // A read that waited for a record was complete when it began; a later one shows what came meanwhile.
+    m_complete_as_of = std::max(m_complete_as_of, begun);
+    m_listener.on_end();
+  }
+}
+
+void PartitionTail::RetryLater(const Failure& failure) {
+  ++m_failures;
+  if (m_failures == 2) {
+    LogEvent(LogLevel::kWarning, "store_read_failing",
+             {{"topic", m_options.partition.topic},
+              {"partition", m_options.partition.number},
+              {"reason", failure.message}});
+  }
+  absl::Duration pause = kFirstRetryPause;
+  for (int i = 1; i < m_failures && pause < kLongestRetryPause; ++i) pause *= 2;
+  if (m_paused) return;
+  m_loop.CancelTimer(m_timer);
+  m_timer = m_loop.AddTimer(m_loop.Now() + std::min(pause, kLongestRetryPause), [this] { Read(); });
+}
+
+void PartitionTail::ReadToEnd(absl::Duration timeout, absl::AnyInvocable<void(bool)> callback) {
+  if (!m_loaded) {
+    m_loop.Defer([callback = std::move(callback)]() mutable { callback(false); });
+    return;
+  }
+  const MonotonicTime begun = m_loop.Now();
+  m_log.Read(
+      m_options.partition, m_position, absl::ZeroDuration(), timeout,
+      [this, begun, alive = m_alive, callback = std::move(callback)](Result<LogReadAnswer> answer) mutable {
+        if (!*alive) return;
+        if (!answer || answer->expired) {
+          callback(false);
+          return;
+        }
+        m_answered_at = m_loop.Now();
+        // The regular read may have passed this one's start, so records are skipped that were applied meanwhile.
+        Apply(*answer, begun);
+        callback(m_position >= answer->end);
+      });
+}
+
+}  // namespace berylgauge::control
--- /dev/null
+++ b/src/control/submission_queue.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <absl/functional/any_invocable.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "control/keyed_log.h"
+#include "control/log_writer.h"
+#include "transport/event_loop.h"
+
+namespace berylgauge::control {
+
+struct SubmissionQueueOptions {
+  std::size_t max_batch_records = 200;
+  std::size_t max_batch_bytes = std::size_t{1} << 20;  ///< half of what the platform takes in one call
+  std::size_t max_waiting = 2000;
+  /// A submission of which nothing can have been stored is refused after this time, while the client can still try
+  /// another entry within its deadline (3 s).
+  absl::Duration give_up_after = absl::Milliseconds(700);
+  /// Submissions are refused at once while the store has refused appends for this long.
+  absl::Duration refuse_after_failing = absl::Milliseconds(700);
+};
+
+/// Joins what the requests of an entry write to the submissions partition into batches.
+class SubmissionQueue {
+ public:
+  /// `kStored`, or `kNothingDone` if the records were not stored and never will be. While neither is certain, the
+  /// callback is not called.
+  using Callback = absl::AnyInvocable<void(AppendOutcome)>;
+
+  SubmissionQueue(EventLoop& loop, KeyedLog& log, LogWriterOptions writer, const SubmissionQueueOptions& options = {});
+
+  void Add(std::vector<KeyedRecord> records, Callback callback);
+
+  /// Whether a new submission would be refused at once.
+  bool IsRefusing(MonotonicTime now) const;
+  std::size_t size() const { return m_waiting.size() + m_sent.size(); }
+
+ private:
+  struct Item {
+    std::vector<KeyedRecord> records;
+    Callback callback;
+  };
+
+  void Flush();
+  void OnWritten(const AppendAnswer& answer);
+
+  EventLoop& m_loop;
+  const SubmissionQueueOptions m_options;
+  LogWriter m_writer;
+  std::deque<Item> m_waiting;
+  std::vector<Item> m_sent;
+  bool m_flush_deferred = false;
+  std::shared_ptr<bool> m_alive;
+};
+
+}  // namespace berylgauge::control
--- a/src/daemon/agent/agent_node.cc
+++ b/src/daemon/agent/agent_node.cc
@@ -3,12 +3,12 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "clients/http_endpoint_client.h"
+#include "clients/http_worker_client.h"
 #include "daemon/common/authority_of.h"
 #include "daemon/common/await_drained.h"
 #include "daemon/common/random_incarnation.h"
 #include "daemon/common/stream_clients.h"
-#include "platform/http_endpoint_client.h"
-#include "platform/http_worker_client.h"
 #include "transport/make_stream_server.h"
 #include "web/json_error_response.h"
 
--- a/src/daemon/agent/agent_node.h
+++ b/src/daemon/agent/agent_node.h
@@ -6,6 +6,8 @@
 
 #include "base/clock.h"
 #include "base/metrics.h"
+#include "clients/http_client.h"
+#include "clients/worker_client.h"
 #include "daemon/agent/agent_core.h"
 #include "daemon/agent/attempt_service.h"
 #include "daemon/agent/heartbeat_sender.h"
@@ -13,8 +15,6 @@
 #include "daemon/agent/worker_driver.h"
 #include "daemon/common/node.h"
 #include "daemon/common/periodic_thread.h"
-#include "platform/http_client.h"
-#include "platform/worker_client.h"
 #include "settings/daemon_settings.h"
 #include "transport/event_loop.h"
 #include "transport/stream_server.h"
--- a/src/daemon/agent/request_forwarder.h
+++ b/src/daemon/agent/request_forwarder.h
@@ -8,9 +8,9 @@
 #include <string>
 
 #include "base/monotonic_time.h"
+#include "clients/endpoint_client.h"
 #include "daemon/common/thread_pool.h"
 #include "daemon/messages/request_messages.h"
-#include "platform/endpoint_client.h"
 #include "routing/agent_request_gate.h"
 #include "transport/stream_server.h"
 
--- a/src/daemon/agent/worker_driver.cc
+++ b/src/daemon/agent/worker_driver.cc
@@ -2,8 +2,8 @@
 
 #include "base/clock.h"
 #include "base/event_log.h"
+#include "clients/worker_client.h"
 #include "daemon/agent/agent_core.h"
-#include "platform/worker_client.h"
 
 namespace berylgauge {
 
--- a/src/daemon/common/node.h
+++ b/src/daemon/common/node.h
@@ -12,6 +12,9 @@
   /// Opens the listeners and starts working.
   virtual Result<void> Start() = 0;
 
+  /// The settings file may have changed; what cannot change while the process runs is logged and left as it is.
+  virtual void Reload() {}
+
   /// Shuts down gracefully: announces leaving, takes nothing new, finishes what is under way. Returns true if
   /// everything was finished within the limit.
   virtual bool Shutdown() = 0;
--- a/src/daemon/entry/entry_node.cc
+++ b/src/daemon/entry/entry_node.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "base/event_log.h"
+#include "clients/http_log_client.h"
 #include "daemon/common/authority_of.h"
 #include "daemon/common/await_drained.h"
 #include "daemon/common/random_incarnation.h"
@@ -11,7 +12,6 @@
 #include "daemon/entry/worker_view_of.h"
 #include "daemon/messages/heartbeat_path.h"
 #include "daemon/messages/members_records.h"
-#include "platform/http_log_client.h"
 #include "transport/make_stream_server.h"
 
 namespace berylgauge {
--- a/src/daemon/entry/entry_node.h
+++ b/src/daemon/entry/entry_node.h
@@ -10,6 +10,8 @@
 
 #include "base/clock.h"
 #include "base/metrics.h"
+#include "clients/http_client.h"
+#include "clients/log_client.h"
 #include "daemon/common/node.h"
 #include "daemon/common/periodic_thread.h"
 #include "daemon/entry/agent_clients.h"
@@ -22,8 +24,6 @@
 #include "daemon/entry/request_router.h"
 #include "daemon/entry/share_map.h"
 #include "daemon/entry/worker_directory.h"
-#include "platform/http_client.h"
-#include "platform/log_client.h"
 #include "schedule/placer.h"
 #include "settings/daemon_settings.h"
 #include "transport/event_loop.h"
--- a/src/daemon/entry/idempotency_key.h
+++ b/src/daemon/entry/idempotency_key.h
@@ -4,8 +4,8 @@
 #include <string>
 
 #include "base/failure.h"
-#include "platform/endpoint_client.h"
-#include "platform/header_list.h"
+#include "clients/endpoint_client.h"
+#include "clients/header_list.h"
 #include "state/claims_records.h"
 #include "web/web_server.h"
 
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -2,6 +2,7 @@
 #include <pthread.h>
 #include <signal.h>
 
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -10,6 +11,8 @@
 #include "base/event_log.h"
 #include "daemon/agent/agent_node.h"
 #include "daemon/entry/entry_node.h"
+#include "platform/platform_node.h"
+#include "platform/platform_settings.h"
 #include "settings/settings_reader.h"
 
 namespace {
@@ -25,11 +28,13 @@
 
 Usage:
   berylgauged [--check] SETTINGS
+  berylgauged [--check] --platform
   berylgauged (-h | --help)
   berylgauged --version
 
 Options:
   --check    Check the settings and exit.
+  --platform Run on the shared platform; the variable BERYLGAUGE_BOOT names its settings file.
   -h --help  Show this text.
   --version  Show the version.
 
@@ -39,6 +44,8 @@
   2  wrong usage or settings
 )";
 
+constexpr const char* kPlatformSettingsVariable = "BERYLGAUGE_BOOT";
+
 constexpr int kExitDone = 0;
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
@@ -55,10 +62,27 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   return signals;
 }
 
+/// Runs the node until a signal ends it.
+int RunNode(berylgauge::Node& node) {
+  const sigset_t signals = BlockSignals();
+  const berylgauge::Result<void> started = node.Start();
+  if (!started) {
+    LogEvent(LogLevel::kError, "start_failed", {{"reason", started.error().message}});
+    return kExitFailed;
+  }
+  int received = 0;
+  while (sigwait(&signals, &received) == 0 && received == SIGHUP) node.Reload();
+  LogEvent(LogLevel::kInfo, "stopping", {{"signal", received}});
+  const bool finished = node.Shutdown();
+  LogEvent(LogLevel::kInfo, "stopped", {{"finished", finished}});
+  return finished ? kExitDone : kExitFailed;
+}
+
 int Run(const std::string& path, bool check_only) {
   const std::vector<berylgauge::JsonError> errors = berylgauge::CheckSettings(path);
   for (const berylgauge::JsonError& error : errors) std::cerr << error.path << ": " << error.message << "\n";
@@ -70,18 +94,23 @@
     return kExitUsage;
   }
   berylgauge::InitEventLog(settings->node_id, settings->log_level);
-  const sigset_t signals = BlockSignals();
-  const std::unique_ptr<berylgauge::Node> node = MakeNode(*settings);
-  const berylgauge::Result<void> started = node->Start();
-  if (!started) {
-    LogEvent(LogLevel::kError, "start_failed", {{"reason", started.error().message}});
-    return kExitFailed;
+  return RunNode(*MakeNode(*settings));
+}
+
+int RunOnPlatform(bool check_only) {
+  const char* path = std::getenv(kPlatformSettingsVariable);
+  if (path == nullptr) {
+    std::cerr << kPlatformSettingsVariable << " is not set\n";
+    return kExitUsage;
   }
-  int received = 0;
-  sigwait(&signals, &received);
-  const bool finished = node->Shutdown();
-  LogEvent(LogLevel::kInfo, "stopped", {{"finished", finished}});
-  return finished ? kExitDone : kExitFailed;
+  const auto settings = berylgauge::platform::LoadPlatformSettings(path);
+  if (!settings) {
+    std::cerr << path << ": " << settings.error().field << ": " << settings.error().message << "\n";
+    return kExitUsage;
+  }
+  if (check_only) return kExitDone;
+  berylgauge::InitEventLog(settings->host, LogLevel::kInfo, berylgauge::LogTarget::kStandardOutput);
+  return RunNode(*berylgauge::platform::MakePlatformNode(*settings, path));
 }
 
 }  // namespace
@@ -89,6 +118,7 @@
 int main(int argc, char** argv) {
   try {
     const auto arguments = docopt::docopt_parse(kUsage, {argv + 1, argv + argc}, true, true);
+    if (arguments.at("--platform").asBool()) return RunOnPlatform(arguments.at("--check").asBool());
     return Run(arguments.at("SETTINGS").asString(), arguments.at("--check").asBool());
   } catch (const docopt::DocoptExitHelp&) {
     std::cout << kUsage;
--- a/src/daemon/messages/request_messages.h
+++ b/src/daemon/messages/request_messages.h
@@ -6,7 +6,7 @@
 
 #include "base/failure.h"
 #include "base/ids.h"
-#include "platform/endpoint_client.h"
+#include "clients/endpoint_client.h"
 #include "transport/message_types.h"
 
 namespace berylgauge {
--- a/src/daemon/streams/snapshot_writer.cc
+++ b/src/daemon/streams/snapshot_writer.cc
@@ -3,8 +3,8 @@
 #include <absl/time/time.h>
 
 #include "base/event_log.h"
+#include "clients/log_client.h"
 #include "daemon/common/random_incarnation.h"
-#include "platform/log_client.h"
 #include "state/snapshot.h"
 
 namespace berylgauge {
--- a/src/daemon/streams/stream_follower.cc
+++ b/src/daemon/streams/stream_follower.cc
@@ -5,8 +5,8 @@
 
 #include "base/clock.h"
 #include "base/event_log.h"
+#include "clients/log_client.h"
 #include "daemon/streams/fold_target.h"
-#include "platform/log_client.h"
 #include "state/batch.h"
 #include "state/snapshot.h"
 
--- a/src/daemon/streams/stream_writer.cc
+++ b/src/daemon/streams/stream_writer.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "base/event_log.h"
-#include "platform/log_client.h"
+#include "clients/log_client.h"
 #include "state/batch.h"
 
 namespace berylgauge {
--- a/src/schedule/attempt_table.h
+++ b/src/schedule/attempt_table.h
@@ -15,7 +15,7 @@
 #include "base/failure.h"
 #include "base/ids.h"
 #include "base/monotonic_time.h"
-#include "platform/worker_client.h"
+#include "clients/worker_client.h"
 #include "schedule/attempt_answer.h"
 #include "schedule/attempt_key.h"
 #include "schedule/freshness_proof.h"
--- a/src/schedule/worker_command.h
+++ b/src/schedule/worker_command.h
@@ -4,7 +4,7 @@
 
 #include "base/enum_names.h"
 #include "base/monotonic_time.h"
-#include "platform/worker_client.h"
+#include "clients/worker_client.h"
 #include "schedule/attempt_key.h"
 
 namespace berylgauge {
--- a/src/web/json_error_response.cc
+++ b/src/web/json_error_response.cc
@@ -22,6 +22,7 @@
     case FailureCode::kCorrupt:
       return 502;
     case FailureCode::kOverloaded:
+    case FailureCode::kConnectionRefused:
     case FailureCode::kUnavailable:
       return 503;
     case FailureCode::kDeadlineExceeded:
--- /dev/null
+++ b/src/workflow/placement_policy.cc
@@ -0,0 +1,89 @@
+#include "workflow/placement_policy.h"
+
+#include <algorithm>
+
+namespace berylgauge::workflow {
+namespace {
+
+/// Added to the score of a worker outside the rack of the data, or on which the task failed before. Larger than any
+/// other term, so that such a worker is the last choice.
+constexpr double kLastResortPenalty = 1e6;
+
+int TasksOfStepOn(const WorkflowStep& step, const PoolWorker& worker) {
+  int count = 0;
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    const TaskProgress& task = step.tasks[i];
+    if (task.state == TaskState::kPlaced && task.worker == worker.life.worker) ++count;
+  }
+  return count;
+}
+
+bool HasLabel(const PoolWorker& worker, const std::string& label) {
+  return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+}
+
+}  // namespace
+
+PoolWorker* PlacementPolicy::Choose(const WorkflowStep& step, int index, const std::vector<PoolWorker*>& workers,
+                                    const PlacementLimits& limits, MonotonicTime now) const {
+  PoolWorker* best = nullptr;
+  double best_score = 0;
+  for (PoolWorker* worker : workers) {
+    if (!HasRoom(step, *worker) || !IsEligible(step, *worker, limits, now)) continue;
+    const double score = Score(step, index, *worker);
+    if (best != nullptr && score >= best_score) continue;
+    best = worker;
+    best_score = score;
+  }
+  return best;
+}
+
+bool PlacementPolicy::IsEligible(const WorkflowStep& step, const PoolWorker& worker, const PlacementLimits& limits,
+                                 MonotonicTime now) const {
+  const StepDefinition& definition = *step.definition;
+  if (!worker.reconciled || worker.condition != WorkerCondition::kReady) return false;
+  if (worker.service != step.job->definition.queue.service) return false;
+  if (now < worker.avoid_until) return false;
+  if (limits.evacuated_zones.contains(worker.zone)) return false;
+  if (!definition.required_label.empty() && !HasLabel(worker, definition.required_label)) return false;
+  return definition.max_per_worker == 0 || TasksOfStepOn(step, worker) < definition.max_per_worker;
+}
+
+bool PlacementPolicy::HasRoom(const WorkflowStep& step, const PoolWorker& worker) const {
+  const StepDefinition& definition = *step.definition;
+  const Resources free = worker.Free();
+  Resources demand = definition.demand;
+  if (definition.fills_idle_cpu) {
+    demand.cpu_millis = 0;
+    if (!demand.FitsIn(free)) return false;
+    const double needed = m_options.filling_share * static_cast<double>(definition.demand.cpu_millis);
+    return static_cast<double>(worker.filling_cpu) + needed <= IdleCpu(worker);
+  }
+  if (!demand.FitsIn(free)) return false;
+  if (!definition.long_running) return true;
+  return free.cpu_millis >= demand.cpu_millis + m_options.short_task_reserve_cpu;
+}
+
+double PlacementPolicy::IdleCpu(const PoolWorker& worker) const {
+  const auto capacity = static_cast<double>(worker.capacity.cpu_millis);
+  const auto serving = static_cast<double>(worker.serving_cpu);
+  const double other = static_cast<double>(worker.reserved.cpu_millis) - serving;
+  return capacity - other - m_options.serving_use * serving;
+}
+
+double PlacementPolicy::Score(const WorkflowStep& step, int index, const PoolWorker& worker) const {
+  const StepDefinition& definition = *step.definition;
+  double score = 0;
+  if (!definition.data_rack.empty() && !HasLabel(worker, definition.data_rack)) score += kLastResortPenalty;
+  const std::vector<std::string>& avoid = step.runtimes[static_cast<std::size_t>(index)].avoid;
+  if (std::find(avoid.begin(), avoid.end(), worker.life.worker) != avoid.end()) score += 2 * kLastResortPenalty;
+  const auto free_cpu = static_cast<double>(worker.Free().cpu_millis);
+  if (definition.fills_idle_cpu) {
+    const double idle = IdleCpu(worker) - static_cast<double>(worker.filling_cpu);
+    return score - idle + m_options.serving_penalty_cpu * worker.serving_tasks;
+  }
+  // Tasks that last are packed, so that large holes remain for others; short ones go where most is free.
+  return definition.long_running ? score + free_cpu : score - free_cpu;
+}
+
+}  // namespace berylgauge::workflow
--- /dev/null
+++ b/src/workflow/placement_policy.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <absl/container/flat_hash_set.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/monotonic_time.h"
+#include "workflow/worker_pool.h"
+
+namespace berylgauge::workflow {
+
+/// What restricts placement at present, beyond the state of the workers.
+struct PlacementLimits {
+  absl::flat_hash_set<std::string> evacuated_zones;  ///< nothing is placed there
+};
+
+struct PlacementOptions {
+  /// Processor time that tasks that last leave free on each worker, so that short tasks do not wait for them. Two
+  /// typical short tasks of both sites fit (240 thousandths each), with room for their spread.
+  std::int64_t short_task_reserve_cpu = 1200;
+  /// Share of their demand that serving tasks use on average; filling tasks get the rest.
+  double serving_use = 0.6;
+  /// Part of its demand for which a filling task must find idle processors.
+  double filling_share = 0.6;
+  /// Weight of one serving task against one core of idle processors when a worker for a filling task is chosen.
+  double serving_penalty_cpu = 700;
+};
+
+/// Chooses the worker for a task. Pure: it depends on its arguments only.
+class PlacementPolicy {
+ public:
+  explicit PlacementPolicy(const PlacementOptions& options = {}) : m_options(options) {}
+
+  /// The best worker for one more task of the step, or null if none may run it now.
+  PoolWorker* Choose(const WorkflowStep& step, int index, const std::vector<PoolWorker*>& workers,
+                     const PlacementLimits& limits, MonotonicTime now) const;
+
+  /// Whether the worker may run the task at all at present, whatever its load.
+  bool IsEligible(const WorkflowStep& step, const PoolWorker& worker, const PlacementLimits& limits,
+                  MonotonicTime now) const;
+
+  /// Whether the worker has room for one more task of the step.
+  bool HasRoom(const WorkflowStep& step, const PoolWorker& worker) const;
+
+  /// Processors that tasks with counted demand are expected to leave idle, in thousandths of a core.
+  double IdleCpu(const PoolWorker& worker) const;
+
+ private:
+  double Score(const WorkflowStep& step, int index, const PoolWorker& worker) const;
+
+  PlacementOptions m_options;
+};
+
+}  // namespace berylgauge::workflow
--- /dev/null
+++ b/src/workflow/scheduler.h
@@ -0,0 +1,170 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "base/monotonic_time.h"
+#include "schedule/worker_quarantine.h"
+#include "workflow/job_index.h"
+#include "workflow/orders.h"
+#include "workflow/placement_policy.h"
+#include "workflow/worker_pool.h"
+#include "workflow/worker_report.h"
+#include "workflow/workflow_job.h"
+
+namespace berylgauge::workflow {
+
+struct SchedulerOptions {
+  /// Length of the lease that is granted from each reading of a worker's clock. Shorter than the platform's longest
+  /// lease (6 s at the smaller sites) and than the time after which a lasting task must run again (6 s).
+  absl::Duration lease = absl::Milliseconds(4500);
+  /// Factor for worker clocks that are slow: the platform allows 2%, and 1% is added for rounding.
+  double clock_tolerance = 1.03;
+  /// Longest time for which a former owner may have gone on granting leases after this owner's claim.
+  absl::Duration former_owner_grants = absl::Milliseconds(4500);
+  /// How long a finished job is kept for clients that ask for its state.
+  absl::Duration retention = absl::Seconds(130);
+  /// Pause before a task runs again after its first failure; doubles up to the longest.
+  absl::Duration first_retry_pause = absl::Milliseconds(20);
+  absl::Duration longest_retry_pause = absl::Seconds(2);
+  /// Pause of a worker that refused a start because it is unhealthy or has less room than recorded.
+  absl::Duration refusal_pause = absl::Milliseconds(300);
+  /// A worker is taken out when this many different jobs failed on it in a row.
+  WorkerQuarantineOptions quarantine = {
+      .failed_jobs = 3, .first_pause = absl::Seconds(3), .longest_pause = absl::Seconds(30)};
+  PlacementOptions placement;
+};
+
+/// Counters of decisions, for metrics.
+struct SchedulerCounts {
+  std::uint64_t placements = 0;
+  std::uint64_t ends_done = 0;
+  std::uint64_t ends_failed = 0;
+  std::uint64_t ends_lost = 0;      ///< lapsed leases, lives that ended, runs that never began
+  std::uint64_t ends_other = 0;
+  std::uint64_t refused_starts = 0;
+  std::uint64_t jobs_done = 0;
+  std::uint64_t jobs_failed = 0;
+};
+
+/// Decides which task runs where; the heart of the owner.
+///
+/// It does no I/O: events go in, batches of records and orders come out. The caller writes a batch to the store, calls
+/// `OnBatchDurable`, and only then sends the orders of that batch. One batch is under way at a time.
+class Scheduler {
+ public:
+  explicit Scheduler(const SchedulerOptions& options, MonotonicTime now);
+
+  // Commands: what happened.
+
+  /// Takes a job over as recorded, or a new one. Does nothing for a job that is known, has ended or is corrupt.
+  void AddJob(const std::string& id, const JobIndex::Job& recorded, MonotonicTime now);
+  void CancelJob(std::string_view id, MonotonicTime now);
+  void SetLimits(PlacementLimits limits) { m_limits = std::move(limits); }
+  void OnReport(const std::string& agent, const WorkerReport& report, MonotonicTime now);
+  void OnStartAnswer(const std::string& task, int run, const WorkerLife& life, const StartAnswer& answer,
+                     MonotonicTime now);
+  /// A stop was answered: the run is listed as ended, or will never be there.
+  void OnStopAnswer(const std::string& task, int run, const WorkerLife& life, bool present, MonotonicTime now);
+  /// Leases that lapsed, occurrences that are due, retries, then placement. `unix_now_ms` is the time of day.
+  void Advance(MonotonicTime now, std::int64_t unix_now_ms);
+
+  /// Everything that changed since the last batch; nothing if there is no change or a batch is under way.
+  std::optional<Batch> TakeBatch(MonotonicTime now);
+  /// The records of the batch are stored. Returns the starts to send.
+  std::vector<StartOrder> OnBatchDurable(MonotonicTime now);
+  /// Stops that are due; each is returned once until its answer.
+  std::vector<StopOrder> TakeStops();
+
+  // Queries.
+
+  /// Whether the start may still be sent: nothing that forbids it has happened since it was decided.
+  bool MaySend(const StartOrder& order);
+  /// Until which reading of its own clock the worker may keep its runs; 0 if none is known.
+  std::int64_t LeaseEndFor(const PoolWorker& worker) const;
+  /// Whether the start is still under way.
+  bool IsStarting(const StartOrder& order);
+  bool IsStopping(const StopOrder& order);
+  const JobDefinition* FindJob(std::string_view id) const;
+  /// Jobs whose records are removed by the batch under way.
+  std::vector<std::string> RetiredInBatch() const;
+  const PoolWorker* FindWorker(std::string_view agent) { return m_workers.Find(agent); }
+  /// When `Advance` has to be called next without another event.
+  MonotonicTime NextDeadline(MonotonicTime now) const;
+  const SchedulerCounts& counts() const { return m_counts; }
+  std::size_t WaitingTasks() const;
+  std::size_t PlacedTasks() const;
+
+ private:
+  struct ByUrgency {
+    bool operator()(const WorkflowStep* a, const WorkflowStep* b) const;
+  };
+
+  void AddOccurrence(WorkflowJob& job, std::int64_t occurrence, const JobIndex::Job* recorded, MonotonicTime now);
+  void RefreshReadySteps(WorkflowJob& job, std::vector<std::unique_ptr<WorkflowStep>>& steps);
+  absl::Duration LongestChain(const JobDefinition& job) const;
+  WorkflowStep* FindStep(const StepName& name);
+  std::optional<TaskRef> FindRun(const std::string& task, int run, const WorkerLife& life);
+
+  void ApplyEnd(const WorkerLife& life, const RunEnd& end, MonotonicTime now);
+  void FinishRun(TaskRef task, RunEndKind kind, const std::string& checkpoint, MonotonicTime now);
+  void LoseRun(TaskRef task, MonotonicTime now);
+  void Release(TaskRef task, const std::string& checkpoint);
+  void CountFailure(TaskRef task, MonotonicTime now);
+  void AfterTaskDone(WorkflowStep& step, MonotonicTime now);
+  void SettleGang(WorkflowStep& step, int ended_index, RunEndKind kind, MonotonicTime now);
+  void EndJob(WorkflowJob& job, JobPhase phase, MonotonicTime now);
+  void ForgetIfIdle(WorkflowJob& job, MonotonicTime now);
+
+  void StartLife(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
+  void LoseAllRuns(PoolWorker& worker, MonotonicTime now);
+  void CompareRuns(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
+  void MoveLastingTasks(PoolWorker& worker, MonotonicTime now);
+  void NoteProgress(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
+  void LapseLeases(MonotonicTime now);
+  void LapseFormerWorkers(MonotonicTime now);
+  void CreateDueOccurrences(MonotonicTime now, std::int64_t unix_now_ms);
+  void PlaceWaiting(MonotonicTime now);
+  bool PlaceGang(WorkflowStep& step, const std::vector<PoolWorker*>& candidates, MonotonicTime now);
+  void Place(WorkflowStep& step, int index, PoolWorker& worker, int run, MonotonicTime now);
+  void OrderStop(TaskRef task, MonotonicTime now);
+  void MarkChanged(WorkflowStep& step);
+  void UpdateWaiting(WorkflowStep& step);
+  void RetireJobs(MonotonicTime now);
+
+  const SchedulerOptions m_options;
+  const MonotonicTime m_claimed_at;
+  PlacementPolicy m_policy;
+  PlacementLimits m_limits;
+  WorkerPool m_workers;
+  WorkerQuarantine m_quarantine;
+  absl::flat_hash_map<std::string, std::unique_ptr<WorkflowJob>> m_jobs;
+  std::set<WorkflowStep*, ByUrgency> m_waiting;       ///< ready steps with a task that waits
+  std::set<WorkflowJob*> m_scheduled;                 ///< jobs with occurrences to come
+  absl::flat_hash_map<std::string, MonotonicTime> m_retire_at;  ///< finished jobs
+  std::vector<WorkflowStep*> m_changed_steps;
+  std::vector<WorkflowJob*> m_changed_jobs;
+  std::vector<std::pair<std::string, std::string>> m_final_records;  ///< summaries of jobs that were forgotten
+  std::vector<std::string> m_removed_keys;
+  std::vector<std::string> m_retired_jobs;
+  std::vector<StartOrder> m_new_starts;      ///< of the next batch
+  std::vector<StopOrder> m_stops;
+  std::optional<Batch> m_batch;              ///< under way
+  absl::flat_hash_map<std::string, std::vector<TaskRef>> m_orphans;  ///< placed by a former owner, by worker id
+  SchedulerCounts m_counts;
+  bool m_placement_due = true;
+  MonotonicTime m_next_retry = InfiniteFuture();  ///< when a pause of a worker or task ends
+  MonotonicTime m_next_retirement;
+};
+
+}  // namespace berylgauge::workflow
--- /dev/null
+++ b/src/workflow/step_progress.cc
@@ -0,0 +1,78 @@
+#include "workflow/step_progress.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace berylgauge::workflow {
+namespace {
+
+using nlohmann::json;
+
+/// First element of each record; a reader refuses other formats.
+constexpr int kFormat = 1;
+
+constexpr int kNoWorker = -1;
+
+}  // namespace
+
+std::string EncodeStepProgress(const std::vector<TaskProgress>& tasks) {
+  json workers = json::array();
+  json rows = json::array();
+  const bool all_done =
+      std::all_of(tasks.begin(), tasks.end(), [](const TaskProgress& t) { return t.state == TaskState::kDone; });
+  for (std::size_t index = 0; index < tasks.size() && !all_done; ++index) {
+    const TaskProgress& task = tasks[index];
+    if (task.run == 0) continue;
+    int worker = kNoWorker;
+    if (task.state == TaskState::kPlaced) {
+      const json entry = json::array({task.worker, task.worker_born});
+      const auto found = std::find(workers.begin(), workers.end(), entry);
+      worker = static_cast<int>(found - workers.begin());
+      if (found == workers.end()) workers.push_back(entry);
+    }
+    rows.push_back(
+        json::array({index, static_cast<int>(task.state), task.run, task.failures, worker, task.checkpoint}));
+  }
+  const json document = json::array({kFormat, all_done, std::move(workers), std::move(rows)});
+  std::string bytes;
+  json::to_cbor(document, bytes);
+  return bytes;
+}
+
+Result<std::vector<TaskProgress>> DecodeStepProgress(std::string_view bytes, int task_count) {
+  std::vector<TaskProgress> tasks(static_cast<std::size_t>(std::max(task_count, 0)));
+  try {
+    const json document = json::from_cbor(bytes);
+    if (document.at(0) != kFormat) return NotRun(FailureCode::kCorrupt, "step record has an unknown format");
+    if (document.at(1).get<bool>()) {
+      for (TaskProgress& task : tasks) task.state = TaskState::kDone;
+      return tasks;
+    }
+    const json& workers = document.at(2);
+    for (const json& row : document.at(3)) {
+      TaskProgress& task = tasks.at(row.at(0).get<std::size_t>());
+      const int state = row.at(1).get<int>();
+      if (state < 0 || state > static_cast<int>(TaskState::kDone)) {
+        return NotRun(FailureCode::kCorrupt, "step record has an unknown task state");
+      }
+      task.state = static_cast<TaskState>(state);
+      row.at(2).get_to(task.run);
+      row.at(3).get_to(task.failures);
+      const int worker = row.at(4).get<int>();
+      if (worker != kNoWorker) {
+        workers.at(static_cast<std::size_t>(worker)).at(0).get_to(task.worker);
+        workers.at(static_cast<std::size_t>(worker)).at(1).get_to(task.worker_born);
+      }
+      row.at(5).get_to(task.checkpoint);
+    }
+    return tasks;
+  } catch (const json::exception& error) {
+    return NotRun(FailureCode::kCorrupt, std::string("step record: ") + error.what());
+  } catch (const std::out_of_range&) {
+    return NotRun(FailureCode::kCorrupt, "step record names a task that the step does not have");
+  }
+}
+
+}  // namespace berylgauge::workflow
--- /dev/null
+++ b/src/workflow/worker_pool.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/monotonic_time.h"
+#include "workflow/worker_report.h"
+#include "workflow/workflow_job.h"
+
+namespace berylgauge::workflow {
+
+/// A task of a step.
+struct TaskRef {
+  WorkflowStep* step = nullptr;
+  int index = 0;
+
+  friend bool operator==(const TaskRef&, const TaskRef&) = default;
+  friend bool operator<(const TaskRef& a, const TaskRef& b) {
+    return a.step != b.step ? a.step < b.step : a.index < b.index;
+  }
+};
+
+/// What the owner knows of one worker in its present life.
+struct PoolWorker {
+  std::string agent;  ///< host of its agent
+  WorkerLife life;
+  Incarnation agent_incarnation = 0;
+  WorkerCondition condition = WorkerCondition::kReady;
+  std::string service;
+  std::string zone;
+  std::string rack;  ///< label that names its rack; empty if none does
+  std::vector<std::string> labels;
+  Resources capacity;
+  std::int64_t remaining_ms = 0;
+  bool reconciled = false;          ///< its list of runs was compared with the records
+  std::int64_t clock_ms = 0;        ///< newest reading of its steady clock
+  MonotonicTime clock_read_at;      ///< when that reading arrived here
+  std::int64_t ends_applied = 0;    ///< number of the last end taken into the state
+  std::int64_t ends_durable = 0;    ///< number of the last end whose record is durable
+  std::map<TaskRef, Resources> runs;  ///< everything that may be present there
+  Resources reserved;               ///< of tasks whose processors are counted
+  std::int64_t filling_cpu = 0;     ///< demand of tasks that fill idle processors
+  std::int64_t serving_cpu = 0;     ///< part of `reserved` that belongs to serving tasks
+  int serving_tasks = 0;
+  MonotonicTime avoid_until;        ///< refuses or fails starts
+
+  Resources Free() const { return capacity - reserved; }
+};
+
+/// Workers by the host of their agent. A host has one worker at a time.
+class WorkerPool {
+ public:
+  PoolWorker* Find(std::string_view agent);
+  /// The worker in this life, or null.
+  PoolWorker* FindLife(const WorkerLife& life);
+  PoolWorker& Add(const std::string& agent);
+
+  /// Records that `worker` may hold a run of the task.
+  void Attach(PoolWorker& worker, TaskRef task);
+  /// Frees what the task held.
+  void Detach(PoolWorker& worker, TaskRef task);
+  /// The worker got another life.
+  void Reindex(PoolWorker& worker, const WorkerLife& life);
+
+  void ForEach(const std::function<void(PoolWorker& worker)>& visit);
+  const std::vector<PoolWorker*>& workers() const { return m_order; }
+
+ private:
+  absl::flat_hash_map<std::string, std::unique_ptr<PoolWorker>> m_by_agent;
+  absl::flat_hash_map<std::string, PoolWorker*> m_by_worker;
+  std::vector<PoolWorker*> m_order;
+};
+
+}  // namespace berylgauge::workflow
--- /dev/null
+++ b/src/workflow/worker_report.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/enum_names.h"
+#include "base/ids.h"
+#include "base/resources.h"
+#include "workflow/run_end.h"
+
+namespace berylgauge::workflow {
+
+/// Whether a worker takes new runs.
+enum class WorkerCondition {
+  kReady,
+  kDraining,  ///< announced its end; its runs go on for `remaining_ms`
+  kGone,      ///< left, or its process does not exist any more; nothing runs there
+};
+
+inline constexpr auto kWorkerConditionNames = MakeEnumNames<WorkerCondition>({
+    {WorkerCondition::kReady, "ready"},
+    {WorkerCondition::kDraining, "draining"},
+    {WorkerCondition::kGone, "gone"},
+});
+
+/// One life of a worker: the platform may use an id again, and then everything of the former life is gone.
+struct WorkerLife {
+  std::string worker;     ///< id; empty if unknown
+  std::int64_t born = 0;  ///< Unix milliseconds of its start
+
+  friend bool operator==(const WorkerLife&, const WorkerLife&) = default;
+};
+
+/// What an agent says of the worker beside it.
+struct WorkerReport {
+  Incarnation agent_incarnation = 0;
+  WorkerLife life;
+  WorkerCondition condition = WorkerCondition::kReady;
+  std::string service;
+  std::string zone;
+  std::vector<std::string> labels;
+  Resources capacity;
+  std::int64_t remaining_ms = 0;   ///< least time left to a draining worker
+  std::int64_t worker_clock_ms = 0;  ///< worker's steady clock as of the lists; 0 if it never answered
+  bool has_runs = false;             ///< `runs` is the whole list as of `worker_clock_ms`
+  std::vector<ActiveRun> runs;
+  std::vector<RunEnd> ends;  ///< not yet acknowledged
+};
+
+}  // namespace berylgauge::workflow
--- /dev/null
+++ b/src/workflow/workflow_job.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/monotonic_time.h"
+#include "workflow/job_definition.h"
+#include "workflow/job_phase.h"
+#include "workflow/step_progress.h"
+#include "workflow/task_name.h"
+
+namespace berylgauge::workflow {
+
+/// How far the present run of a placed task is known.
+enum class RunStage {
+  kNone,
+  kRecording,  ///< its placement is not durable; nothing was sent
+  kStarting,   ///< the start was sent and is not answered
+  kRunning,
+  kUnknown,    ///< placed by a former owner and not seen yet
+  kStopping,   ///< a stop was ordered; its end or its absence will be reported
+};
+
+/// What the owner knows of a task beyond its record.
+struct TaskRuntime {
+  RunStage stage = RunStage::kNone;
+  MonotonicTime started_at;            ///< when the start was answered
+  std::int64_t started_clock_ms = 0;   ///< worker's clock at that time
+  MonotonicTime not_before;            ///< earliest time of the next run
+  std::vector<std::string> avoid;      ///< workers on which it failed
+  std::string checkpoint;              ///< newest that the worker listed for the present run
+  int percent = 0;                     ///< of its work, as listed last
+  MonotonicTime progressed_at;         ///< when `percent` changed last
+  std::int64_t measured = 0;
+};
+
+struct WorkflowJob;
+
+/// The tasks of one step in one occurrence.
+struct WorkflowStep {
+  WorkflowJob* job = nullptr;
+  std::int64_t occurrence = 0;
+  int number = 0;
+  const StepDefinition* definition = nullptr;
+  std::vector<TaskProgress> tasks;
+  std::vector<TaskRuntime> runtimes;
+  int done = 0;           ///< tasks in state done
+  bool ready = false;     ///< all steps that it comes after are done
+  bool changed = false;   ///< its record must be written
+  std::string name;       ///< StepName as text
+  int failed_gang_run = 0;  ///< newest run of the gang whose failure was counted
+  MonotonicTime deadline;   ///< objective of the occurrence; orders the waiting steps
+
+  bool IsDone() const { return done == static_cast<int>(tasks.size()); }
+  std::string TaskNameOf(int index) const { return name + "." + std::to_string(index); }
+};
+
+/// A job that the owner schedules.
+struct WorkflowJob {
+  JobDefinition definition;
+  JobPhase phase = JobPhase::kQueued;
+  bool phase_changed = false;  ///< its summary must be written
+  MonotonicTime accepted_at;
+  std::int64_t next_occurrence = 0;
+  int placed = 0;  ///< tasks of which a run may exist
+  std::map<std::int64_t, std::vector<std::unique_ptr<WorkflowStep>>> occurrences;
+};
+
+}  // namespace berylgauge::workflow
--- a/tests/measure/count_log.cc
+++ b/tests/measure/count_log.cc
@@ -4,8 +4,8 @@
 #include <map>
 #include <string>
 
-#include "platform/http_client.h"
-#include "platform/http_log_client.h"
+#include "clients/http_client.h"
+#include "clients/http_log_client.h"
 #include "state/batch.h"
 
 namespace {
--- a/tests/measure/fill_log.cc
+++ b/tests/measure/fill_log.cc
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "base/stable_hash.h"
-#include "platform/http_client.h"
-#include "platform/http_log_client.h"
+#include "clients/http_client.h"
+#include "clients/http_log_client.h"
 #include "state/batch.h"
 #include "state/jobs_records.h"
 
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/http_client.h"
+#include "clients/http_client.h"
 #include "process/order_load.h"
 #include "process/tcp_relay.h"
 #include "process/truth.h"
--- a/tests/process/order_load.h
+++ b/tests/process/order_load.h
@@ -6,7 +6,7 @@
 #include <thread>
 #include <vector>
 
-#include "platform/http_client.h"
+#include "clients/http_client.h"
 #include "process/truth.h"
 
 namespace berylgauge {
--- a/tests/standins/announcer.h
+++ b/tests/standins/announcer.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <thread>
 
+#include "clients/http_client.h"
 #include "event_record.h"
-#include "platform/http_client.h"
 
 namespace berylgauge {
 
--- a/tests/standins/standin_message.h
+++ b/tests/standins/standin_message.h
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "platform/header_list.h"
+#include "clients/header_list.h"
 
 namespace berylgauge {
 
--- a/tests/standins/worker_task_run.h
+++ b/tests/standins/worker_task_run.h
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "base/json_object_reader.h"
-#include "platform/worker_client.h"
+#include "clients/worker_client.h"
 
 namespace berylgauge {
 
--- a/tests/support/standin.h
+++ b/tests/support/standin.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/http_client.h"
+#include "clients/http_client.h"
 #include "support/child_process.h"
 
 namespace berylgauge {
--- a/tests/unit/platform/curl_handle_pool_test.cc
+++ b/tests/unit/clients/curl_handle_pool_test.cc
@@ -1,4 +1,4 @@
-#include "platform/curl_handle_pool.h"
+#include "clients/curl_handle_pool.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/unit/platform/http_client_test.cc
+++ b/tests/unit/clients/http_client_test.cc
@@ -1,4 +1,4 @@
-#include "platform/http_client.h"
+#include "clients/http_client.h"
 
 #include <absl/time/clock.h>
 #include <arpa/inet.h>
--- a/tests/unit/platform/http_endpoint_client_test.cc
+++ b/tests/unit/clients/http_endpoint_client_test.cc
@@ -1,4 +1,4 @@
-#include "platform/http_endpoint_client.h"
+#include "clients/http_endpoint_client.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -10,7 +10,7 @@
 #include <set>
 #include <thread>
 
-#include "platform/hop_by_hop_headers.h"
+#include "clients/hop_by_hop_headers.h"
 #include "support/raw_server.h"
 #include "support/standin.h"
 
--- a/tests/unit/platform/http_log_client_test.cc
+++ b/tests/unit/clients/http_log_client_test.cc
@@ -1,4 +1,4 @@
-#include "platform/http_log_client.h"
+#include "clients/http_log_client.h"
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
--- a/tests/unit/platform/http_worker_client_test.cc
+++ b/tests/unit/clients/http_worker_client_test.cc
@@ -1,4 +1,4 @@
-#include "platform/http_worker_client.h"
+#include "clients/http_worker_client.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/tests/unit/daemon/claims_streams_test.cc
+++ b/tests/unit/daemon/claims_streams_test.cc
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "platform/log_client.h"
+#include "clients/log_client.h"
 
 namespace berylgauge {
 namespace {
--- a/tests/unit/daemon/fake_worker.h
+++ b/tests/unit/daemon/fake_worker.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "base/monotonic_time.h"
-#include "platform/worker_client.h"
+#include "clients/worker_client.h"
 #include "schedule/attempt_key.h"
 #include "schedule/worker_command.h"
 
