--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -33,10 +33,10 @@
   berylgauged --version
 
 Options:
-  --check    Check the settings and exit.
-  --platform Run on the shared platform; the variable BERYLGAUGE_BOOT names its settings file.
-  -h --help  Show this text.
-  --version  Show the version.
+  --check     Check the settings and exit.
+  --platform  Run on the shared platform; the variable BERYLGAUGE_BOOT names its settings file.
+  -h --help   Show this text.
+  --version   Show the version.
 
 Exit codes:
   0  stopped after SIGTERM or SIGINT with everything finished
