Stop cancelled runs after a takeover, and let a restarted owner's host claim at once

The reserve gives way after 1.2 s. - 1.5 to 2 s without an owner after everything was killed: the host of the recorded owner knows that its former process has ended, and claims without waiting; such a claim need not wait for former grants either.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -212,10 +212,17 @@
                            .answered_at = m_progress_tail.answered_at(),
                            .has_owner = !owner.holder.empty(),
                            .owner_is_self = owner.holder == m_options.host + "." + m_options.incarnation,
+                           .owner_has_ended = FormerOwnerHasEnded(),
                            .last_sign = m_last_owner_sign};
   if (m_ownership.ShouldClaim(view, m_loop.Now())) Claim();
 }
 
+bool EntryNode::FormerOwnerHasEnded() const {
+  const std::string& holder = m_index.owner().holder;
+  const bool is_this_process = holder == m_options.host + "." + m_options.incarnation;
+  return holder.empty() || (holder.starts_with(m_options.host + ".") && !is_this_process);
+}
+
 void EntryNode::Claim() {
   m_claiming = true;
   m_progress_tail.Pause();
@@ -231,15 +238,18 @@
       m_loop, m_log,
       LogWriterOptions{.partition = m_options.progress, .producer = "owner", .epoch = record.epoch});
   LogWriter& claim = *writer;
+  workflow::SchedulerOptions scheduler = m_options.scheduler;
+  // A process that has ended, or has handed over, grants nothing any more.
+  if (FormerOwnerHasEnded()) scheduler.former_owner_grants = absl::ZeroDuration();
   claim.Write({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(record)}}, m_progress_tail.position(),
               kClaimGiveUp,
-              [this, record, writer = std::move(writer), alive = m_alive](const AppendAnswer& answer) mutable {
-                if (*alive) OnClaimed(answer, std::move(writer), record);
+              [this, record, scheduler, writer = std::move(writer), alive = m_alive](const AppendAnswer& answer) mutable {
+                if (*alive) OnClaimed(answer, std::move(writer), record, scheduler);
               });
 }
 
 void EntryNode::OnClaimed(const AppendAnswer& answer, std::unique_ptr<LogWriter> writer,
-                          const workflow::OwnerRecord& record) {
+                          const workflow::OwnerRecord& record, const workflow::SchedulerOptions& scheduler) {
   m_claiming = false;
   if (answer.outcome != AppendOutcome::kStored) {
     LogEvent(LogLevel::kInfo, "owner_claim_failed",
@@ -262,7 +272,7 @@
       OwnerRoleOptions{.record = record,
                        .members = m_options.members,
                        .agent_port = m_options.agent_port,
-                       .scheduler = m_options.scheduler},
+                       .scheduler = scheduler},
       OwnerRole::Listener{
           .on_deposed = [this] { EndOwnership(); },
           .on_stored =
--- a/src/control/entry_node.h
+++ b/src/control/entry_node.h
@@ -89,7 +89,9 @@
   void ApplyLimits();
   void ConsiderClaim();
   void Claim();
-  void OnClaimed(const AppendAnswer& answer, std::unique_ptr<LogWriter> writer, const workflow::OwnerRecord& record);
+  void OnClaimed(const AppendAnswer& answer, std::unique_ptr<LogWriter> writer, const workflow::OwnerRecord& record,
+                 const workflow::SchedulerOptions& scheduler);
+  bool FormerOwnerHasEnded() const;
   void BeginOwnership();
   void EndOwnership();
   void Tick();
--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -203,7 +203,7 @@
 }
 
 bool OwnerRole::IsValid(MonotonicTime now) const {
-  return !m_deposed && now - m_writer->proven_at() <= m_options.validity;
+  return !m_deposed && !m_handing_over && now - m_writer->proven_at() <= m_options.validity;
 }
 
 // ---- Orders
--- a/src/control/ownership_policy.h
+++ b/src/control/ownership_policy.h
@@ -22,6 +22,7 @@
   MonotonicTime answered_at;    ///< of that read
   bool has_owner = false;       ///< an owner is recorded that has not handed over
   bool owner_is_self = false;   ///< this process is recorded but does not act as owner
+  bool owner_has_ended = false;  ///< an earlier process of this host is recorded
   MonotonicTime last_sign;      ///< when the last record of the owner was read
 };
 
@@ -33,7 +34,7 @@
   bool ShouldClaim(const OwnershipView& view, MonotonicTime now) const {
     if (!view.loaded || !view.at_end || now < m_next_claim) return false;
     if (!view.has_owner) return now - view.last_sign >= m_options.stagger;
-    if (view.owner_is_self) return true;
+    if (view.owner_is_self || view.owner_has_ended) return true;
     return view.answered_at - view.last_sign >= m_options.silence + m_options.stagger;
   }
 
--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -29,7 +29,7 @@
   PoolWorker* best = nullptr;
   double best_score = 0;
   for (PoolWorker* worker : workers) {
-    if (!HasRoom(step, *worker) || !IsEligible(step, *worker, limits, now)) continue;
+    if (!HasRoom(step, index, *worker, now) || !IsEligible(step, *worker, limits, now)) continue;
     const double score = Score(step, index, *worker);
     if (best != nullptr && score >= best_score) continue;
     best = worker;
@@ -49,7 +49,7 @@
   return definition.max_per_worker == 0 || TasksOfStepOn(step, worker) < definition.max_per_worker;
 }
 
-bool PlacementPolicy::HasRoom(const WorkflowStep& step, const PoolWorker& worker) const {
+bool PlacementPolicy::HasRoom(const WorkflowStep& step, int index, const PoolWorker& worker, MonotonicTime now) const {
   const StepDefinition& definition = *step.definition;
   const Resources free = worker.Free();
   Resources demand = definition.demand;
@@ -61,6 +61,8 @@
   }
   if (!demand.FitsIn(free)) return false;
   if (!definition.long_running) return true;
+  const MonotonicTime waiting_since = step.runtimes[static_cast<std::size_t>(index)].waiting_since;
+  if (now - waiting_since >= m_options.reserve_patience) return true;
   return free.cpu_millis >= demand.cpu_millis + m_options.short_task_reserve_cpu;
 }
 
--- a/src/workflow/placement_policy.h
+++ b/src/workflow/placement_policy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <absl/container/flat_hash_set.h>
+#include <absl/time/time.h>
 
 #include <cstdint>
 #include <string>
@@ -20,6 +21,9 @@
   /// Processor time that tasks that last leave free on each worker, so that short tasks do not wait for them. Two
   /// typical short tasks of both sites fit (240 thousandths each), with room for their spread.
   std::int64_t short_task_reserve_cpu = 1200;
+  /// A task that lasts takes the reserve after it has waited this long: it must run where there is any room, within
+  /// seconds.
+  absl::Duration reserve_patience = absl::Milliseconds(1200);
   /// Share of their demand that serving tasks use on average; filling tasks get the rest.
   double serving_use = 0.6;
   /// Part of its demand for which a filling task must find idle processors.
@@ -42,7 +46,7 @@
                   MonotonicTime now) const;
 
   /// Whether the worker has room for one more task of the step.
-  bool HasRoom(const WorkflowStep& step, const PoolWorker& worker) const;
+  bool HasRoom(const WorkflowStep& step, int index, const PoolWorker& worker, MonotonicTime now) const;
 
   /// Processors that tasks with counted demand are expected to leave idle, in thousandths of a core.
   double IdleCpu(const PoolWorker& worker) const;
--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -27,7 +27,7 @@
   bool Covers(const StepDefinition& other) const {
     const StepDefinition& failed = *step->definition;
     return failed.fills_idle_cpu == other.fills_idle_cpu && failed.long_running == other.long_running &&
-           failed.required_label.empty() && failed.max_per_worker == 0 && failed.demand.FitsIn(other.demand);
+           !failed.long_running && failed.required_label.empty() && failed.max_per_worker == 0 && failed.demand.FitsIn(other.demand);
   }
 };
 
@@ -106,6 +106,7 @@
       }
     }
     for (int index = 0; index < count; ++index) {
+      step->runtimes[static_cast<std::size_t>(index)].waiting_since = now;
       const TaskProgress& task = step->tasks[static_cast<std::size_t>(index)];
       if (task.state == TaskState::kDone) ++step->done;
       if (task.state != TaskState::kPlaced) continue;
@@ -312,7 +313,7 @@
 
 void Scheduler::CompareRuns(PoolWorker& worker, const WorkerReport& report, MonotonicTime now) {
   absl::flat_hash_set<std::string> expected;
-  std::vector<TaskRef> missing;
+  std::vector<TaskRef> to_stop;
   for (const auto& [task, held] : worker.runs) {
     const TaskProgress& progress = task.step->tasks[static_cast<std::size_t>(task.index)];
     TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
@@ -329,13 +330,15 @@
         runtime.progressed_at = now;
       }
       runtime.checkpoint = listed->checkpoint;
+      // Cancelled while no owner acted.
+      if (!TakesRuns(*task.step->job)) to_stop.push_back(task);
       continue;
     }
     const bool must_be_listed = runtime.stage == RunStage::kUnknown ||
                                 (runtime.stage == RunStage::kRunning && runtime.started_clock_ms < report.worker_clock_ms);
-    if (must_be_listed) missing.push_back(task);
+    if (must_be_listed) to_stop.push_back(task);
   }
-  for (const TaskRef task : missing) OrderStop(task, now);
+  for (const TaskRef task : to_stop) OrderStop(task, now);
   for (const ActiveRun& run : report.runs) {
     if (expected.contains(run.task)) continue;
     LogEvent(LogLevel::kWarning, "unknown_run", {{"task", run.task}, {"run", run.run}, {"worker", worker.life.worker}});
@@ -453,7 +456,7 @@
   WorkflowStep& step = *task.step;
   WorkflowJob& job = *step.job;
   const std::string worker = step.tasks[static_cast<std::size_t>(task.index)].worker;
-  Release(task, checkpoint);
+  Release(task, checkpoint, now);
   if (kind == RunEndKind::kDone) {
     ++m_counts.ends_done;
     m_quarantine.RecordSuccess(WorkerId(worker));
@@ -492,7 +495,7 @@
 void Scheduler::SettleGang(WorkflowStep& step, int ended_index, RunEndKind kind, MonotonicTime now) {
   if (kind == RunEndKind::kDone && !step.definition->long_running) {
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-      if (step.tasks[i].state == TaskState::kPlaced) Release({.step = &step, .index = static_cast<int>(i)}, {});
+      if (step.tasks[i].state == TaskState::kPlaced) Release({.step = &step, .index = static_cast<int>(i)}, {}, now);
       step.tasks[i].state = TaskState::kDone;
     }
     step.done = static_cast<int>(step.tasks.size());
@@ -515,13 +518,13 @@
 void Scheduler::LoseRun(TaskRef task, MonotonicTime now) {
   WorkflowStep& step = *task.step;
   ++m_counts.ends_lost;
-  Release(task, {});
+  Release(task, {}, now);
   if (step.definition->gang) SettleGang(step, task.index, RunEndKind::kLapsed, now);
   MarkChanged(step);
   AfterTaskDone(step, now);
 }
 
-void Scheduler::Release(TaskRef task, const std::string& checkpoint) {
+void Scheduler::Release(TaskRef task, const std::string& checkpoint, MonotonicTime now) {
   WorkflowStep& step = *task.step;
   TaskProgress& progress = step.tasks[static_cast<std::size_t>(task.index)];
   TaskRuntime& runtime = step.runtimes[static_cast<std::size_t>(task.index)];
@@ -535,6 +538,7 @@
   progress.worker.clear();
   progress.worker_born = 0;
   runtime.stage = RunStage::kNone;
+  runtime.waiting_since = now;
   runtime.checkpoint.clear();
   runtime.percent = 0;
   --step.job->placed;
@@ -642,6 +646,9 @@
       }
       PoolWorker* worker = m_policy.Choose(*step, static_cast<int>(i), candidates, m_limits, now);
       if (worker == nullptr) {
+        if (step->definition->long_running) {
+          m_next_retry = std::min(m_next_retry, now + m_options.placement.reserve_patience);
+        }
         failed.push_back({.step = step});
         break;
       }
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -119,7 +119,7 @@
   void ApplyEnd(const WorkerLife& life, const RunEnd& end, MonotonicTime now);
   void FinishRun(TaskRef task, RunEndKind kind, const std::string& checkpoint, MonotonicTime now);
   void LoseRun(TaskRef task, MonotonicTime now);
-  void Release(TaskRef task, const std::string& checkpoint);
+  void Release(TaskRef task, const std::string& checkpoint, MonotonicTime now);
   void CountFailure(TaskRef task, MonotonicTime now);
   void AfterTaskDone(WorkflowStep& step, MonotonicTime now);
   void SettleGang(WorkflowStep& step, int ended_index, RunEndKind kind, MonotonicTime now);
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -28,6 +28,7 @@
   RunStage stage = RunStage::kNone;
   MonotonicTime started_at;            ///< when the start was answered
   std::int64_t started_clock_ms = 0;   ///< worker's clock at that time
+  MonotonicTime waiting_since;
   MonotonicTime not_before;            ///< earliest time of the next run
   std::vector<std::string> avoid;      ///< workers on which it failed
   std::string checkpoint;              ///< newest that the worker listed for the present run
