--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -64,7 +64,8 @@
 void InitEventLog(std::string_view program, LogLevel level, LogTarget target) {
   const auto layout = std::make_shared<log4cxx::PatternLayout>(
       "time=%d{yyyy-MM-dd}T%d{HH:mm:ss.SSS} level=%p program=" + std::string(program) + " %m%n");
-  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, target == LogTarget::kStandardError ? "System.err" : "System.out");
+  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+      layout, target == LogTarget::kStandardError ? "System.err" : "System.out");
   EventLogger()->removeAllAppenders();
   EventLogger()->setAdditivity(false);
   EventLogger()->addAppender(appender);
--- a/src/base/failure.h
+++ b/src/base/failure.h
@@ -9,17 +9,17 @@
 namespace berylgauge {
 
 enum class FailureCode {
-  kInvalidArgument,   ///< Malformed input; `Failure::field` names the field.
-  kNotFound,          ///< The named object does not exist.
-  kConflict,          ///< The state has changed since the caller read it.
-  kRefused,           ///< A rule or a limit forbids the operation.
-  kOverloaded,        ///< No capacity at present; may be retried later.
-  kConnectionRefused, ///< No process listens at the address.
-  kUnavailable,       ///< The other side could not be reached or is shutting down.
-  kDeadlineExceeded,  ///< The time allowed has passed.
-  kCorrupt,           ///< The data read cannot be decoded.
-  kExpired,           ///< The record or the right is no longer available.
-  kInternal,          ///< A fault of this program.
+  kInvalidArgument,    ///< Malformed input; `Failure::field` names the field.
+  kNotFound,           ///< The named object does not exist.
+  kConflict,           ///< The state has changed since the caller read it.
+  kRefused,            ///< A rule or a limit forbids the operation.
+  kOverloaded,         ///< No capacity at present; may be retried later.
+  kConnectionRefused,  ///< No process listens at the address.
+  kUnavailable,        ///< The other side could not be reached or is shutting down.
+  kDeadlineExceeded,   ///< The time allowed has passed.
+  kCorrupt,            ///< The data read cannot be decoded.
+  kExpired,            ///< The record or the right is no longer available.
+  kInternal,           ///< A fault of this program.
 };
 
 inline constexpr auto kFailureCodeNames = MakeEnumNames<FailureCode>({
--- a/src/control/agent_link.cc
+++ b/src/control/agent_link.cc
@@ -78,10 +78,9 @@
   }
   Result<WatchAnswer> answer = DecodeWatchAnswer(response->body);
   if (response->status != kStatusOk || !answer) {
-    LogEvent(LogLevel::kWarning, "agent_answer_unreadable",
-             {{"host", m_options.host},
-              {"status", response->status},
-              {"reason", answer ? "" : answer.error().message}});
+    LogEvent(
+        LogLevel::kWarning, "agent_answer_unreadable",
+        {{"host", m_options.host}, {"status", response->status}, {"reason", answer ? "" : answer.error().message}});
     WatchLater();
     return;
   }
--- a/src/control/agent_messages.cc
+++ b/src/control/agent_messages.cc
@@ -41,7 +41,8 @@
 template <typename E>
 E ReadEnum(const json& value, E last) {
   const int number = value.get<int>();
-  if (number < 0 || number > static_cast<int>(last)) throw json::other_error::create(502, "unknown enum value", nullptr);
+  if (number < 0 || number > static_cast<int>(last))
+    throw json::other_error::create(502, "unknown enum value", nullptr);
   return static_cast<E>(number);
 }
 
@@ -102,10 +103,10 @@
 
 std::string EncodeWatchRequest(const WatchRequest& message) {
   json traits = json::array();
-  for (const TaskTraits& t : message.traits) traits.push_back(json::array({t.task, t.fills_idle_cpu, t.tail_target_ms}));
+  for (const TaskTraits& t : message.traits)
+    traits.push_back(json::array({t.task, t.fills_idle_cpu, t.tail_target_ms}));
   return Encode(json::array({message.epoch, message.known_version, message.known_incarnation, message.wait_ms,
-                             LifeToJson(message.life), message.lease_end_ms, message.acknowledged,
-                             std::move(traits)}));
+                             LifeToJson(message.life), message.lease_end_ms, message.acknowledged, std::move(traits)}));
 }
 
 Result<WatchRequest> DecodeWatchRequest(std::string_view bytes) {
@@ -142,15 +143,15 @@
   for (const JobStarts& job : message.jobs) {
     json starts = json::array();
     for (const StartOrder& start : job.starts) {
-      starts.push_back(json::array({start.task, start.run, start.checkpoint, start.fills_idle_cpu,
-                                    start.tail_target_ms, start.priority, start.ticket}));
+      starts.push_back(json::array({start.task, start.run, start.checkpoint, start.fills_idle_cpu, start.tail_target_ms,
+                                    start.priority, start.ticket}));
     }
     jobs.push_back(json::array({job.payload, std::move(starts)}));
   }
   json stops = json::array();
   for (const StopOrder& stop : message.stops) stops.push_back(json::array({stop.task, stop.run}));
-  return Encode(json::array(
-      {message.epoch, LifeToJson(message.life), message.lease_end_ms, std::move(jobs), std::move(stops)}));
+  return Encode(
+      json::array({message.epoch, LifeToJson(message.life), message.lease_end_ms, std::move(jobs), std::move(stops)}));
 }
 
 Result<OrdersRequest> DecodeOrdersRequest(std::string_view bytes) {
@@ -176,10 +177,8 @@
       message.jobs.push_back(std::move(starts));
     }
     for (const json& stop : row.at(4)) {
-      message.stops.push_back({.agent = {},
-                               .life = message.life,
-                               .task = stop.at(0).get<std::string>(),
-                               .run = stop.at(1).get<int>()});
+      message.stops.push_back(
+          {.agent = {}, .life = message.life, .task = stop.at(0).get<std::string>(), .run = stop.at(1).get<int>()});
     }
     return message;
   });
@@ -208,9 +207,8 @@
                                            .clock_ms = start.at(3).get<std::int64_t>()}});
     }
     for (const json& stop : row.at(1)) {
-      message.stops.push_back({.task = stop.at(0).get<std::string>(),
-                               .run = stop.at(1).get<int>(),
-                               .end_listed = stop.at(2).get<bool>()});
+      message.stops.push_back(
+          {.task = stop.at(0).get<std::string>(), .run = stop.at(1).get<int>(), .end_listed = stop.at(2).get<bool>()});
     }
     return message;
   });
--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -264,8 +264,8 @@
   }
   auto batch = std::make_shared<OrderBatch>();
   batch->reply = std::move(reply);
-  const bool is_present = m_announcement && request.life == m_announcement->life &&
-                          m_condition != WorkerCondition::kGone;
+  const bool is_present =
+      m_announcement && request.life == m_announcement->life && m_condition != WorkerCondition::kGone;
   if (is_present) m_lease_end_ms = std::max(m_lease_end_ms, request.lease_end_ms);
   std::vector<std::shared_ptr<StartAttempt>> starts;
   for (const JobStarts& job : request.jobs) {
@@ -281,9 +281,8 @@
                        .checkpoint = order.checkpoint,
                        .ticket = order.ticket,
                        .lease_end_ms = request.lease_end_ms};
-      m_traits[order.task] = {.task = order.task,
-                              .fills_idle_cpu = order.fills_idle_cpu,
-                              .tail_target_ms = order.tail_target_ms};
+      m_traits[order.task] = {
+          .task = order.task, .fills_idle_cpu = order.fills_idle_cpu, .tail_target_ms = order.tail_target_ms};
       starts.push_back(std::move(attempt));
     }
   }
@@ -321,15 +320,14 @@
 
 void AgentNode::TryStart(std::shared_ptr<StartAttempt> attempt) {
   const StartCall& call = attempt->call;
-  m_worker.Start(call, m_options.call_timeout,
-                 [this, attempt, alive = m_alive](Result<StartAnswer> answer) {
-                   if (*alive) OnStart(attempt, std::move(answer));
-                 });
+  m_worker.Start(call, m_options.call_timeout, [this, attempt, alive = m_alive](Result<StartAnswer> answer) {
+    if (*alive) OnStart(attempt, std::move(answer));
+  });
 }
 
 void AgentNode::OnStart(std::shared_ptr<StartAttempt> attempt, Result<StartAnswer> answer) {
-  const bool is_present = m_announcement && m_announcement->life == attempt->call.life &&
-                          m_condition != WorkerCondition::kGone;
+  const bool is_present =
+      m_announcement && m_announcement->life == attempt->call.life && m_condition != WorkerCondition::kGone;
   if (answer) {
     // After a call without an answer a refusal is not final: that call may still be carried out. The owner orders a
     // stop, which settles it.
@@ -394,9 +392,8 @@
     bool is_running = false;
     bool end_listed = false;
     if (answer && answer->born == call.life.born) {
-      is_running = std::any_of(answer->runs.begin(), answer->runs.end(), [&](const ActiveRun& run) {
-        return run.task == call.task && run.run == call.run;
-      });
+      is_running = std::any_of(answer->runs.begin(), answer->runs.end(),
+                               [&](const ActiveRun& run) { return run.task == call.task && run.run == call.run; });
       end_listed = std::any_of(answer->ends.begin(), answer->ends.end(),
                                [&](const RunEnd& end) { return end.task == call.task && end.run == call.run; });
       TakeLists(std::move(*answer));
@@ -409,7 +406,8 @@
     }
     LogEvent(LogLevel::kInfo, "stop",
              {{"task", call.task}, {"run", call.run}, {"epoch", call.epoch}, {"end_listed", end_listed}});
-    attempt->batch->answer.stops.push_back({.task = call.task, .run = call.run, .end_listed = end_listed || is_running});
+    attempt->batch->answer.stops.push_back(
+        {.task = call.task, .run = call.run, .end_listed = end_listed || is_running});
     FinishOne(*attempt->batch);
   });
 }
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -23,7 +23,8 @@
 
 struct AgentNodeOptions {
   Incarnation incarnation = 0;  ///< random, not 0
-  /// Longest wait of a call that lists what the worker runs. Shorter while pacing, because it reads half-second figures.
+  /// Longest wait of a call that lists what the worker runs. Shorter while pacing, because it reads half-second
+  /// figures.
   absl::Duration hold_wait = absl::Milliseconds(1000);
   absl::Duration paced_hold_wait = absl::Milliseconds(500);
   /// Time allowed for an answer of the worker on the same host, beyond any wait.
--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -41,18 +41,16 @@
       m_last_owner_sign(loop.Now()),
       m_submissions(loop, log,
                     {.partition = m_options.submissions, .producer = m_options.host + "." + m_options.incarnation}),
-      m_submission_tail(loop, log,
-                        {.partition = m_options.submissions, .min_interval = m_options.follower_interval},
+      m_submission_tail(loop, log, {.partition = m_options.submissions, .min_interval = m_options.follower_interval},
                         {.on_record = [this](const KeyedRecord& record) { OnSubmissionRecord(record); },
                          .on_reset = [] {},
                          .on_end = [this] { ConsiderClaim(); }}),
-      m_progress_tail(loop, log,
-                      {.partition = m_options.progress,
-                       .wait = kProgressWait,
-                       .min_interval = m_options.follower_interval},
-                      {.on_record = [this](const KeyedRecord& record) { OnProgressRecord(record); },
-                       .on_reset = [] {},
-                       .on_end = [this] { ConsiderClaim(); }}),
+      m_progress_tail(
+          loop, log,
+          {.partition = m_options.progress, .wait = kProgressWait, .min_interval = m_options.follower_interval},
+          {.on_record = [this](const KeyedRecord& record) { OnProgressRecord(record); },
+           .on_reset = [] {},
+           .on_end = [this] { ConsiderClaim(); }}),
       m_operator_tail(loop, log, {.partition = m_options.operators},
                       {.on_record = [this](const KeyedRecord& record) { OnOperatorRecord(record); },
                        .on_reset = [this] { OnOperatorReset(); },
@@ -98,24 +96,24 @@
     m_loop.Defer([callback = std::move(callback)]() mutable { callback(SubmitOutcome::kAccepted); });
     return;
   }
-  m_submissions.Add({{.key = job.id, .value = EncodeJob(job)}},
-                    [this, alive = m_alive, id = job.id,
-                     callback = std::move(callback)](AppendOutcome outcome) mutable {
-                      if (!*alive) return;
-                      const bool stored = outcome == AppendOutcome::kStored;
-                      (stored ? m_accepted : m_refused).Add();
-                      callback(stored ? SubmitOutcome::kAccepted : SubmitOutcome::kRefused);
-                    });
+  m_submissions.Add(
+      {{.key = job.id, .value = EncodeJob(job)}},
+      [this, alive = m_alive, id = job.id, callback = std::move(callback)](AppendOutcome outcome) mutable {
+        if (!*alive) return;
+        const bool stored = outcome == AppendOutcome::kStored;
+        (stored ? m_accepted : m_refused).Add();
+        callback(stored ? SubmitOutcome::kAccepted : SubmitOutcome::kRefused);
+      });
 }
 
 void EntryNode::Cancel(const std::string& job, absl::AnyInvocable<void(CancelOutcome)> callback) {
-  QueryPhase(job, [this, alive = m_alive, job, callback = std::move(callback)](std::optional<JobPhase> phase) mutable {
+  Lookup(job, [this, alive = m_alive, job, callback = std::move(callback)](JobLookup found) mutable {
     if (!*alive) return;
-    if (!phase) {
-      callback(CancelOutcome::kUnknownJob);
+    if (!found.phase) {
+      callback(found.is_certain ? CancelOutcome::kUnknownJob : CancelOutcome::kFailed);
       return;
     }
-    if (IsFinal(*phase)) {
+    if (IsFinal(*found.phase)) {
       callback(CancelOutcome::kCancelled);
       return;
     }
@@ -134,16 +132,15 @@
   });
 }
 
-void EntryNode::QueryPhase(const std::string& job,
-                           absl::AnyInvocable<void(std::optional<JobPhase>)> callback) {
+void EntryNode::Lookup(const std::string& job, absl::AnyInvocable<void(JobLookup)> callback) {
   const std::optional<JobPhase> phase = m_index.PhaseOf(job);
   if (phase) {
-    callback(phase);
+    callback({.phase = phase, .is_certain = true});
     return;
   }
   m_submission_tail.ReadToEnd(kLookupTimeout,
-                              [this, alive = m_alive, job, callback = std::move(callback)](bool) mutable {
-                                if (*alive) callback(m_index.PhaseOf(job));
+                              [this, alive = m_alive, job, callback = std::move(callback)](bool complete) mutable {
+                                if (*alive) callback({.phase = m_index.PhaseOf(job), .is_certain = complete});
                               });
 }
 
@@ -206,14 +203,14 @@
 void EntryNode::ConsiderClaim() {
   if (m_owner != nullptr || m_claiming || m_leaving) return;
   const workflow::OwnerRecord& owner = m_index.owner();
-  const OwnershipView view{.loaded = m_submission_tail.is_loaded() && m_progress_tail.is_loaded() &&
-                                     m_operator_tail.is_loaded(),
-                           .at_end = m_progress_tail.is_at_end(),
-                           .answered_at = m_progress_tail.answered_at(),
-                           .has_owner = !owner.holder.empty(),
-                           .owner_is_self = owner.holder == m_options.host + "." + m_options.incarnation,
-                           .owner_has_ended = FormerOwnerHasEnded(),
-                           .last_sign = m_last_owner_sign};
+  const OwnershipView view{
+      .loaded = m_submission_tail.is_loaded() && m_progress_tail.is_loaded() && m_operator_tail.is_loaded(),
+      .at_end = m_progress_tail.is_at_end(),
+      .answered_at = m_progress_tail.answered_at(),
+      .has_owner = !owner.holder.empty(),
+      .owner_is_self = owner.holder == m_options.host + "." + m_options.incarnation,
+      .owner_has_ended = FormerOwnerHasEnded(),
+      .last_sign = m_last_owner_sign};
   if (m_ownership.ShouldClaim(view, m_loop.Now())) Claim();
 }
 
@@ -227,35 +224,34 @@
   m_claiming = true;
   m_progress_tail.Pause();
   const std::string holder = m_options.host + "." + m_options.incarnation;
-  const workflow::OwnerRecord record{
-      .epoch = workflow::NextOwnerEpoch(m_index.owner().epoch, StableHash64(holder)), .holder = holder};
+  const workflow::OwnerRecord record{.epoch = workflow::NextOwnerEpoch(m_index.owner().epoch, StableHash64(holder)),
+                                     .holder = holder};
   LogEvent(LogLevel::kInfo, "owner_claim",
            {{"epoch", record.epoch},
             {"former", m_index.owner().holder},
             {"silence_ms", absl::ToInt64Milliseconds(m_loop.Now() - m_last_owner_sign)},
             {"position", m_progress_tail.position()}});
   auto writer = std::make_unique<LogWriter>(
-      m_loop, m_log,
-      LogWriterOptions{.partition = m_options.progress, .producer = "owner", .epoch = record.epoch});
+      m_loop, m_log, LogWriterOptions{.partition = m_options.progress, .producer = "owner", .epoch = record.epoch});
   LogWriter& claim = *writer;
   workflow::SchedulerOptions scheduler = m_options.scheduler;
   // A process that has ended, or has handed over, grants nothing any more.
   if (FormerOwnerHasEnded()) scheduler.former_owner_grants = absl::ZeroDuration();
-  claim.Write({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(record)}}, m_progress_tail.position(),
-              kClaimGiveUp,
-              [this, record, scheduler, writer = std::move(writer), alive = m_alive](const AppendAnswer& answer) mutable {
-                if (*alive) OnClaimed(answer, std::move(writer), record, scheduler);
-              });
+  claim.Write(
+      {{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(record)}}, m_progress_tail.position(),
+      kClaimGiveUp,
+      [this, record, scheduler, writer = std::move(writer), alive = m_alive](const AppendAnswer& answer) mutable {
+        if (*alive) OnClaimed(answer, std::move(writer), record, scheduler);
+      });
 }
 
 void EntryNode::OnClaimed(const AppendAnswer& answer, std::unique_ptr<LogWriter> writer,
                           const workflow::OwnerRecord& record, const workflow::SchedulerOptions& scheduler) {
   m_claiming = false;
   if (answer.outcome != AppendOutcome::kStored) {
-    LogEvent(LogLevel::kInfo, "owner_claim_failed",
-             {{"epoch", record.epoch},
-              {"outcome", kAppendOutcomeNames.NameOf(answer.outcome)},
-              {"reason", answer.detail}});
+    LogEvent(
+        LogLevel::kInfo, "owner_claim_failed",
+        {{"epoch", record.epoch}, {"outcome", kAppendOutcomeNames.NameOf(answer.outcome)}, {"reason", answer.detail}});
     m_ownership.OnClaimFailed(m_loop.Now());
     m_progress_tail.Resume(m_progress_tail.position());
     // Freed after this call, which runs inside it.
@@ -269,28 +265,27 @@
   m_submission_tail.SetMinInterval(absl::ZeroDuration());
   m_owner = std::make_unique<OwnerRole>(
       m_loop, m_log, m_clock, std::move(writer), m_index,
-      OwnerRoleOptions{.record = record,
-                       .members = m_options.members,
-                       .agent_port = m_options.agent_port,
-                       .scheduler = scheduler},
-      OwnerRole::Listener{
-          .on_deposed = [this] { EndOwnership(); },
-          .on_stored =
-              [this](const std::vector<KeyedRecord>& records, std::int64_t end) {
-                for (const KeyedRecord& stored : records) m_index.ApplyProgress(stored.key, stored.value);
-                m_progress_end = end;
-              },
-          .on_retired =
-              [this](const std::vector<std::string>& jobs) {
-                for (const std::string& job : jobs) {
-                  m_submissions.Add({{.key = job, .value = {}}, {.key = workflow::CancellationKey(job), .value = {}}},
-                                    [job](AppendOutcome outcome) {
-                                      if (outcome == AppendOutcome::kStored) return;
-                                      // It stays in the store until an owner starts anew and retires it again.
-                                      LogEvent(LogLevel::kWarning, "job_not_removed", {{"job", job}});
-                                    });
-                }
-              }});
+      OwnerRoleOptions{
+          .record = record, .members = m_options.members, .agent_port = m_options.agent_port, .scheduler = scheduler},
+      OwnerRole::Listener{.on_deposed = [this] { EndOwnership(); },
+                          .on_stored =
+                              [this](const std::vector<KeyedRecord>& records, std::int64_t end) {
+                                for (const KeyedRecord& stored : records)
+                                  m_index.ApplyProgress(stored.key, stored.value);
+                                m_progress_end = end;
+                              },
+                          .on_retired =
+                              [this](const std::vector<std::string>& jobs) {
+                                for (const std::string& job : jobs) {
+                                  m_submissions.Add(
+                                      {{.key = job, .value = {}}, {.key = workflow::CancellationKey(job), .value = {}}},
+                                      [job](AppendOutcome outcome) {
+                                        if (outcome == AppendOutcome::kStored) return;
+                                        // It stays in the store until an owner starts anew and retires it again.
+                                        LogEvent(LogLevel::kWarning, "job_not_removed", {{"job", job}});
+                                      });
+                                }
+                              }});
   BeginOwnership();
 }
 
--- a/src/control/entry_node.h
+++ b/src/control/entry_node.h
@@ -49,11 +49,17 @@
 enum class CancelOutcome {
   kCancelled,
   kUnknownJob,
-  kFailed,  ///< not stored; the client may repeat it
+  kFailed,  ///< not stored, or the store cannot be asked for the job; the client may repeat it
 };
 
-/// The logic of an entry: accepts and cancels jobs, answers for their state, follows the configuration, and takes part in
-/// the choice of the owner. Used on the loop's thread.
+/// What an entry knows of a job. Neither a phase nor `is_certain`: the store could not be asked.
+struct JobLookup {
+  std::optional<workflow::JobPhase> phase;
+  bool is_certain = false;  ///< the job does not exist if there is no phase
+};
+
+/// The logic of an entry: accepts and cancels jobs, answers for their state, follows the configuration, and takes part
+/// in the choice of the owner. Used on the loop's thread.
 class EntryNode {
  public:
   EntryNode(EventLoop& loop, KeyedLog& log, const Clock& clock, const OperatorRecordDecoder& operators,
@@ -70,8 +76,8 @@
   void HandOver(std::function<void()> done);
 
   // Queries.
-  /// Nothing for a job that does not exist. Reads to the end of the log for an id that is not known here.
-  void QueryPhase(const std::string& job, absl::AnyInvocable<void(std::optional<workflow::JobPhase>)> callback);
+  /// Reads to the end of the log for an id that is not known here.
+  void Lookup(const std::string& job, absl::AnyInvocable<void(JobLookup)> callback);
   int WaitingIn(std::string_view queue) const { return m_index.WaitingIn(queue); }
   /// Null before the first configuration.
   const QueueTable* queues() const { return m_queues ? &*m_queues : nullptr; }
--- a/src/control/log_writer.h
+++ b/src/control/log_writer.h
@@ -27,15 +27,15 @@
 /// thread.
 class LogWriter {
  public:
-  /// `kStored`, `kFenced`, `kOutOfSequence`, `kMoved` and `kRejected` are final. `kNothingDone` means that the batch was
-  /// given up after `give_up_after` and will never be stored.
+  /// `kStored`, `kFenced`, `kOutOfSequence`, `kMoved` and `kRejected` are final. `kNothingDone` means that the batch
+  /// was given up after `give_up_after` and will never be stored.
   using Callback = absl::AnyInvocable<void(AppendAnswer)>;
 
   LogWriter(EventLoop& loop, KeyedLog& log, LogWriterOptions options);
   ~LogWriter();
 
-  /// Not to be called while another batch is under way. With `give_up_after`, a batch of which no append can have had an
-  /// effect is given up once that time has passed; without, it is repeated for ever.
+  /// Not to be called while another batch is under way. With `give_up_after`, a batch of which no append can have had
+  /// an effect is given up once that time has passed; without, it is repeated for ever.
   void Write(std::vector<KeyedRecord> records, std::optional<std::int64_t> expected_end,
              std::optional<absl::Duration> give_up_after, Callback callback);
 
--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -35,20 +35,17 @@
   const MonotonicTime now = m_loop.Now();
   m_scheduler = std::make_unique<workflow::Scheduler>(m_options.scheduler, now);
   m_scheduler->SetLimits(m_limits);
-  m_index.ForEachJob([&](const std::string& id, const workflow::JobIndex::Job& job) {
-    m_scheduler->AddJob(id, job, now);
-  });
+  m_index.ForEachJob(
+      [&](const std::string& id, const workflow::JobIndex::Job& job) { m_scheduler->AddJob(id, job, now); });
   LogEvent(LogLevel::kInfo, "owner_begins",
            {{"epoch", m_options.record.epoch},
             {"jobs", m_index.size()},
             {"placed", m_scheduler->PlacedTasks()},
             {"waiting", m_scheduler->WaitingTasks()}});
   m_members = std::make_unique<PartitionTail>(
-      m_loop, m_log,
-      PartitionTailOptions{.partition = m_options.members, .wait = absl::Milliseconds(2000)},
-      PartitionTail::Listener{.on_record = [this](const KeyedRecord& record) { OnMember(record); },
-                              .on_reset = [] {},
-                              .on_end = [] {}});
+      m_loop, m_log, PartitionTailOptions{.partition = m_options.members, .wait = absl::Milliseconds(2000)},
+      PartitionTail::Listener{
+          .on_record = [this](const KeyedRecord& record) { OnMember(record); }, .on_reset = [] {}, .on_end = [] {}});
   m_members->Start();
   Kick();
 }
@@ -216,9 +213,8 @@
     if (job == nullptr) continue;
     OrdersRequest& request = by_agent[start.agent];
     request.life = start.life;
-    const auto same_job = std::find_if(request.jobs.begin(), request.jobs.end(), [&](const JobStarts& other) {
-      return other.starts.front().job == start.job;
-    });
+    const auto same_job = std::find_if(request.jobs.begin(), request.jobs.end(),
+                                       [&](const JobStarts& other) { return other.starts.front().job == start.job; });
     if (same_job != request.jobs.end()) {
       same_job->starts.push_back(std::move(start));
     } else {
@@ -276,8 +272,8 @@
   for (const JobStarts& job : request.jobs) {
     for (const StartOrder& start : job.starts) {
       if (failure.verdict == Verdict::kNotRun && !start.was_sent) {
-        m_scheduler->OnStartAnswer(start.task, start.run, request.life,
-                                   {.refusal = workflow::StartRefusal::kLate}, m_loop.Now());
+        m_scheduler->OnStartAnswer(start.task, start.run, request.life, {.refusal = workflow::StartRefusal::kLate},
+                                   m_loop.Now());
       } else if (m_scheduler->IsStarting(start)) {
         JobStarts repeated{.payload = job.payload, .starts = {start}};
         repeated.starts.front().was_sent = true;
--- a/src/control/ownership_policy.h
+++ b/src/control/ownership_policy.h
@@ -17,13 +17,13 @@
 
 /// What an entry knows when it considers a claim.
 struct OwnershipView {
-  bool loaded = false;          ///< both partitions were read to their end
-  bool at_end = false;          ///< the last read of the progress partition returned nothing new
-  MonotonicTime answered_at;    ///< of that read
-  bool has_owner = false;       ///< an owner is recorded that has not handed over
-  bool owner_is_self = false;   ///< this process is recorded but does not act as owner
+  bool loaded = false;           ///< both partitions were read to their end
+  bool at_end = false;           ///< the last read of the progress partition returned nothing new
+  MonotonicTime answered_at;     ///< of that read
+  bool has_owner = false;        ///< an owner is recorded that has not handed over
+  bool owner_is_self = false;    ///< this process is recorded but does not act as owner
   bool owner_has_ended = false;  ///< an earlier process of this host is recorded
-  MonotonicTime last_sign;      ///< when the last record of the owner was read
+  MonotonicTime last_sign;       ///< when the last record of the owner was read
 };
 
 /// Decides when an entry claims the ownership. Safety does not depend on it: the store accepts one claim at a time.
--- a/src/control/partition_tail.cc
+++ b/src/control/partition_tail.cc
@@ -129,10 +129,9 @@
   m_failures = 0;
   m_answered_at = m_loop.Now();
   if (answer->expired) {
-    LogEvent(LogLevel::kInfo, "history_expired",
-             {{"topic", m_options.partition.topic},
-              {"partition", m_options.partition.number},
-              {"position", m_position}});
+    LogEvent(
+        LogLevel::kInfo, "history_expired",
+        {{"topic", m_options.partition.topic}, {"partition", m_options.partition.number}, {"position", m_position}});
     m_loaded = false;
     LoadPage({});
     return;
@@ -161,10 +160,9 @@
 void PartitionTail::RetryLater(const Failure& failure) {
   ++m_failures;
   if (m_failures == 2) {
-    LogEvent(LogLevel::kWarning, "store_read_failing",
-             {{"topic", m_options.partition.topic},
-              {"partition", m_options.partition.number},
-              {"reason", failure.message}});
+    LogEvent(
+        LogLevel::kWarning, "store_read_failing",
+        {{"topic", m_options.partition.topic}, {"partition", m_options.partition.number}, {"reason", failure.message}});
   }
   absl::Duration pause = kFirstRetryPause;
   for (int i = 1; i < m_failures && pause < kLongestRetryPause; ++i) pause *= 2;
@@ -179,19 +177,18 @@
     return;
   }
   const MonotonicTime begun = m_loop.Now();
-  m_log.Read(
-      m_options.partition, m_position, absl::ZeroDuration(), timeout,
-      [this, begun, alive = m_alive, callback = std::move(callback)](Result<LogReadAnswer> answer) mutable {
-        if (!*alive) return;
-        if (!answer || answer->expired) {
-          callback(false);
-          return;
-        }
-        m_answered_at = m_loop.Now();
-        // The regular read may have passed this one's start, so records are skipped that were applied meanwhile.
-        Apply(*answer, begun);
-        callback(m_position >= answer->end);
-      });
+  m_log.Read(m_options.partition, m_position, absl::ZeroDuration(), timeout,
+             [this, begun, alive = m_alive, callback = std::move(callback)](Result<LogReadAnswer> answer) mutable {
+               if (!*alive) return;
+               if (!answer || answer->expired) {
+                 callback(false);
+                 return;
+               }
+               m_answered_at = m_loop.Now();
+               // The regular read may have passed this one's start, so records are skipped that were applied meanwhile.
+               Apply(*answer, begun);
+               callback(m_position >= answer->end);
+             });
 }
 
 }  // namespace berylgauge::control
--- a/src/control/partition_tail.h
+++ b/src/control/partition_tail.h
@@ -86,11 +86,11 @@
   MonotonicTime m_complete_as_of = InfinitePast();
   MonotonicTime m_answered_at = InfinitePast();
   MonotonicTime m_read_begun = InfinitePast();
-  int m_failures = 0;  ///< since the last answer
+  int m_failures = 0;              ///< since the last answer
   std::uint64_t m_generation = 0;  ///< of the chain of reads; a paused chain is abandoned
   EventLoop::TimerId m_timer;
 
-  std::vector<KeyedRecord> m_pages;      ///< read so far of the newest records
+  std::vector<KeyedRecord> m_pages;  ///< read so far of the newest records
   std::int64_t m_first_page_end = 0;
   MonotonicTime m_load_begun;
   std::int64_t m_last_page_end = 0;
--- a/src/control/submission_queue.cc
+++ b/src/control/submission_queue.cc
@@ -50,10 +50,9 @@
 void SubmissionQueue::OnWritten(const AppendAnswer& answer) {
   const bool stored = answer.outcome == AppendOutcome::kStored;
   if (!stored) {
-    LogEvent(LogLevel::kWarning, "submissions_not_stored",
-             {{"items", m_sent.size()},
-              {"outcome", kAppendOutcomeNames.NameOf(answer.outcome)},
-              {"reason", answer.detail}});
+    LogEvent(
+        LogLevel::kWarning, "submissions_not_stored",
+        {{"items", m_sent.size()}, {"outcome", kAppendOutcomeNames.NameOf(answer.outcome)}, {"reason", answer.detail}});
   }
   std::vector<Item> sent = std::exchange(m_sent, {});
   // While the store refuses, those that wait would only be refused one give-up time later.
--- a/src/control/worker_port.h
+++ b/src/control/worker_port.h
@@ -18,10 +18,10 @@
 /// Extends the lease of everything on the worker, acknowledges ends and lists what is there.
 struct HoldCall {
   workflow::WorkerLife life;
-  std::int64_t epoch = 0;                       ///< the worker refuses a lower one than it has seen
-  std::int64_t acknowledged = 0;                ///< number of the last end that the worker may forget
-  std::optional<std::int64_t> lease_end_ms;     ///< on the worker's clock
-  absl::Duration wait = absl::ZeroDuration();   ///< the answer waits this long for an end
+  std::int64_t epoch = 0;                      ///< the worker refuses a lower one than it has seen
+  std::int64_t acknowledged = 0;               ///< number of the last end that the worker may forget
+  std::optional<std::int64_t> lease_end_ms;    ///< on the worker's clock
+  absl::Duration wait = absl::ZeroDuration();  ///< the answer waits this long for an end
 };
 
 struct HoldAnswer {
@@ -71,10 +71,8 @@
   /// A refusal by the worker is an answer, not a failure.
   virtual void Start(const StartCall& call, absl::Duration timeout,
                      absl::AnyInvocable<void(Result<workflow::StartAnswer>)> callback) = 0;
-  virtual void Stop(const StopCall& call, absl::Duration timeout,
-                    absl::AnyInvocable<void(Result<void>)> callback) = 0;
-  virtual void Pace(const PaceCall& call, absl::Duration timeout,
-                    absl::AnyInvocable<void(Result<void>)> callback) = 0;
+  virtual void Stop(const StopCall& call, absl::Duration timeout, absl::AnyInvocable<void(Result<void>)> callback) = 0;
+  virtual void Pace(const PaceCall& call, absl::Duration timeout, absl::AnyInvocable<void(Result<void>)> callback) = 0;
 };
 
 }  // namespace berylgauge::control
--- a/src/workflow/job_codec.cc
+++ b/src/workflow/job_codec.cc
@@ -13,24 +13,10 @@
 constexpr int kFormat = 1;
 
 json StepToJson(const StepDefinition& step) {
-  return json::array({step.task_count,
-                      step.demand.cpu_millis,
-                      step.demand.memory_mb,
-                      step.demand.accelerators,
-                      step.estimate_ms,
-                      step.after,
-                      step.saves_progress,
-                      step.gang,
-                      step.same_rack,
-                      step.speculative,
-                      step.long_running,
-                      step.fills_idle_cpu,
-                      step.required_label,
-                      step.data_rack,
-                      step.image,
-                      step.max_per_worker,
-                      step.tail_target_ms,
-                      step.may_miss});
+  return json::array({step.task_count, step.demand.cpu_millis, step.demand.memory_mb, step.demand.accelerators,
+                      step.estimate_ms, step.after, step.saves_progress, step.gang, step.same_rack, step.speculative,
+                      step.long_running, step.fills_idle_cpu, step.required_label, step.data_rack, step.image,
+                      step.max_per_worker, step.tail_target_ms, step.may_miss});
 }
 
 StepDefinition StepFromJson(const json& row) {
--- a/src/workflow/job_definition.h
+++ b/src/workflow/job_definition.h
@@ -33,13 +33,13 @@
 /// Settings of a queue that hold for a job from its acceptance on.
 struct QueuePolicy {
   std::string name;
-  std::string service;         ///< names the workers that run its tasks
-  int priority = 0;            ///< 0 comes first
-  int max_attempts = 1;        ///< failed runs of a task after which its job has failed
-  double stretch = 1;          ///< objective: this times the longest chain of work
-  int target_latency_ms = 0;   ///< added to the objective
-  bool needs_advice = false;   ///< only workers that the advice service names may run a step
-  int advice_valid_ms = 0;     ///< how long a ticket of the advice service is accepted
+  std::string service;        ///< names the workers that run its tasks
+  int priority = 0;           ///< 0 comes first
+  int max_attempts = 1;       ///< failed runs of a task after which its job has failed
+  double stretch = 1;         ///< objective: this times the longest chain of work
+  int target_latency_ms = 0;  ///< added to the objective
+  bool needs_advice = false;  ///< only workers that the advice service names may run a step
+  int advice_valid_ms = 0;    ///< how long a ticket of the advice service is accepted
 
   bool operator==(const QueuePolicy&) const = default;
 };
--- a/src/workflow/job_index.h
+++ b/src/workflow/job_index.h
@@ -24,7 +24,7 @@
     std::string definition;  ///< encoded; empty while only progress was read
     std::string queue;
     bool cancelled = false;
-    std::optional<JobPhase> summary;                    ///< of the owner; none before the first start
+    std::optional<JobPhase> summary;                      ///< of the owner; none before the first start
     absl::flat_hash_map<std::string, std::string> steps;  ///< encoded progress by step name
   };
 
--- a/src/workflow/orders.h
+++ b/src/workflow/orders.h
@@ -17,12 +17,12 @@
   std::string job;
   std::string task;
   int run = 0;
-  std::string checkpoint;     ///< empty to start from the beginning
+  std::string checkpoint;  ///< empty to start from the beginning
   bool fills_idle_cpu = false;
-  int tail_target_ms = 0;     ///< 0 for a task that serves nobody
+  int tail_target_ms = 0;  ///< 0 for a task that serves nobody
   int priority = 0;
-  std::string ticket;         ///< of the advice service; empty for none
-  bool was_sent = false;      ///< an earlier message with this start may have arrived
+  std::string ticket;     ///< of the advice service; empty for none
+  bool was_sent = false;  ///< an earlier message with this start may have arrived
 };
 
 /// Tells an agent to stop a run, or to make sure that it never starts.
@@ -35,8 +35,8 @@
 
 /// Why a start had no effect.
 enum class StartRefusal {
-  kNone,        ///< it runs
-  kEnded,       ///< the run has already ended or been stopped; its end is listed
+  kNone,   ///< it runs
+  kEnded,  ///< the run has already ended or been stopped; its end is listed
   kRoom,
   kTicket,
   kUnhealthy,
--- a/src/workflow/owner_record.h
+++ b/src/workflow/owner_record.h
@@ -16,8 +16,8 @@
   friend bool operator==(const OwnerRecord&, const OwnerRecord&) = default;
 };
 
-/// Epoch of a claim after the owner of `former`. The low bits are `salt`, because the store takes two appends with equal
-/// producer, epoch and sequence for repeats of one, and would confirm both of two entries that claim together.
+/// Epoch of a claim after the owner of `former`. The low bits are `salt`, because the store takes two appends with
+/// equal producer, epoch and sequence for repeats of one, and would confirm both of two entries that claim together.
 std::int64_t NextOwnerEpoch(std::int64_t former, std::uint64_t salt);
 
 std::string EncodeOwner(const OwnerRecord& owner);
--- a/src/workflow/pace_controller.cc
+++ b/src/workflow/pace_controller.cc
@@ -38,8 +38,8 @@
   } else if (worst > m_options.slow_above) {
     m_percent = static_cast<int>(m_percent * m_options.near_factor);
   } else if (worst < m_options.speed_up_below) {
-    m_percent = std::min(100, std::max(m_percent, m_options.lowest_percent - m_options.speed_up_step) +
-                                  m_options.speed_up_step);
+    m_percent = std::min(
+        100, std::max(m_percent, m_options.lowest_percent - m_options.speed_up_step) + m_options.speed_up_step);
   }
   if (m_percent < m_options.lowest_percent) m_percent = 0;
 }
--- a/src/workflow/run_end.h
+++ b/src/workflow/run_end.h
@@ -41,9 +41,9 @@
 struct ActiveRun {
   std::string task;
   int run = 0;
-  std::string checkpoint;          ///< newest; empty for none
-  int percent = 0;                 ///< of its work; for a task that lasts, 100 once it is at work
-  std::int64_t measured = 0;       ///< last half second: tail latency in ms of a serving task, else `cpu` in use
+  std::string checkpoint;     ///< newest; empty for none
+  int percent = 0;            ///< of its work; for a task that lasts, 100 once it is at work
+  std::int64_t measured = 0;  ///< last half second: tail latency in ms of a serving task, else `cpu` in use
 
   friend bool operator==(const ActiveRun&, const ActiveRun&) = default;
 };
--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -27,7 +27,8 @@
   bool Covers(const StepDefinition& other) const {
     const StepDefinition& failed = *step->definition;
     return failed.fills_idle_cpu == other.fills_idle_cpu && failed.long_running == other.long_running &&
-           !failed.long_running && failed.required_label.empty() && failed.max_per_worker == 0 && failed.demand.FitsIn(other.demand);
+           !failed.long_running && failed.required_label.empty() && failed.max_per_worker == 0 &&
+           failed.demand.FitsIn(other.demand);
   }
 };
 
@@ -80,8 +81,8 @@
 void Scheduler::AddOccurrence(WorkflowJob& job, std::int64_t occurrence, const JobIndex::Job* recorded,
                               MonotonicTime now) {
   const JobDefinition& definition = job.definition;
-  const absl::Duration objective = definition.queue.stretch * LongestChain(definition) +
-                                   absl::Milliseconds(definition.queue.target_latency_ms);
+  const absl::Duration objective =
+      definition.queue.stretch * LongestChain(definition) + absl::Milliseconds(definition.queue.target_latency_ms);
   std::vector<std::unique_ptr<WorkflowStep>>& steps = job.occurrences[occurrence];
   for (std::size_t number = 0; number < definition.steps.size(); ++number) {
     auto step = std::make_unique<WorkflowStep>();
@@ -176,7 +177,8 @@
     for (const std::unique_ptr<WorkflowStep>& step : steps) {
       UpdateWaiting(*step);
       for (std::size_t i = 0; i < step->tasks.size(); ++i) {
-        if (step->tasks[i].state == TaskState::kPlaced) OrderStop({.step = step.get(), .index = static_cast<int>(i)}, now);
+        if (step->tasks[i].state == TaskState::kPlaced)
+          OrderStop({.step = step.get(), .index = static_cast<int>(i)}, now);
       }
     }
   }
@@ -285,8 +287,9 @@
   worker.ends_applied = 0;
   worker.ends_durable = 0;
   worker.avoid_until = MonotonicTime();
-  LogEvent(LogLevel::kInfo, "worker_life",
-           {{"worker", report.life.worker}, {"born", report.life.born}, {"agent", worker.agent}, {"zone", worker.zone}});
+  LogEvent(
+      LogLevel::kInfo, "worker_life",
+      {{"worker", report.life.worker}, {"born", report.life.born}, {"agent", worker.agent}, {"zone", worker.zone}});
   const auto orphans = m_orphans.find(report.life.worker);
   if (orphans == m_orphans.end()) return;
   const std::vector<TaskRef> tasks = std::move(orphans->second);
@@ -318,9 +321,8 @@
     const TaskProgress& progress = task.step->tasks[static_cast<std::size_t>(task.index)];
     TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
     const std::string name = task.step->TaskNameOf(task.index);
-    const auto listed = std::find_if(report.runs.begin(), report.runs.end(), [&](const ActiveRun& run) {
-      return run.task == name && run.run == progress.run;
-    });
+    const auto listed = std::find_if(report.runs.begin(), report.runs.end(),
+                                     [&](const ActiveRun& run) { return run.task == name && run.run == progress.run; });
     if (listed != report.runs.end()) {
       expected.insert(name);
       if (runtime.stage == RunStage::kUnknown) {
@@ -334,8 +336,9 @@
       if (!TakesRuns(*task.step->job)) to_stop.push_back(task);
       continue;
     }
-    const bool must_be_listed = runtime.stage == RunStage::kUnknown ||
-                                (runtime.stage == RunStage::kRunning && runtime.started_clock_ms < report.worker_clock_ms);
+    const bool must_be_listed =
+        runtime.stage == RunStage::kUnknown ||
+        (runtime.stage == RunStage::kRunning && runtime.started_clock_ms < report.worker_clock_ms);
     if (must_be_listed) to_stop.push_back(task);
   }
   for (const TaskRef task : to_stop) OrderStop(task, now);
@@ -427,11 +430,9 @@
       break;
   }
   ++m_counts.refused_starts;
-  LogEvent(LogLevel::kInfo, "start_refused",
-           {{"task", task},
-            {"run", run},
-            {"worker", life.worker},
-            {"reason", kStartRefusalNames.NameOf(answer.refusal)}});
+  LogEvent(
+      LogLevel::kInfo, "start_refused",
+      {{"task", task}, {"run", run}, {"worker", life.worker}, {"reason", kStartRefusalNames.NameOf(answer.refusal)}});
   if (PoolWorker* worker = m_workers.FindLife(life)) {
     const bool is_unfit = answer.refusal == StartRefusal::kUnhealthy || answer.refusal == StartRefusal::kRoom;
     if (is_unfit) worker->avoid_until = now + m_options.refusal_pause;
@@ -463,7 +464,8 @@
   } else if (kind == RunEndKind::kFailed) {
     ++m_counts.ends_failed;
     LogEvent(LogLevel::kInfo, "run_failed",
-             {{"task", step.TaskNameOf(task.index)}, {"run", step.tasks[static_cast<std::size_t>(task.index)].run},
+             {{"task", step.TaskNameOf(task.index)},
+              {"run", step.tasks[static_cast<std::size_t>(task.index)].run},
               {"worker", worker}});
     const bool out = m_quarantine.RecordFailure(WorkerId(worker), JobId(job.definition.id), now);
     if (out) LogEvent(LogLevel::kWarning, "worker_quarantined", {{"worker", worker}});
@@ -552,11 +554,10 @@
     return;
   }
   const int limit = job.definition.queue.max_attempts;
-  const bool exhausted =
-      !step.definition->long_running &&
-      std::any_of(step.tasks.begin(), step.tasks.end(), [&](const TaskProgress& task) {
-        return task.state == TaskState::kWaiting && task.failures >= limit;
-      });
+  const bool exhausted = !step.definition->long_running &&
+                         std::any_of(step.tasks.begin(), step.tasks.end(), [&](const TaskProgress& task) {
+                           return task.state == TaskState::kWaiting && task.failures >= limit;
+                         });
   if (exhausted) {
     LogEvent(LogLevel::kInfo, "job_failed", {{"job", job.definition.id}, {"step", step.name}, {"attempts", limit}});
     EndJob(job, JobPhase::kFailed, now);
@@ -582,10 +583,8 @@
   const PoolWorker* worker = m_workers.FindLife({.worker = progress.worker, .born = progress.worker_born});
   if (worker == nullptr) return;  // an orphan; ordered when its worker reports
   runtime.stage = RunStage::kStopping;
-  m_stops.push_back({.agent = worker->agent,
-                     .life = worker->life,
-                     .task = task.step->TaskNameOf(task.index),
-                     .run = progress.run});
+  m_stops.push_back(
+      {.agent = worker->agent, .life = worker->life, .task = task.step->TaskNameOf(task.index), .run = progress.run});
   static_cast<void>(now);
 }
 
@@ -630,8 +629,8 @@
   const std::vector<WorkflowStep*> waiting(m_waiting.begin(), m_waiting.end());
   std::vector<FailedDemand> failed;
   for (WorkflowStep* step : waiting) {
-    const bool is_hopeless = std::any_of(failed.begin(), failed.end(),
-                                         [&](const FailedDemand& f) { return f.Covers(*step->definition); });
+    const bool is_hopeless =
+        std::any_of(failed.begin(), failed.end(), [&](const FailedDemand& f) { return f.Covers(*step->definition); });
     if (is_hopeless) continue;
     if (step->definition->gang) {
       PlaceGang(*step, candidates, now);
@@ -843,9 +842,10 @@
 std::size_t Scheduler::WaitingTasks() const {
   std::size_t count = 0;
   for (const WorkflowStep* step : m_waiting) {
-    count += static_cast<std::size_t>(std::count_if(
-        step->tasks.begin(), step->tasks.end(),
-        [](const TaskProgress& task) { return task.state == TaskState::kWaiting; }));
+    count +=
+        static_cast<std::size_t>(std::count_if(step->tasks.begin(), step->tasks.end(), [](const TaskProgress& task) {
+          return task.state == TaskState::kWaiting;
+        }));
   }
   return count;
 }
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -50,7 +50,7 @@
   std::uint64_t placements = 0;
   std::uint64_t ends_done = 0;
   std::uint64_t ends_failed = 0;
-  std::uint64_t ends_lost = 0;      ///< lapsed leases, lives that ended, runs that never began
+  std::uint64_t ends_lost = 0;  ///< lapsed leases, lives that ended, runs that never began
   std::uint64_t ends_other = 0;
   std::uint64_t refused_starts = 0;
   std::uint64_t jobs_done = 0;
@@ -149,17 +149,17 @@
   WorkerPool m_workers;
   WorkerQuarantine m_quarantine;
   absl::flat_hash_map<std::string, std::unique_ptr<WorkflowJob>> m_jobs;
-  std::set<WorkflowStep*, ByUrgency> m_waiting;       ///< ready steps with a task that waits
-  std::set<WorkflowJob*> m_scheduled;                 ///< jobs with occurrences to come
+  std::set<WorkflowStep*, ByUrgency> m_waiting;                 ///< ready steps with a task that waits
+  std::set<WorkflowJob*> m_scheduled;                           ///< jobs with occurrences to come
   absl::flat_hash_map<std::string, MonotonicTime> m_retire_at;  ///< finished jobs
   std::vector<WorkflowStep*> m_changed_steps;
   std::vector<WorkflowJob*> m_changed_jobs;
   std::vector<std::pair<std::string, std::string>> m_final_records;  ///< summaries of jobs that were forgotten
   std::vector<std::string> m_removed_keys;
   std::vector<std::string> m_retired_jobs;
-  std::vector<StartOrder> m_new_starts;      ///< of the next batch
+  std::vector<StartOrder> m_new_starts;  ///< of the next batch
   std::vector<StopOrder> m_stops;
-  std::optional<Batch> m_batch;              ///< under way
+  std::optional<Batch> m_batch;                                      ///< under way
   absl::flat_hash_map<std::string, std::vector<TaskRef>> m_orphans;  ///< placed by a former owner, by worker id
   SchedulerCounts m_counts;
   bool m_placement_due = true;
--- a/src/workflow/step_progress.h
+++ b/src/workflow/step_progress.h
@@ -18,11 +18,11 @@
 /// What is recorded of one task.
 struct TaskProgress {
   TaskState state = TaskState::kWaiting;
-  int run = 0;       ///< number of the newest run; 0 before the first
-  int failures = 0;  ///< runs that ended as failed
-  std::string worker;             ///< of the newest run while placed
-  std::int64_t worker_born = 0;   ///< life of that worker, Unix milliseconds of its start
-  std::string checkpoint;         ///< from which the next run resumes; empty for none
+  int run = 0;                   ///< number of the newest run; 0 before the first
+  int failures = 0;              ///< runs that ended as failed
+  std::string worker;            ///< of the newest run while placed
+  std::int64_t worker_born = 0;  ///< life of that worker, Unix milliseconds of its start
+  std::string checkpoint;        ///< from which the next run resumes; empty for none
 
   friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
 };
--- a/src/workflow/worker_pool.h
+++ b/src/workflow/worker_pool.h
@@ -40,17 +40,17 @@
   std::vector<std::string> labels;
   Resources capacity;
   std::int64_t remaining_ms = 0;
-  bool reconciled = false;          ///< its list of runs was compared with the records
-  std::int64_t clock_ms = 0;        ///< newest reading of its steady clock
-  MonotonicTime clock_read_at;      ///< when that reading arrived here
-  std::int64_t ends_applied = 0;    ///< number of the last end taken into the state
-  std::int64_t ends_durable = 0;    ///< number of the last end whose record is durable
+  bool reconciled = false;            ///< its list of runs was compared with the records
+  std::int64_t clock_ms = 0;          ///< newest reading of its steady clock
+  MonotonicTime clock_read_at;        ///< when that reading arrived here
+  std::int64_t ends_applied = 0;      ///< number of the last end taken into the state
+  std::int64_t ends_durable = 0;      ///< number of the last end whose record is durable
   std::map<TaskRef, Resources> runs;  ///< everything that may be present there
-  Resources reserved;               ///< of tasks whose processors are counted
-  std::int64_t filling_cpu = 0;     ///< demand of tasks that fill idle processors
-  std::int64_t serving_cpu = 0;     ///< part of `reserved` that belongs to serving tasks
+  Resources reserved;                 ///< of tasks whose processors are counted
+  std::int64_t filling_cpu = 0;       ///< demand of tasks that fill idle processors
+  std::int64_t serving_cpu = 0;       ///< part of `reserved` that belongs to serving tasks
   int serving_tasks = 0;
-  MonotonicTime avoid_until;        ///< refuses or fails starts
+  MonotonicTime avoid_until;  ///< refuses or fails starts
 
   Resources Free() const { return capacity - reserved; }
 };
--- a/src/workflow/worker_report.h
+++ b/src/workflow/worker_report.h
@@ -41,7 +41,7 @@
   std::string zone;
   std::vector<std::string> labels;
   Resources capacity;
-  std::int64_t remaining_ms = 0;   ///< least time left to a draining worker
+  std::int64_t remaining_ms = 0;     ///< least time left to a draining worker
   std::int64_t worker_clock_ms = 0;  ///< worker's steady clock as of the lists; 0 if it never answered
   bool has_runs = false;             ///< `runs` is the whole list as of `worker_clock_ms`
   std::vector<ActiveRun> runs;
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -19,21 +19,21 @@
   kRecording,  ///< its placement is not durable; nothing was sent
   kStarting,   ///< the start was sent and is not answered
   kRunning,
-  kUnknown,    ///< placed by a former owner and not seen yet
-  kStopping,   ///< a stop was ordered; its end or its absence will be reported
+  kUnknown,   ///< placed by a former owner and not seen yet
+  kStopping,  ///< a stop was ordered; its end or its absence will be reported
 };
 
 /// What the owner knows of a task beyond its record.
 struct TaskRuntime {
   RunStage stage = RunStage::kNone;
-  MonotonicTime started_at;            ///< when the start was answered
-  std::int64_t started_clock_ms = 0;   ///< worker's clock at that time
+  MonotonicTime started_at;           ///< when the start was answered
+  std::int64_t started_clock_ms = 0;  ///< worker's clock at that time
   MonotonicTime waiting_since;
-  MonotonicTime not_before;            ///< earliest time of the next run
-  std::vector<std::string> avoid;      ///< workers on which it failed
-  std::string checkpoint;              ///< newest that the worker listed for the present run
-  int percent = 0;                     ///< of its work, as listed last
-  MonotonicTime progressed_at;         ///< when `percent` changed last
+  MonotonicTime not_before;        ///< earliest time of the next run
+  std::vector<std::string> avoid;  ///< workers on which it failed
+  std::string checkpoint;          ///< newest that the worker listed for the present run
+  int percent = 0;                 ///< of its work, as listed last
+  MonotonicTime progressed_at;     ///< when `percent` changed last
   std::int64_t measured = 0;
 };
 
@@ -47,10 +47,10 @@
   const StepDefinition* definition = nullptr;
   std::vector<TaskProgress> tasks;
   std::vector<TaskRuntime> runtimes;
-  int done = 0;           ///< tasks in state done
-  bool ready = false;     ///< all steps that it comes after are done
-  bool changed = false;   ///< its record must be written
-  std::string name;       ///< StepName as text
+  int done = 0;             ///< tasks in state done
+  bool ready = false;       ///< all steps that it comes after are done
+  bool changed = false;     ///< its record must be written
+  std::string name;         ///< StepName as text
   int failed_gang_run = 0;  ///< newest run of the gang whose failure was counted
   MonotonicTime deadline;   ///< objective of the occurrence; orders the waiting steps
 
--- /dev/null
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -0,0 +1,218 @@
+#include "workflow/scheduler.h"
+
+#include <catch2/catch.hpp>
+
+#include "scheduler_world.h"
+
+namespace berylgauge::workflow {
+namespace {
+
+StepDefinition ShortStep(int tasks) {
+  return {.task_count = tasks, .demand = {.cpu_millis = 240, .memory_mb = 480}, .estimate_ms = 600};
+}
+
+StepDefinition LastingStep(int tasks) {
+  return {.task_count = tasks, .demand = {.cpu_millis = 3200, .memory_mb = 6400}, .long_running = true};
+}
+
+TEST_CASE("a job of two steps runs in order and is done", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  JobDefinition job = SingleStepJob("a0", ShortStep(2));
+  StepDefinition second = ShortStep(1);
+  second.after = {0};
+  job.steps.push_back(second);
+  world.Submit(job);
+  CHECK(world.RunningTasks() == 2);
+  CHECK(world.PhaseOf("a0") == JobPhase::kRunning);
+  world.End("a0.0.0.0", RunEndKind::kDone);
+  world.Settle();
+  CHECK(world.PlaceOf("a0.0.1.0").empty());  // a start before all tasks of the step before have ended
+  world.End("a0.0.0.1", RunEndKind::kDone);
+  world.Settle();
+  CHECK(world.PlaceOf("a0.0.1.0") == "w1");
+  world.End("a0.0.1.0", RunEndKind::kDone);
+  world.Settle();
+  CHECK(world.PhaseOf("a0") == JobPhase::kDone);
+  CHECK(world.violations().empty());
+}
+
+// Guards against tasks of a job that run on because it was cancelled while no owner acted.
+TEST_CASE("an owner that takes over stops the runs of a cancelled job", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  world.Submit(SingleStepJob("a0", LastingStep(2)));
+  REQUIRE(world.RunningTasks() == 2);
+  world.Cancel("a0");  // recorded, but the owner ends before it acts
+  world.Replace();
+  world.Settle();
+  CHECK(world.RunningTasks() == 0);
+  CHECK(world.PhaseOf("a0") == JobPhase::kCancelled);
+}
+
+// Guards against a lasting task that waits for ever because of the room kept for short ones.
+TEST_CASE("a lasting task takes the reserve of short tasks after a while", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1").capacity.cpu_millis = 3500;
+  world.Submit(SingleStepJob("a0", LastingStep(1)));
+  CHECK(world.RunningTasks() == 0);
+  world.Sleep(absl::Milliseconds(1300));
+  world.Settle();
+  CHECK(world.RunningTasks() == 1);
+}
+
+struct FailureRow {
+  const char* name;
+  bool lasting;
+  int failures;
+  JobPhase phase;
+};
+
+// Guards against a task that runs more often than its attempts allow, and one that lasts and is given up.
+TEST_CASE("failed runs are repeated up to the attempts of the queue", "[scheduler]") {
+  const FailureRow row = GENERATE(FailureRow{"once", false, 1, JobPhase::kRunning},
+                                  FailureRow{"all attempts", false, 2, JobPhase::kFailed},
+                                  FailureRow{"lasting", true, 5, JobPhase::kRunning});
+  INFO(row.name);
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  world.AddWorker("w2");
+  world.Submit(SingleStepJob("a0", row.lasting ? LastingStep(1) : ShortStep(1)));
+  for (int i = 0; i < row.failures; ++i) {
+    world.Sleep(absl::Seconds(5));
+    world.Settle();
+    world.End("a0.0.0.0", RunEndKind::kFailed);
+    world.Settle();
+  }
+  world.Sleep(absl::Seconds(5));
+  world.Settle();
+  CHECK(world.PhaseOf("a0") == row.phase);
+  CHECK(world.RunningTasks() == (IsFinal(row.phase) ? 0U : 1U));
+}
+
+// Guards against a second run while the first may still be there: the lease is the only proof for a silent worker.
+TEST_CASE("a run of a silent worker is repeated only after its lease", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  world.Submit(SingleStepJob("a0", ShortStep(1)));
+  REQUIRE(world.PlaceOf("a0.0.0.0") == "w1");
+  world.AddWorker("w2");
+  world.Sleep(absl::Milliseconds(4500));
+  world.SettleWithout("w1");
+  CHECK(world.StartsOf("a0.0.0.0") == 1);
+  world.Sleep(absl::Milliseconds(300));
+  world.SettleWithout("w1");
+  CHECK(world.StartsOf("a0.0.0.0") == 2);
+}
+
+// Guards against a successor that repeats what a worker it cannot reach may still run under the former owner's grants.
+TEST_CASE("a successor waits for the former owner's grants", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  world.Submit(SingleStepJob("a0", ShortStep(1)));
+  world.AddWorker("w2");
+  world.Replace();
+  world.Sleep(absl::Seconds(9));
+  world.SettleWithout("w1");
+  CHECK(world.StartsOf("a0.0.0.0") == 1);
+  world.Sleep(absl::Milliseconds(300));
+  world.SettleWithout("w1");
+  CHECK(world.StartsOf("a0.0.0.0") == 2);
+}
+
+TEST_CASE("a worker's new life ends the runs of its former one", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  world.Submit(SingleStepJob("a0", ShortStep(1)));
+  world.Restart("w1");
+  world.Settle();
+  CHECK(world.StartsOf("a0.0.0.0") == 2);
+  CHECK(world.PlaceOf("a0.0.0.0") == "w1");
+}
+
+TEST_CASE("nothing is placed in an evacuated zone or on a draining worker", "[scheduler]") {
+  struct Row {
+    const char* name;
+    bool evacuated;
+    WorkerCondition condition;
+  };
+  const Row row =
+      GENERATE(Row{"evacuated", true, WorkerCondition::kReady}, Row{"draining", false, WorkerCondition::kDraining},
+               Row{"gone", false, WorkerCondition::kGone});
+  INFO(row.name);
+  SchedulerWorld world;
+  PlayedWorker& worker = world.AddWorker("w1");
+  worker.condition = row.condition;
+  if (row.evacuated) world.scheduler().SetLimits({.evacuated_zones = {worker.zone}});
+  world.Submit(SingleStepJob("a0", ShortStep(1)));
+  CHECK(world.RunningTasks() == 0);
+  CHECK(world.PhaseOf("a0") == JobPhase::kQueued);
+}
+
+// Guards against a gang of which only some members run while others wait.
+TEST_CASE("a gang starts as a whole, restarts as a whole and ends together", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1").capacity.cpu_millis = 1000;
+  StepDefinition step = ShortStep(3);
+  step.demand.cpu_millis = 500;
+  step.gang = true;
+  step.saves_progress = true;
+  world.Submit(SingleStepJob("a0", step));
+  CHECK(world.RunningTasks() == 0);
+  world.AddWorker("w2");
+  world.Settle();
+  CHECK(world.RunningTasks() == 3);
+  world.End("a0.0.0.1", RunEndKind::kFailed);
+  world.Settle();
+  CHECK(world.RunningTasks() == 0);  // the others were stopped
+  world.Sleep(absl::Seconds(1));
+  world.Settle();
+  CHECK(world.RunningTasks() == 3);
+  CHECK(world.PhaseOf("a0") == JobPhase::kRunning);
+  world.End("a0.0.0.0", RunEndKind::kDone);
+  world.Settle();
+  CHECK(world.PhaseOf("a0") == JobPhase::kDone);
+}
+
+TEST_CASE("occurrences start at their due time, not before", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  JobDefinition job = SingleStepJob("a0", ShortStep(1));
+  job.occurrences = 2;
+  job.first_due_unix_ms = world.unix_now_ms() + 1000;
+  job.interval_ms = 5000;
+  world.Submit(job);
+  world.Sleep(absl::Milliseconds(999));
+  world.Settle();
+  CHECK(world.RunningTasks() == 0);
+  world.Sleep(absl::Milliseconds(1));
+  world.Settle();
+  CHECK(world.PlaceOf("a0.0.0.0") == "w1");
+  world.End("a0.0.0.0", RunEndKind::kDone);
+  world.Settle();
+  CHECK(world.PhaseOf("a0") == JobPhase::kRunning);
+  world.Sleep(absl::Seconds(5));
+  world.Settle();
+  world.End("a0.1.0.0", RunEndKind::kDone);
+  world.Settle();
+  CHECK(world.PhaseOf("a0") == JobPhase::kDone);
+}
+
+TEST_CASE("a checkpoint is passed to the next run", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  StepDefinition step = ShortStep(1);
+  step.saves_progress = true;
+  world.Submit(SingleStepJob("a0", step));
+  world.End("a0.0.0.0", RunEndKind::kStopped, "0bb8");
+  world.Settle();
+  const JobIndex::Job* job = world.index().Find("a0");
+  REQUIRE(job != nullptr);
+  const auto tasks = DecodeStepProgress(job->steps.at("a0.0.0"), 1);
+  REQUIRE(tasks.has_value());
+  CHECK(tasks->at(0).checkpoint == "0bb8");
+  CHECK(tasks->at(0).run == 2);
+}
+
+}  // namespace
+}  // namespace berylgauge::workflow
--- /dev/null
+++ b/tests/unit/workflow/scheduler_world.cc
@@ -0,0 +1,162 @@
+#include "scheduler_world.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "workflow/job_codec.h"
+#include "workflow/record_keys.h"
+
+namespace berylgauge::workflow {
+namespace {
+
+/// More rounds than any chain of decisions in these tests takes.
+constexpr int kMaxRounds = 200;
+
+}  // namespace
+
+SchedulerWorld::SchedulerWorld(SchedulerOptions options) : m_scheduler(std::make_unique<Scheduler>(options, m_now)) {}
+
+PlayedWorker& SchedulerWorld::AddWorker(const std::string& name) {
+  PlayedWorker& worker = m_workers[name];
+  worker.agent = "agent-" + name;
+  worker.life = {.worker = name, .born = m_next_born++};
+  return worker;
+}
+
+void SchedulerWorld::Submit(const JobDefinition& job) {
+  m_jobs[job.id] = job;
+  m_index.ApplySubmission(job.id, EncodeJob(job));
+  m_scheduler->AddJob(job.id, *m_index.Find(job.id), m_now);
+  Settle();
+}
+
+void SchedulerWorld::Cancel(const std::string& job) {
+  m_index.ApplySubmission(CancellationKey(job), kCancellationValue);
+  m_scheduler->CancelJob(job, m_now);
+}
+
+void SchedulerWorld::Settle() { SettleWithout({}); }
+
+void SchedulerWorld::SettleWithout(const std::string& silent) {
+  for (int round = 0; round < kMaxRounds && Step(silent); ++round) {
+  }
+}
+
+bool SchedulerWorld::Step(const std::string& silent) {
+  for (auto& [name, worker] : m_workers) {
+    if (name != silent) Report(worker);
+  }
+  m_scheduler->Advance(m_now, unix_now_ms());
+  bool changed = false;
+  for (const StopOrder& order : m_scheduler->TakeStops()) {
+    changed = true;
+    if (order.life.worker != silent) Deliver(order);
+  }
+  const std::optional<Batch> batch = m_scheduler->TakeBatch(m_now);
+  if (!batch) return changed;
+  for (const auto& [key, value] : batch->records) m_index.ApplyProgress(key, value);
+  for (const StartOrder& order : m_scheduler->OnBatchDurable(m_now)) {
+    if (order.life.worker != silent) Deliver(order);
+  }
+  return true;
+}
+
+void SchedulerWorld::Report(PlayedWorker& worker) {
+  const PoolWorker* known = m_scheduler->FindWorker(worker.agent);
+  const std::int64_t acknowledged = known != nullptr && known->life == worker.life ? known->ends_durable : 0;
+  std::erase_if(worker.ends, [&](const RunEnd& end) { return end.number <= acknowledged; });
+  WorkerReport report{.agent_incarnation = worker.agent_incarnation,
+                      .life = worker.life,
+                      .condition = worker.condition,
+                      .service = "dispatch",
+                      .zone = worker.zone,
+                      .labels = worker.labels,
+                      .capacity = worker.capacity,
+                      .worker_clock_ms = absl::ToInt64Milliseconds(m_now.SinceBoot()),
+                      .has_runs = true,
+                      .runs = {},
+                      .ends = worker.ends};
+  for (const auto& [task, run] : worker.runs) report.runs.push_back({.task = task, .run = run, .checkpoint = {}});
+  m_scheduler->OnReport(worker.agent, report, m_now);
+}
+
+void SchedulerWorld::Deliver(const StartOrder& order) {
+  PlayedWorker& worker = m_workers.at(order.life.worker);
+  StartAnswer answer{.clock_ms = absl::ToInt64Milliseconds(m_now.SinceBoot())};
+  if (worker.life != order.life) {
+    answer.refusal = StartRefusal::kOtherLife;
+  } else {
+    ++m_starts[order.task];
+    if (!PlaceOf(order.task).empty()) m_violations.push_back("runs twice: " + order.task);
+    worker.runs[order.task] = order.run;
+  }
+  m_scheduler->OnStartAnswer(order.task, order.run, order.life, answer, m_now);
+}
+
+void SchedulerWorld::Deliver(const StopOrder& order) {
+  PlayedWorker& worker = m_workers.at(order.life.worker);
+  bool listed = std::any_of(worker.ends.begin(), worker.ends.end(),
+                            [&](const RunEnd& end) { return end.task == order.task && end.run == order.run; });
+  const auto found = worker.runs.find(order.task);
+  if (worker.life == order.life && found != worker.runs.end() && found->second == order.run) {
+    worker.runs.erase(found);
+    worker.ends.push_back(
+        {.number = ++worker.last_end, .task = order.task, .run = order.run, .kind = RunEndKind::kStopped});
+    listed = true;
+  }
+  m_scheduler->OnStopAnswer(order.task, order.run, order.life, listed, m_now);
+}
+
+void SchedulerWorld::End(const std::string& task, RunEndKind kind, const std::string& checkpoint) {
+  for (auto& [name, worker] : m_workers) {
+    const auto found = worker.runs.find(task);
+    if (found == worker.runs.end()) continue;
+    worker.ends.push_back(
+        {.number = ++worker.last_end, .task = task, .run = found->second, .kind = kind, .checkpoint = checkpoint});
+    worker.runs.erase(found);
+    return;
+  }
+}
+
+void SchedulerWorld::Replace(SchedulerOptions options) {
+  m_scheduler = std::make_unique<Scheduler>(options, m_now);
+  m_index.ForEachJob([&](const std::string& id, const JobIndex::Job& job) { m_scheduler->AddJob(id, job, m_now); });
+}
+
+void SchedulerWorld::Restart(const std::string& name) {
+  PlayedWorker& worker = m_workers.at(name);
+  worker.life.born = m_next_born++;
+  worker.runs.clear();
+  worker.ends.clear();
+  worker.last_end = 0;
+}
+
+std::string SchedulerWorld::PlaceOf(const std::string& task) const {
+  for (const auto& [name, worker] : m_workers) {
+    if (worker.runs.contains(task)) return name;
+  }
+  return {};
+}
+
+std::size_t SchedulerWorld::RunningTasks() const {
+  std::size_t count = 0;
+  for (const auto& [name, worker] : m_workers) count += worker.runs.size();
+  return count;
+}
+
+int SchedulerWorld::StartsOf(const std::string& task) const {
+  const auto found = m_starts.find(task);
+  return found == m_starts.end() ? 0 : found->second;
+}
+
+std::int64_t SchedulerWorld::unix_now_ms() const { return absl::ToInt64Milliseconds(m_now.SinceBoot()); }
+
+JobDefinition SingleStepJob(const std::string& id, const StepDefinition& step) {
+  JobDefinition job;
+  job.id = id;
+  job.queue = {.name = "checks", .service = "dispatch", .max_attempts = 2};
+  job.steps = {step};
+  return job;
+}
+
+}  // namespace berylgauge::workflow
--- /dev/null
+++ b/tests/unit/workflow/scheduler_world.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "workflow/job_definition.h"
+#include "workflow/job_index.h"
+#include "workflow/scheduler.h"
+
+namespace berylgauge::workflow {
+
+/// A worker that the test plays: its clock is the test's clock.
+struct PlayedWorker {
+  std::string agent;
+  WorkerLife life;
+  Incarnation agent_incarnation = 1;
+  WorkerCondition condition = WorkerCondition::kReady;
+  std::string zone = "galway-yard";
+  std::vector<std::string> labels = {"a", "r1-1"};
+  Resources capacity = {.cpu_millis = 16000, .memory_mb = 64000};
+  std::map<std::string, int> runs;  ///< run by task
+  std::vector<RunEnd> ends;
+  std::int64_t last_end = 0;
+};
+
+/// A scheduler with workers that exist in the test only. Batches are stored at once; their records outlive the
+/// scheduler, so that a successor can take over.
+class SchedulerWorld {
+ public:
+  explicit SchedulerWorld(SchedulerOptions options = {});
+
+  PlayedWorker& AddWorker(const std::string& name);
+  PlayedWorker& worker(const std::string& name) { return m_workers.at(name); }
+
+  /// Submits the job and runs until nothing changes.
+  void Submit(const JobDefinition& job);
+  void Cancel(const std::string& job);
+  /// Reports of all workers, decisions, records, starts and stops, until nothing changes.
+  void Settle();
+  /// The same without a report of the named worker.
+  void SettleWithout(const std::string& silent);
+  void Sleep(absl::Duration duration) { m_now = m_now + duration; }
+
+  /// Ends a run at its worker.
+  void End(const std::string& task, RunEndKind kind, const std::string& checkpoint = {});
+  /// Another owner takes over with what is recorded. What the former one had not stored is lost.
+  void Replace(SchedulerOptions options = {});
+  /// The worker starts anew with nothing.
+  void Restart(const std::string& name);
+
+  Scheduler& scheduler() { return *m_scheduler; }
+  const JobIndex& index() const { return m_index; }
+  std::optional<JobPhase> PhaseOf(const std::string& job) const { return m_index.PhaseOf(job); }
+  /// Worker on which the task runs; empty if it runs nowhere.
+  std::string PlaceOf(const std::string& task) const;
+  std::size_t RunningTasks() const;
+  /// Starts that were sent, by task.
+  int StartsOf(const std::string& task) const;
+  MonotonicTime now() const { return m_now; }
+  std::int64_t unix_now_ms() const;
+
+  /// Tasks that ran at two workers at the same time, or starts beyond a worker's capacity; each is a fault.
+  const std::vector<std::string>& violations() const { return m_violations; }
+
+ private:
+  bool Step(const std::string& silent);
+  void Report(PlayedWorker& worker);
+  void Deliver(const StartOrder& order);
+  void Deliver(const StopOrder& order);
+
+  MonotonicTime m_now{absl::Hours(1)};
+  JobIndex m_index;
+  std::map<std::string, JobDefinition> m_jobs;
+  std::map<std::string, PlayedWorker> m_workers;
+  std::unique_ptr<Scheduler> m_scheduler;
+  std::map<std::string, int> m_starts;
+  std::vector<std::string> m_violations;
+  std::int64_t m_next_born = 1'700'000'000'000;
+};
+
+/// A job of one step.
+JobDefinition SingleStepJob(const std::string& id, const StepDefinition& step);
+
+}  // namespace berylgauge::workflow
