--- a/src/control/agent_messages.cc
+++ b/src/control/agent_messages.cc
@@ -104,9 +104,14 @@
 std::string EncodeWatchRequest(const WatchRequest& message) {
   json traits = json::array();
   for (const TaskTraits& t : message.traits)
-    traits.push_back(json::array({t.task, t.fills_idle_cpu, t.tail_target_ms}));
+    traits.push_back(json::array({t.task, t.fills_idle_cpu, t.tail_target_ms, t.image, t.demand_cpu}));
+  json interference = json::array();
+  for (const workflow::InterferenceEntry& entry : message.interference) {
+    interference.push_back(json::array({entry.serving_image, entry.filling_image, entry.ms_per_core}));
+  }
   return Encode(json::array({message.epoch, message.known_version, message.known_incarnation, message.wait_ms,
-                             LifeToJson(message.life), message.lease_end_ms, message.acknowledged, std::move(traits)}));
+                             LifeToJson(message.life), message.lease_end_ms, message.acknowledged, std::move(traits),
+                             std::move(interference)}));
 }
 
 Result<WatchRequest> DecodeWatchRequest(std::string_view bytes) {
@@ -122,7 +127,14 @@
     for (const json& t : row.at(7)) {
       message.traits.push_back({.task = t.at(0).get<std::string>(),
                                 .fills_idle_cpu = t.at(1).get<bool>(),
-                                .tail_target_ms = t.at(2).get<int>()});
+                                .tail_target_ms = t.at(2).get<int>(),
+                                .image = t.at(3).get<std::string>(),
+                                .demand_cpu = t.at(4).get<std::int64_t>()});
+    }
+    for (const json& entry : row.at(8)) {
+      message.interference.push_back({.serving_image = entry.at(0).get<std::string>(),
+                                      .filling_image = entry.at(1).get<std::string>(),
+                                      .ms_per_core = entry.at(2).get<double>()});
     }
     return message;
   });
@@ -144,7 +156,7 @@
     json starts = json::array();
     for (const StartOrder& start : job.starts) {
       starts.push_back(json::array({start.task, start.run, start.checkpoint, start.fills_idle_cpu, start.tail_target_ms,
-                                    start.priority, start.ticket}));
+                                    start.priority, start.ticket, start.image, start.demand_cpu}));
     }
     jobs.push_back(json::array({job.payload, std::move(starts)}));
   }
@@ -172,6 +184,8 @@
         start.at(4).get_to(order.tail_target_ms);
         start.at(5).get_to(order.priority);
         start.at(6).get_to(order.ticket);
+        start.at(7).get_to(order.image);
+        start.at(8).get_to(order.demand_cpu);
         starts.starts.push_back(std::move(order));
       }
       message.jobs.push_back(std::move(starts));
--- a/src/control/agent_messages.h
+++ b/src/control/agent_messages.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/failure.h"
+#include "workflow/interference_table.h"
 #include "workflow/orders.h"
 #include "workflow/worker_report.h"
 
@@ -23,6 +24,8 @@
   std::string task;
   bool fills_idle_cpu = false;
   int tail_target_ms = 0;
+  std::string image;
+  std::int64_t demand_cpu = 0;  ///< thousandths of a core
 };
 
 /// From the owner: renews the lease and asks for news.
@@ -34,6 +37,7 @@
   workflow::WorkerLife life;       ///< to which the following refer; may be empty
   std::int64_t lease_end_ms = 0;   ///< on the worker's clock; 0 grants nothing
   std::int64_t acknowledged = 0;   ///< number of the last end that is durable
+  std::vector<workflow::InterferenceEntry> interference;  ///< what was learnt of the images on the worker
   std::vector<TaskTraits> traits;  ///< of all runs, for an agent that was started again
 };
 
--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -210,6 +210,7 @@
       m_acknowledged = request.acknowledged;
       ScheduleHold(absl::ZeroDuration());
     }
+    for (const workflow::InterferenceEntry& entry : request.interference) m_interference.Set(entry);
     for (const TaskTraits& traits : request.traits) m_traits[traits.task] = traits;
   }
   if (m_watch) FlushWatch();  // the owner gave the former one up
@@ -282,7 +283,9 @@
                        .ticket = order.ticket,
                        .lease_end_ms = request.lease_end_ms};
       m_traits[order.task] = {
-          .task = order.task, .fills_idle_cpu = order.fills_idle_cpu, .tail_target_ms = order.tail_target_ms};
+          .task = order.task, .fills_idle_cpu = order.fills_idle_cpu, .tail_target_ms = order.tail_target_ms,
+                              .image = order.image,
+                              .demand_cpu = order.demand_cpu};
       starts.push_back(std::move(attempt));
     }
   }
@@ -433,16 +436,18 @@
     if (traits == m_traits.end()) continue;
     runs.push_back({.task = run.task,
                     .run = run.run,
+                    .image = traits->second.image,
                     .fills_idle_cpu = traits->second.fills_idle_cpu,
                     .tail_target_ms = traits->second.tail_target_ms,
-                    .measured = run.measured});
+                    .measured = run.measured,
+                    .demand_cpu = traits->second.demand_cpu});
   }
   if (m_traits.size() > 2 * m_lists->runs.size() + 64) {
     absl::flat_hash_set<std::string> present;
     for (const ActiveRun& run : m_lists->runs) present.insert(run.task);
     absl::erase_if(m_traits, [&](const auto& entry) { return !present.contains(entry.first); });
   }
-  for (const workflow::PaceChange& change : m_pace.Decide(runs, m_loop.Now())) {
+  for (const workflow::PaceChange& change : m_pace.Decide(runs, m_interference, m_loop.Now())) {
     m_pace_changes.Add();
     LogEvent(LogLevel::kInfo, "pace", {{"task", change.task}, {"run", change.run}, {"percent", change.percent}});
     const PaceCall call{.life = m_announcement->life,
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -120,6 +120,7 @@
   MonotonicTime m_runs_sent_at = InfinitePast();
 
   absl::flat_hash_map<std::string, TaskTraits> m_traits;
+  workflow::InterferenceTable m_interference;
   workflow::PaceController m_pace;
   std::shared_ptr<bool> m_alive;
 
--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -100,12 +100,15 @@
     request.life = worker->life;
     request.acknowledged = worker->ends_durable;
     if (IsValid(m_loop.Now())) request.lease_end_ms = m_scheduler->LeaseEndFor(*worker);
+    request.interference = m_scheduler->TakeInterferenceFor(host, m_loop.Now());
     if (!with_traits) return;
     for (const auto& [task, held] : worker->runs) {
       const workflow::StepDefinition& step = *task.step->definition;
       request.traits.push_back({.task = task.step->TaskNameOf(task.index),
                                 .fills_idle_cpu = step.fills_idle_cpu,
-                                .tail_target_ms = step.tail_target_ms});
+                                .tail_target_ms = step.tail_target_ms,
+                                .image = step.image,
+                                .demand_cpu = step.demand.cpu_millis});
     }
   };
   listener.on_report = [this](const std::string& host, const workflow::WorkerReport& report) {
--- a/src/workflow/pace_controller.cc
+++ b/src/workflow/pace_controller.cc
@@ -1,47 +1,124 @@
 #include "workflow/pace_controller.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace berylgauge::workflow {
+namespace {
 
-std::vector<PaceChange> PaceController::Decide(const std::vector<MeasuredRun>& runs, MonotonicTime now) {
-  Adjust(runs, now);
-  std::vector<PaceChange> changes;
-  absl::flat_hash_map<std::string, std::pair<int, int>> applied;
+/// Below this pace the use that is measured says little about the use at full pace.
+constexpr double kReliableShare = 0.25;
+
+}  // namespace
+
+std::vector<PaceChange> PaceController::Decide(const std::vector<MeasuredRun>& runs,
+                                               const InterferenceTable& interference, MonotonicTime now) {
+  if (now - m_decided_at < m_options.interval) return {};
+  m_decided_at = now;
+  std::vector<const MeasuredRun*> serving;
   for (const MeasuredRun& run : runs) {
-    if (!run.fills_idle_cpu) continue;
-    const auto found = m_applied.find(run.task);
-    const bool is_new = found == m_applied.end() || found->second.first != run.run;
-    const int present = is_new ? 100 : found->second.second;
-    if (present != m_percent) changes.push_back({.task = run.task, .run = run.run, .percent = m_percent});
-    applied[run.task] = {run.run, m_percent};
+    if (run.tail_target_ms > 0) serving.push_back(&run);
+  }
+  std::vector<Filler> fillers = TakeFillers(runs);
+  for (const MeasuredRun* run : serving) SlowFor(*run, fillers, interference);
+  SpeedUp(fillers, serving, interference);
+  std::vector<PaceChange> changes;
+  for (const Filler& filler : fillers) {
+    State& state = m_states[filler.run->task];
+    state.share = filler.share;
+    int percent = static_cast<int>(std::lround(filler.share * 100));
+    if (percent < m_options.lowest_percent) percent = 0;
+    const bool is_end = percent == 0 || percent == 100;
+    if (percent == state.sent_percent) continue;
+    if (!is_end && std::abs(percent - state.sent_percent) < m_options.step_percent) continue;
+    state.sent_percent = percent;
+    changes.push_back({.task = filler.run->task, .run = filler.run->run, .percent = percent});
   }
-  m_applied = std::move(applied);
   return changes;
 }
 
-void PaceController::Adjust(const std::vector<MeasuredRun>& runs, MonotonicTime now) {
-  if (now - m_adjusted_at < m_options.interval) return;
-  m_adjusted_at = now;
-  double worst = 0;
-  bool serves = false;
+std::vector<PaceController::Filler> PaceController::TakeFillers(const std::vector<MeasuredRun>& runs) {
+  std::vector<Filler> fillers;
+  absl::flat_hash_map<std::string, State> states;
   for (const MeasuredRun& run : runs) {
-    if (run.tail_target_ms <= 0) continue;
-    serves = true;
-    worst = std::max(worst, static_cast<double>(run.measured) / run.tail_target_ms);
-  }
-  if (!serves) {
-    m_percent = 100;
-  } else if (worst > 1) {
-    m_percent = static_cast<int>(m_percent * m_options.missed_factor);
-  } else if (worst > m_options.slow_above) {
-    m_percent = static_cast<int>(m_percent * m_options.near_factor);
-  } else if (worst < m_options.speed_up_below) {
-    m_percent = std::min(
-        100, std::max(m_percent, m_options.lowest_percent - m_options.speed_up_step) + m_options.speed_up_step);
-  }
-  if (m_percent < m_options.lowest_percent) m_percent = 0;
+    if (!run.fills_idle_cpu) continue;
+    State state{.run = run.run, .full_cores = static_cast<double>(run.demand_cpu) / 1000};
+    const auto known = m_states.find(run.task);
+    if (known != m_states.end() && known->second.run == run.run) state = known->second;
+    if (state.share >= kReliableShare && run.measured > 0) {
+      state.full_cores = static_cast<double>(run.measured) / 1000 / state.share;
+    }
+    fillers.push_back({.run = &run, .share = state.share, .full_cores = state.full_cores});
+    states.emplace(run.task, state);
+  }
+  m_states = std::move(states);
+  return fillers;
+}
+
+void PaceController::SlowFor(const MeasuredRun& serving, std::vector<Filler>& fillers,
+                             const InterferenceTable& interference) const {
+  const double target = serving.tail_target_ms;
+  const auto tail = static_cast<double>(serving.measured);
+  if (tail <= m_options.slow_above * target) return;
+  double excess = tail - m_options.slow_to * target;
+  std::vector<std::pair<double, Filler*>> by_disturbance;
+  for (Filler& filler : fillers) {
+    const double ms = interference.Get(serving.image, filler.run->image) * filler.full_cores * filler.share;
+    by_disturbance.emplace_back(ms, &filler);
+  }
+  std::sort(by_disturbance.begin(), by_disturbance.end(),
+            [](const auto& a, const auto& b) { return a.first > b.first; });
+  for (auto& [ms, filler] : by_disturbance) {
+    if (excess <= 0 || ms <= m_options.harmless_ms) break;
+    const double cut = std::min(ms, excess);
+    filler->share *= 1 - cut / ms;
+    filler->slowed = true;
+    excess -= cut;
+  }
+  if (excess <= 0 || tail <= target) return;
+  for (Filler& filler : fillers) {
+    filler.share *= m_options.unexplained_factor;
+    filler.slowed = true;
+  }
+}
+
+void PaceController::SpeedUp(std::vector<Filler>& fillers, const std::vector<const MeasuredRun*>& serving,
+                             const InterferenceTable& interference) const {
+  std::vector<double> room;
+  for (const MeasuredRun* run : serving) {
+    const double limit = m_options.speed_up_below * run->tail_target_ms;
+    room.push_back(m_options.used_room * (limit - static_cast<double>(run->measured)));
+  }
+  // The least harmful first, so that the room goes to most work.
+  std::vector<std::pair<double, Filler*>> by_harm;
+  for (Filler& filler : fillers) {
+    if (filler.slowed || filler.share >= 1) continue;
+    double harm = 0;
+    for (const MeasuredRun* run : serving) {
+      harm = std::max(harm, interference.Get(run->image, filler.run->image) * filler.full_cores);
+    }
+    by_harm.emplace_back(harm, &filler);
+  }
+  std::sort(by_harm.begin(), by_harm.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+  for (auto& [harm, filler] : by_harm) {
+    double rise = 1 - filler->share;
+    for (std::size_t i = 0; i < serving.size(); ++i) {
+      const double ms = interference.Get(serving[i]->image, filler->run->image) * filler->full_cores;
+      if (ms <= m_options.harmless_ms) continue;
+      rise = std::min(rise, std::max(0.0, room[i]) / ms);
+    }
+    filler->share += rise;
+    for (std::size_t i = 0; i < serving.size(); ++i) {
+      room[i] -= rise * interference.Get(serving[i]->image, filler->run->image) * filler->full_cores;
+    }
+  }
+}
+
+void PaceController::ForgetChange(const std::string& task) {
+  const auto found = m_states.find(task);
+  // No percentage that could be decided, so that the next decision is sent whatever it is.
+  if (found != m_states.end()) found->second.sent_percent = -100;
 }
 
 }  // namespace berylgauge::workflow
--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -9,6 +9,14 @@
 /// other term, so that such a worker is the last choice.
 constexpr double kLastResortPenalty = 1e6;
 
+constexpr double kMillisPerCore = 1000;
+/// Interference that is lost in the swing of the load.
+constexpr double kHarmlessMs = 1.5;
+constexpr double kNearlyFullSpeed = 0.9;
+/// Weights of the expected speed, and of one serving task, against a thousandth of an idle core.
+constexpr double kSpeedWeight = 2e5;
+constexpr double kServingWeight = 1e4;
+
 int TasksOfStepOn(const WorkflowStep& step, const PoolWorker& worker) {
   int count = 0;
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
@@ -56,8 +64,7 @@
   if (definition.fills_idle_cpu) {
     demand.cpu_millis = 0;
     if (!demand.FitsIn(free)) return false;
-    const double needed = m_options.filling_share * static_cast<double>(definition.demand.cpu_millis);
-    return static_cast<double>(worker.filling_cpu) + needed <= IdleCpu(worker);
+    return FillingSpeed(definition, worker) >= m_options.lowest_filling_speed;
   }
   if (!demand.FitsIn(free)) return false;
   if (!definition.long_running) return true;
@@ -66,6 +73,21 @@
   return free.cpu_millis >= demand.cpu_millis + m_options.short_task_reserve_cpu;
 }
 
+double PlacementPolicy::FillingSpeed(const StepDefinition& definition, const PoolWorker& worker) const {
+  const auto demand = static_cast<double>(std::max<std::int64_t>(definition.demand.cpu_millis, 1));
+  double speed = (IdleCpu(worker) - static_cast<double>(worker.filling_cpu)) / demand;
+  for (const auto& [image, use] : worker.serving) {
+    const double added = m_interference.table().Get(image, definition.image) * demand / kMillisPerCore;
+    if (added < kHarmlessMs) continue;
+    double tail = m_interference.BaseOf(image);
+    for (const auto& [filler, cpu] : worker.filling) {
+      tail += m_interference.table().Get(image, filler) * static_cast<double>(cpu) / kMillisPerCore;
+    }
+    speed = std::min(speed, (m_options.accepted_tail * use.tail_target_ms - tail) / added);
+  }
+  return std::clamp(speed, 0.0, 1.0);
+}
+
 double PlacementPolicy::IdleCpu(const PoolWorker& worker) const {
   const auto capacity = static_cast<double>(worker.capacity.cpu_millis);
   const auto serving = static_cast<double>(worker.serving_cpu);
@@ -81,8 +103,11 @@
   if (std::find(avoid.begin(), avoid.end(), worker.life.worker) != avoid.end()) score += 2 * kLastResortPenalty;
   const auto free_cpu = static_cast<double>(worker.Free().cpu_millis);
   if (definition.fills_idle_cpu) {
+    const double speed = FillingSpeed(definition, worker);
     const double idle = IdleCpu(worker) - static_cast<double>(worker.filling_cpu);
-    return score - idle + m_options.serving_penalty_cpu * worker.serving_tasks;
+    // At full speed, workers with most serving tasks come first: those without are kept for tasks that disturb.
+    if (speed >= kNearlyFullSpeed) return score - kSpeedWeight - kServingWeight * worker.serving_tasks - idle;
+    return score - kSpeedWeight * speed - idle;
   }
   // Tasks that last are packed, so that large holes remain for others; short ones go where most is free.
   return definition.long_running ? score + free_cpu : score - free_cpu;
--- a/src/workflow/placement_policy.h
+++ b/src/workflow/placement_policy.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/monotonic_time.h"
+#include "workflow/interference_model.h"
 #include "workflow/worker_pool.h"
 
 namespace berylgauge::workflow {
@@ -25,17 +26,19 @@
   /// seconds.
   absl::Duration reserve_patience = absl::Milliseconds(1200);
   /// Share of their demand that serving tasks use on average; filling tasks get the rest.
-  double serving_use = 0.6;
-  /// Part of its demand for which a filling task must find idle processors.
-  double filling_share = 0.6;
-  /// Weight of one serving task against one core of idle processors when a worker for a filling task is chosen.
-  double serving_penalty_cpu = 700;
+  double serving_use = 0.5;
+  /// Least speed, as a share of full speed, at which a filling task is placed; it waits for a better worker otherwise.
+  double lowest_filling_speed = 0.35;
+  /// Share of the target of a serving task up to which predicted interference is accepted.
+  double accepted_tail = 0.85;
 };
 
 /// Chooses the worker for a task. Pure: it depends on its arguments only.
 class PlacementPolicy {
  public:
-  explicit PlacementPolicy(const PlacementOptions& options = {}) : m_options(options) {}
+  /// `interference` must outlive the policy.
+  PlacementPolicy(const InterferenceModel& interference, const PlacementOptions& options)
+      : m_interference(interference), m_options(options) {}
 
   /// The best worker for one more task of the step, or null if none may run it now.
   PoolWorker* Choose(const WorkflowStep& step, int index, const std::vector<PoolWorker*>& workers,
@@ -48,12 +51,16 @@
   /// Whether the worker has room for one more task of the step.
   bool HasRoom(const WorkflowStep& step, int index, const PoolWorker& worker, MonotonicTime now) const;
 
+  /// Expected speed of one more filling task, 0 to 1: what idle processors and the targets of serving tasks allow.
+  double FillingSpeed(const StepDefinition& definition, const PoolWorker& worker) const;
+
   /// Processors that tasks with counted demand are expected to leave idle, in thousandths of a core.
   double IdleCpu(const PoolWorker& worker) const;
 
  private:
   double Score(const WorkflowStep& step, int index, const PoolWorker& worker) const;
 
+  const InterferenceModel& m_interference;
   PlacementOptions m_options;
 };
 
--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -17,6 +17,9 @@
 /// Longest time between two calls of `Advance`; bounds how late a lapsed lease or a retry is noticed.
 constexpr absl::Duration kAdvanceInterval = absl::Milliseconds(250);
 
+/// Time between two solutions of the interference model, and between two messages of it to one agent.
+constexpr absl::Duration kInterferenceInterval = absl::Seconds(1);
+
 /// A cancelled or failed job gets no further runs.
 bool TakesRuns(const WorkflowJob& job) { return !IsFinal(job.phase); }
 
@@ -40,7 +43,7 @@
 }
 
 Scheduler::Scheduler(const SchedulerOptions& options, MonotonicTime now)
-    : m_options(options), m_claimed_at(now), m_policy(options.placement), m_quarantine(options.quarantine) {}
+    : m_options(options), m_claimed_at(now), m_quarantine(options.quarantine), m_policy(m_interference, options.placement) {}
 
 void Scheduler::AddJob(const std::string& id, const JobIndex::Job& recorded, MonotonicTime now) {
   if (recorded.definition.empty() || m_jobs.contains(id) || m_retire_at.contains(id)) return;
@@ -370,6 +373,7 @@
     runtime.measured = run.measured;
     if (!run.checkpoint.empty()) runtime.checkpoint = run.checkpoint;
   }
+  LearnInterference(worker);
   // An end that is on its way arrives in the same report or a later one; asking costs one call.
   for (const TaskRef task : missing) OrderStop(task, now);
   for (const auto& [name, run] : listed) {
@@ -378,6 +382,45 @@
   }
 }
 
+void Scheduler::LearnInterference(const PoolWorker& worker) {
+  if (worker.serving_tasks == 0) return;
+  InterferenceModel::FillingUse use;
+  for (const auto& [task, held] : worker.runs) {
+    if (!task.step->definition->fills_idle_cpu) continue;
+    const TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
+    use[task.step->definition->image] += static_cast<double>(runtime.measured) / 1000;
+  }
+  for (const auto& [task, held] : worker.runs) {
+    const StepDefinition& definition = *task.step->definition;
+    const TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
+    const bool is_at_work = definition.tail_target_ms > 0 && runtime.percent == 100 && runtime.measured > 0;
+    if (is_at_work) m_interference.AddSample(definition.image, static_cast<double>(runtime.measured), use);
+  }
+}
+
+std::vector<InterferenceEntry> Scheduler::TakeInterferenceFor(std::string_view agent, MonotonicTime now) {
+  PoolWorker* worker = m_workers.Find(agent);
+  if (worker == nullptr || worker->serving_tasks == 0 || worker->filling_cpu == 0) return {};
+  if (now - worker->interference_sent_at < kInterferenceInterval) return {};
+  worker->interference_sent_at = now;
+  std::set<std::string> serving;
+  std::set<std::string> filling;
+  for (const auto& [task, held] : worker->runs) {
+    const StepDefinition& definition = *task.step->definition;
+    if (definition.tail_target_ms > 0) serving.insert(definition.image);
+    if (definition.fills_idle_cpu) filling.insert(definition.image);
+  }
+  std::vector<InterferenceEntry> entries;
+  for (const std::string& image : serving) {
+    for (const std::string& filler : filling) {
+      entries.push_back({.serving_image = image,
+                         .filling_image = filler,
+                         .ms_per_core = m_interference.table().Get(image, filler)});
+    }
+  }
+  return entries;
+}
+
 void Scheduler::MoveLastingTasks(PoolWorker& worker, MonotonicTime now) {
   std::vector<TaskRef> lasting;
   for (const auto& [task, held] : worker.runs) {
@@ -601,6 +644,10 @@
   LapseFormerWorkers(now);
   CreateDueOccurrences(now, unix_now_ms);
   RetireJobs(now);
+  if (now - m_interference_refreshed_at >= kInterferenceInterval) {
+    m_interference_refreshed_at = now;
+    m_interference.Refresh();
+  }
   if (!m_placement_due && now < m_next_retry) return;
   m_placement_due = false;
   PlaceWaiting(now);
@@ -729,6 +776,8 @@
                           .checkpoint = progress.checkpoint,
                           .fills_idle_cpu = step.definition->fills_idle_cpu,
                           .tail_target_ms = step.definition->tail_target_ms,
+                          .demand_cpu = step.definition->demand.cpu_millis,
+                          .image = step.definition->image,
                           .priority = job.definition.queue.priority,
                           .ticket = {}});
 }
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -15,6 +15,7 @@
 
 #include "base/monotonic_time.h"
 #include "schedule/worker_quarantine.h"
+#include "workflow/interference_model.h"
 #include "workflow/job_index.h"
 #include "workflow/orders.h"
 #include "workflow/placement_policy.h"
@@ -98,6 +99,8 @@
   const JobDefinition* FindJob(std::string_view id) const;
   /// Jobs whose records are removed by the batch under way.
   std::vector<std::string> RetiredInBatch() const;
+  /// What was learnt of the images on the worker since the last call; nothing more often than every few seconds.
+  std::vector<InterferenceEntry> TakeInterferenceFor(std::string_view agent, MonotonicTime now);
   const PoolWorker* FindWorker(std::string_view agent) { return m_workers.Find(agent); }
   /// When `Advance` has to be called next without another event.
   MonotonicTime NextDeadline(MonotonicTime now) const;
@@ -131,6 +134,7 @@
   void CompareRuns(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
   void MoveLastingTasks(PoolWorker& worker, MonotonicTime now);
   void NoteProgress(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
+  void LearnInterference(const PoolWorker& worker);
   void LapseLeases(MonotonicTime now);
   void LapseFormerWorkers(MonotonicTime now);
   void CreateDueOccurrences(MonotonicTime now, std::int64_t unix_now_ms);
@@ -144,7 +148,6 @@
 
   const SchedulerOptions m_options;
   const MonotonicTime m_claimed_at;
-  PlacementPolicy m_policy;
   PlacementLimits m_limits;
   WorkerPool m_workers;
   WorkerQuarantine m_quarantine;
@@ -161,6 +164,9 @@
   std::vector<StopOrder> m_stops;
   std::optional<Batch> m_batch;                                      ///< under way
   absl::flat_hash_map<std::string, std::vector<TaskRef>> m_orphans;  ///< placed by a former owner, by worker id
+  InterferenceModel m_interference;
+  PlacementPolicy m_policy;  ///< uses `m_interference`
+  MonotonicTime m_interference_refreshed_at = InfinitePast();
   SchedulerCounts m_counts;
   bool m_placement_due = true;
   MonotonicTime m_next_retry = InfiniteFuture();  ///< when a pause of a worker or task ends
--- a/src/workflow/worker_pool.cc
+++ b/src/workflow/worker_pool.cc
@@ -1,5 +1,7 @@
 #include "workflow/worker_pool.h"
 
+#include <algorithm>
+
 #include "base/absl_string_view.h"
 
 namespace berylgauge::workflow {
@@ -31,9 +33,15 @@
   if (definition.fills_idle_cpu) held.cpu_millis = 0;
   if (!worker.runs.emplace(task, held).second) return;
   worker.reserved += held;
-  if (definition.fills_idle_cpu) worker.filling_cpu += definition.demand.cpu_millis;
+  if (definition.fills_idle_cpu) {
+    worker.filling_cpu += definition.demand.cpu_millis;
+    worker.filling[definition.image] += definition.demand.cpu_millis;
+  }
   if (definition.tail_target_ms > 0) {
     ++worker.serving_tasks;
+    ServingUse& use = worker.serving[definition.image];
+    use.tail_target_ms = use.tasks == 0 ? definition.tail_target_ms : std::min(use.tail_target_ms, definition.tail_target_ms);
+    ++use.tasks;
     worker.serving_cpu += held.cpu_millis;
   }
 }
@@ -43,9 +51,16 @@
   if (found == worker.runs.end()) return;
   const StepDefinition& definition = *task.step->definition;
   worker.reserved -= found->second;
-  if (definition.fills_idle_cpu) worker.filling_cpu -= definition.demand.cpu_millis;
+  if (definition.fills_idle_cpu) {
+    worker.filling_cpu -= definition.demand.cpu_millis;
+    std::int64_t& cpu = worker.filling[definition.image];
+    cpu -= definition.demand.cpu_millis;
+    if (cpu <= 0) worker.filling.erase(definition.image);
+  }
   if (definition.tail_target_ms > 0) {
     --worker.serving_tasks;
+    const auto use = worker.serving.find(definition.image);
+    if (use != worker.serving.end() && --use->second.tasks == 0) worker.serving.erase(use);
     worker.serving_cpu -= found->second.cpu_millis;
   }
   worker.runs.erase(found);
--- a/src/workflow/worker_pool.h
+++ b/src/workflow/worker_pool.h
@@ -28,6 +28,12 @@
   }
 };
 
+/// Serving tasks of one image on a worker.
+struct ServingUse {
+  int tasks = 0;
+  int tail_target_ms = 0;  ///< strictest of them
+};
+
 /// What the owner knows of one worker in its present life.
 struct PoolWorker {
   std::string agent;  ///< host of its agent
@@ -50,6 +56,9 @@
   std::int64_t filling_cpu = 0;       ///< demand of tasks that fill idle processors
   std::int64_t serving_cpu = 0;       ///< part of `reserved` that belongs to serving tasks
   int serving_tasks = 0;
+  std::map<std::string, ServingUse> serving;  ///< by image
+  std::map<std::string, std::int64_t> filling;  ///< demand of filling tasks by image, thousandths of a core
+  MonotonicTime interference_sent_at = InfinitePast();
   MonotonicTime avoid_until;  ///< refuses or fails starts
 
   Resources Free() const { return capacity - reserved; }
