--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -83,6 +83,7 @@
     for (const auto& [filler, cpu] : worker.filling) {
       tail += m_interference.table().Get(image, filler) * static_cast<double>(cpu) / kMillisPerCore;
     }
+    tail = std::max(tail, use.tail_ms);  // the load may be above its average now
     speed = std::min(speed, (m_options.accepted_tail * use.tail_target_ms - tail) / added);
   }
   return std::clamp(speed, 0.0, 1.0);
--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -20,6 +20,14 @@
 /// Time between two solutions of the interference model, and between two messages of it to one agent.
 constexpr absl::Duration kInterferenceInterval = absl::Seconds(1);
 
+/// Weight of a new figure in the smoothed tail latency of the serving tasks of an image on a worker.
+constexpr double kTailWeight = 0.15;
+
+/// A run is judged by its speed from this time after its start.
+constexpr absl::Duration kSettledAfter = absl::Milliseconds(1200);
+/// A paused run counts as running at this speed, so that its remaining time is finite.
+constexpr double kLowestSpeed = 0.02;
+
 /// A cancelled or failed job gets no further runs.
 bool TakesRuns(const WorkflowJob& job) { return !IsFinal(job.phase); }
 
@@ -120,7 +128,7 @@
     }
     steps.push_back(std::move(step));
   }
-  RefreshReadySteps(job, steps);
+  RefreshReadySteps(steps, now);
 }
 
 absl::Duration Scheduler::LongestChain(const JobDefinition& job) const {
@@ -137,13 +145,16 @@
   return absl::Milliseconds(longest_ms);
 }
 
-void Scheduler::RefreshReadySteps(WorkflowJob& job, std::vector<std::unique_ptr<WorkflowStep>>& steps) {
+void Scheduler::RefreshReadySteps(std::vector<std::unique_ptr<WorkflowStep>>& steps, MonotonicTime now) {
   for (const std::unique_ptr<WorkflowStep>& step : steps) {
+    const bool was_ready = step->ready;
     step->ready = std::all_of(step->definition->after.begin(), step->definition->after.end(),
                               [&](int before) { return steps[static_cast<std::size_t>(before)]->IsDone(); });
+    if (step->ready && !was_ready) {
+      for (TaskRuntime& runtime : step->runtimes) runtime.waiting_since = now;
+    }
     UpdateWaiting(*step);
   }
-  static_cast<void>(job);
 }
 
 void Scheduler::UpdateWaiting(WorkflowStep& step) {
@@ -191,6 +202,11 @@
 void Scheduler::ForgetIfIdle(WorkflowJob& job, MonotonicTime now) {
   if (TakesRuns(job) || job.placed > 0) return;
   const std::string id = job.definition.id;
+  LogEvent(LogLevel::kInfo, "job_ended",
+           {{"job", id},
+            {"queue", job.definition.queue.name},
+            {"phase", kJobPhaseNames.NameOf(job.phase)},
+            {"ms", absl::ToInt64Milliseconds(now - job.accepted_at)}});
   for (const auto& [occurrence, steps] : job.occurrences) {
     for (const std::unique_ptr<WorkflowStep>& step : steps) {
       m_removed_keys.push_back(step->name);
@@ -382,7 +398,7 @@
   }
 }
 
-void Scheduler::LearnInterference(const PoolWorker& worker) {
+void Scheduler::LearnInterference(PoolWorker& worker) {
   if (worker.serving_tasks == 0) return;
   InterferenceModel::FillingUse use;
   for (const auto& [task, held] : worker.runs) {
@@ -394,7 +410,11 @@
     const StepDefinition& definition = *task.step->definition;
     const TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
     const bool is_at_work = definition.tail_target_ms > 0 && runtime.percent == 100 && runtime.measured > 0;
-    if (is_at_work) m_interference.AddSample(definition.image, static_cast<double>(runtime.measured), use);
+    if (!is_at_work) continue;
+    const auto tail = static_cast<double>(runtime.measured);
+    m_interference.AddSample(definition.image, tail, use);
+    ServingUse& serving = worker.serving[definition.image];
+    serving.tail_ms += (serving.tail_ms == 0 ? 1 : kTailWeight) * (tail - serving.tail_ms);
   }
 }
 
@@ -429,6 +449,51 @@
   for (const TaskRef task : lasting) OrderStop(task, now);
 }
 
+void Scheduler::MoveSlowFillers(MonotonicTime now) {
+  if (now < m_next_move) return;
+  m_next_move = now + m_options.move_interval;
+  std::vector<TaskRef> moved;
+  for (const PoolWorker* worker : m_workers.workers()) {
+    if (worker->serving.empty() || worker->filling.empty()) continue;
+    for (const auto& [task, held] : worker->runs) {
+      if (moved.size() >= m_options.max_moves) break;
+      if (IsWorthMoving(*worker, task, now)) moved.push_back(task);
+    }
+  }
+  for (const TaskRef task : moved) {
+    const TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
+    ++m_counts.moves;
+    LogEvent(LogLevel::kInfo, "run_moved",
+             {{"task", task.step->TaskNameOf(task.index)},
+              {"worker", task.step->tasks[static_cast<std::size_t>(task.index)].worker},
+              {"cpu", runtime.measured},
+              {"demand", task.step->definition->demand.cpu_millis},
+              {"percent", runtime.percent}});
+    OrderStop(task, now);
+  }
+}
+
+bool Scheduler::IsWorthMoving(const PoolWorker& worker, TaskRef task, MonotonicTime now) const {
+  const StepDefinition& definition = *task.step->definition;
+  const TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
+  if (!definition.fills_idle_cpu || !definition.saves_progress || definition.gang) return false;
+  // Two figures of half a second after the start, so that the start itself does not count as slow.
+  if (runtime.stage != RunStage::kRunning || now - runtime.started_at < kSettledAfter) return false;
+  const auto demand = static_cast<double>(std::max<std::int64_t>(definition.demand.cpu_millis, 1));
+  const double speed = std::max(static_cast<double>(runtime.measured) / demand, kLowestSpeed);
+  if (speed >= m_options.slow_filling_speed) return false;
+  const double remaining = 1 - std::min(runtime.percent, 100) / 100.0;
+  const absl::Duration work = remaining * absl::Milliseconds(definition.estimate_ms);
+  const absl::Duration gain = work / speed - (work / m_options.good_filling_speed + m_options.move_cost);
+  if (gain < m_options.least_gain) return false;
+  for (const PoolWorker* other : m_workers.workers()) {
+    if (other == &worker || !m_policy.IsEligible(*task.step, *other, m_limits, now)) continue;
+    if (!m_policy.HasRoom(*task.step, task.index, *other, now)) continue;
+    if (m_policy.FillingSpeed(definition, *other) >= m_options.good_filling_speed) return true;
+  }
+  return false;
+}
+
 void Scheduler::LapseLeases(MonotonicTime now) {
   const absl::Duration limit = m_options.lease * m_options.clock_tolerance;
   for (PoolWorker* worker : m_workers.workers()) {
@@ -500,16 +565,19 @@
   WorkflowStep& step = *task.step;
   WorkflowJob& job = *step.job;
   const std::string worker = step.tasks[static_cast<std::size_t>(task.index)].worker;
+  LogEvent(LogLevel::kInfo, "run_ended",
+           {{"task", step.TaskNameOf(task.index)},
+            {"run", step.tasks[static_cast<std::size_t>(task.index)].run},
+            {"worker", worker},
+            {"end", kRunEndKindNames.NameOf(kind)},
+            {"ms", absl::ToInt64Milliseconds(now - step.runtimes[static_cast<std::size_t>(task.index)].started_at)},
+            {"estimate_ms", step.definition->estimate_ms}});
   Release(task, checkpoint, now);
   if (kind == RunEndKind::kDone) {
     ++m_counts.ends_done;
     m_quarantine.RecordSuccess(WorkerId(worker));
   } else if (kind == RunEndKind::kFailed) {
     ++m_counts.ends_failed;
-    LogEvent(LogLevel::kInfo, "run_failed",
-             {{"task", step.TaskNameOf(task.index)},
-              {"run", step.tasks[static_cast<std::size_t>(task.index)].run},
-              {"worker", worker}});
     const bool out = m_quarantine.RecordFailure(WorkerId(worker), JobId(job.definition.id), now);
     if (out) LogEvent(LogLevel::kWarning, "worker_quarantined", {{"worker", worker}});
     step.runtimes[static_cast<std::size_t>(task.index)].avoid.push_back(worker);
@@ -608,7 +676,7 @@
   }
   UpdateWaiting(step);
   if (!step.IsDone()) return;
-  RefreshReadySteps(job, job.occurrences[step.occurrence]);
+  RefreshReadySteps(job.occurrences[step.occurrence], now);
   if (job.definition.IsScheduled() && job.next_occurrence < job.definition.occurrences) return;
   for (const auto& [occurrence, steps] : job.occurrences) {
     for (const std::unique_ptr<WorkflowStep>& other : steps) {
@@ -648,6 +716,7 @@
     m_interference_refreshed_at = now;
     m_interference.Refresh();
   }
+  MoveSlowFillers(now);
   if (!m_placement_due && now < m_next_retry) return;
   m_placement_due = false;
   PlaceWaiting(now);
@@ -767,6 +836,14 @@
     }
   }
   ++m_counts.placements;
+  LogEvent(LogLevel::kInfo, "run_placed",
+           {{"task", step.TaskNameOf(index)},
+            {"run", run},
+            {"worker", worker.life.worker},
+            {"waited_ms", absl::ToInt64Milliseconds(now - step.runtimes[i].waiting_since)},
+            {"free_cpu", worker.Free().cpu_millis},
+            {"filling_cpu", worker.filling_cpu},
+            {"serving", worker.serving_tasks}});
   MarkChanged(step);
   m_new_starts.push_back({.agent = worker.agent,
                           .life = worker.life,
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -43,6 +43,14 @@
   /// A worker is taken out when this many different jobs failed on it in a row.
   WorkerQuarantineOptions quarantine = {
       .failed_jobs = 3, .first_pause = absl::Seconds(3), .longest_pause = absl::Seconds(30)};
+  /// A filling task that runs below this share of its speed is moved if another worker promises the higher one, and if
+  /// that saves at least this time after a restart from its checkpoint.
+  double slow_filling_speed = 0.5;
+  double good_filling_speed = 0.85;
+  absl::Duration move_cost = absl::Milliseconds(900);  ///< stop, placement and restore (600 ms)
+  absl::Duration least_gain = absl::Milliseconds(800);
+  absl::Duration move_interval = absl::Milliseconds(500);
+  std::size_t max_moves = 4;  ///< in one interval, because each changes the figures of the next
   PlacementOptions placement;
 };
 
@@ -54,6 +62,7 @@
   std::uint64_t ends_lost = 0;  ///< lapsed leases, lives that ended, runs that never began
   std::uint64_t ends_other = 0;
   std::uint64_t refused_starts = 0;
+  std::uint64_t moves = 0;          ///< filling tasks stopped to run faster elsewhere
   std::uint64_t jobs_done = 0;
   std::uint64_t jobs_failed = 0;
 };
@@ -114,7 +123,7 @@
   };
 
   void AddOccurrence(WorkflowJob& job, std::int64_t occurrence, const JobIndex::Job* recorded, MonotonicTime now);
-  void RefreshReadySteps(WorkflowJob& job, std::vector<std::unique_ptr<WorkflowStep>>& steps);
+  void RefreshReadySteps(std::vector<std::unique_ptr<WorkflowStep>>& steps, MonotonicTime now);
   absl::Duration LongestChain(const JobDefinition& job) const;
   WorkflowStep* FindStep(const StepName& name);
   std::optional<TaskRef> FindRun(const std::string& task, int run, const WorkerLife& life);
@@ -134,7 +143,9 @@
   void CompareRuns(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
   void MoveLastingTasks(PoolWorker& worker, MonotonicTime now);
   void NoteProgress(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
-  void LearnInterference(const PoolWorker& worker);
+  void LearnInterference(PoolWorker& worker);
+  void MoveSlowFillers(MonotonicTime now);
+  bool IsWorthMoving(const PoolWorker& worker, TaskRef task, MonotonicTime now) const;
   void LapseLeases(MonotonicTime now);
   void LapseFormerWorkers(MonotonicTime now);
   void CreateDueOccurrences(MonotonicTime now, std::int64_t unix_now_ms);
@@ -171,6 +182,7 @@
   bool m_placement_due = true;
   MonotonicTime m_next_retry = InfiniteFuture();  ///< when a pause of a worker or task ends
   MonotonicTime m_next_retirement;
+  MonotonicTime m_next_move;
 };
 
 }  // namespace berylgauge::workflow
--- a/src/workflow/worker_pool.h
+++ b/src/workflow/worker_pool.h
@@ -32,6 +32,7 @@
 struct ServingUse {
   int tasks = 0;
   int tail_target_ms = 0;  ///< strictest of them
+  double tail_ms = 0;      ///< smoothed mean of what they measured; 0 before the first figure
 };
 
 /// What the owner knows of one worker in its present life.
