--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -16,6 +16,13 @@
 using workflow::WorkerCondition;
 using workflow::WorkerLife;
 
+namespace {
+
+/// Traits kept of tasks that are not listed, because their starts are under way.
+constexpr std::size_t kSpareTraits = 64;
+
+}  // namespace
+
 /// The answers of one message of orders.
 struct AgentNode::OrderBatch {
   OrdersAnswer answer;
@@ -357,6 +364,7 @@
 
 void AgentNode::FinishStart(StartAttempt& attempt, StartAnswer answer) {
   const bool accepted = answer.refusal == StartRefusal::kNone;
+  if (accepted) PaceStarted(attempt.call);
   (accepted ? m_starts : m_refused_starts).Add();
   LogEvent(accepted ? LogLevel::kInfo : LogLevel::kWarning, "start",
            {{"task", attempt.call.task},
@@ -429,7 +437,7 @@
   return fills && serves;
 }
 
-void AgentNode::Pace() {
+std::vector<workflow::MeasuredRun> AgentNode::MeasuredRuns() const {
   std::vector<workflow::MeasuredRun> runs;
   for (const ActiveRun& run : m_lists->runs) {
     const auto traits = m_traits.find(run.task);
@@ -442,23 +450,43 @@
                     .measured = run.measured,
                     .demand_cpu = traits->second.demand_cpu});
   }
-  if (m_traits.size() > 2 * m_lists->runs.size() + 64) {
+  return runs;
+}
+
+void AgentNode::Pace() {
+  if (m_traits.size() > 2 * m_lists->runs.size() + kSpareTraits) {
     absl::flat_hash_set<std::string> present;
     for (const ActiveRun& run : m_lists->runs) present.insert(run.task);
     absl::erase_if(m_traits, [&](const auto& entry) { return !present.contains(entry.first); });
   }
-  for (const workflow::PaceChange& change : m_pace.Decide(runs, m_interference, m_loop.Now())) {
-    m_pace_changes.Add();
-    LogEvent(LogLevel::kInfo, "pace", {{"task", change.task}, {"run", change.run}, {"percent", change.percent}});
-    const PaceCall call{.life = m_announcement->life,
-                        .epoch = m_epoch,
-                        .task = change.task,
-                        .run = change.run,
-                        .percent = change.percent};
-    m_worker.Pace(call, m_options.call_timeout, [this, task = change.task, alive = m_alive](Result<void> answer) {
-      if (*alive && !answer) m_pace.ForgetChange(task);
-    });
+  for (const workflow::PaceChange& change : m_pace.Decide(MeasuredRuns(), m_interference, m_loop.Now())) {
+    SendPace(change);
   }
 }
 
+void AgentNode::PaceStarted(const StartCall& call) {
+  const auto traits = m_traits.find(call.task);
+  if (traits == m_traits.end() || !traits->second.fills_idle_cpu || !m_lists) return;
+  const workflow::MeasuredRun filler{.task = call.task,
+                                     .run = call.run,
+                                     .image = traits->second.image,
+                                     .fills_idle_cpu = true,
+                                     .demand_cpu = traits->second.demand_cpu};
+  const workflow::PaceChange change = m_pace.DecideStart(filler, MeasuredRuns(), m_interference);
+  if (change.percent < 100) SendPace(change);
+}
+
+void AgentNode::SendPace(const workflow::PaceChange& change) {
+  m_pace_changes.Add();
+  LogEvent(LogLevel::kInfo, "pace", {{"task", change.task}, {"run", change.run}, {"percent", change.percent}});
+  const PaceCall call{.life = m_announcement->life,
+                      .epoch = m_epoch,
+                      .task = change.task,
+                      .run = change.run,
+                      .percent = change.percent};
+  m_worker.Pace(call, m_options.call_timeout, [this, task = change.task, alive = m_alive](Result<void> answer) {
+    if (*alive && !answer) m_pace.ForgetChange(task);
+  });
+}
+
 }  // namespace berylgauge::control
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -91,7 +91,10 @@
   void ResolveStop(std::shared_ptr<StopAttempt> attempt);
   void FinishOne(OrderBatch& batch);
 
+  std::vector<workflow::MeasuredRun> MeasuredRuns() const;
   void Pace();
+  void PaceStarted(const StartCall& call);
+  void SendPace(const workflow::PaceChange& change);
   bool IsPacing() const;
 
   EventLoop& m_loop;
--- a/src/workflow/pace_controller.cc
+++ b/src/workflow/pace_controller.cc
@@ -38,6 +38,22 @@
   return changes;
 }
 
+PaceChange PaceController::DecideStart(const MeasuredRun& filler, const std::vector<MeasuredRun>& runs,
+                                       const InterferenceTable& interference) {
+  State state{.run = filler.run, .full_cores = static_cast<double>(filler.demand_cpu) / 1000};
+  for (const MeasuredRun& run : runs) {
+    if (run.tail_target_ms <= 0) continue;
+    const double ms = interference.Get(run.image, filler.image) * state.full_cores;
+    if (ms <= m_options.harmless_ms) continue;
+    const double room = m_options.speed_up_below * run.tail_target_ms - static_cast<double>(run.measured);
+    state.share = std::min(state.share, std::max(0.0, m_options.used_room * room) / ms);
+  }
+  state.sent_percent = static_cast<int>(std::lround(state.share * 100));
+  if (state.sent_percent < m_options.lowest_percent) state.sent_percent = 0;
+  m_states[filler.task] = state;
+  return {.task = filler.task, .run = filler.run, .percent = state.sent_percent};
+}
+
 std::vector<PaceController::Filler> PaceController::TakeFillers(const std::vector<MeasuredRun>& runs) {
   std::vector<Filler> fillers;
   absl::flat_hash_map<std::string, State> states;
--- a/src/workflow/pace_controller.h
+++ b/src/workflow/pace_controller.h
@@ -63,6 +63,11 @@
   std::vector<PaceChange> Decide(const std::vector<MeasuredRun>& runs, const InterferenceTable& interference,
                                  MonotonicTime now);
 
+  /// Pace for a filling task that has just started beside `runs`, so that it does not disturb them until the first
+  /// figures. Full pace if nothing needs to be sent.
+  PaceChange DecideStart(const MeasuredRun& filler, const std::vector<MeasuredRun>& runs,
+                         const InterferenceTable& interference);
+
   /// The call for this change failed; it is decided again.
   void ForgetChange(const std::string& task);
 
