--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -482,14 +482,14 @@
   const auto demand = static_cast<double>(std::max<std::int64_t>(definition.demand.cpu_millis, 1));
   const double speed = std::max(static_cast<double>(runtime.measured) / demand, kLowestSpeed);
   if (speed >= m_options.slow_filling_speed) return false;
-  const double remaining = 1 - std::min(runtime.percent, 100) / 100.0;
-  const absl::Duration work = remaining * absl::Milliseconds(definition.estimate_ms);
-  const absl::Duration gain = work / speed - (work / m_options.good_filling_speed + m_options.move_cost);
-  if (gain < m_options.least_gain) return false;
+  const absl::Duration whole = absl::Milliseconds(definition.estimate_ms);
+  const absl::Duration remaining = (1 - std::min(runtime.percent, 100) / 100.0) * whole;
+  const absl::Duration allowed = remaining / speed - m_options.move_cost - m_options.least_gain;
   for (const PoolWorker* other : m_workers.workers()) {
     if (other == &worker || !m_policy.IsEligible(*task.step, *other, m_limits, now)) continue;
     if (!m_policy.HasRoom(*task.step, task.index, *other, now)) continue;
-    if (m_policy.FillingSpeed(definition, *other) >= m_options.good_filling_speed) return true;
+    const double other_speed = m_policy.FillingSpeed(definition, *other);
+    if (other_speed >= m_options.good_filling_speed && remaining / other_speed < allowed) return true;
   }
   return false;
 }
@@ -922,7 +922,9 @@
       LoseRun(*ref, now);
       continue;
     }
-    ref->step->runtimes[static_cast<std::size_t>(ref->index)].stage = RunStage::kStarting;
+    TaskRuntime& runtime = ref->step->runtimes[static_cast<std::size_t>(ref->index)];
+    runtime.stage = RunStage::kStarting;
+    runtime.started_at = now;  // until the answer tells better
     allowed.push_back(std::move(order));
   }
   return allowed;
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -46,7 +46,7 @@
   /// A filling task that runs below this share of its speed is moved if another worker promises the higher one, and if
   /// that saves at least this time after a restart from its checkpoint.
   double slow_filling_speed = 0.5;
-  double good_filling_speed = 0.85;
+  double good_filling_speed = 0.7;
   absl::Duration move_cost = absl::Milliseconds(900);  ///< stop, placement and restore (600 ms)
   absl::Duration least_gain = absl::Milliseconds(800);
   absl::Duration move_interval = absl::Milliseconds(500);
