--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -15,6 +15,9 @@
 constexpr double kNearlyFullSpeed = 0.9;
 /// Weights of the expected speed, and of one serving task, against a thousandth of an idle core.
 constexpr double kSpeedWeight = 2e5;
+/// Cost of the first serving task on a worker, and of one more image beside others, in thousandths of a free core.
+constexpr double kCleanWorkerCost = 3e4;
+constexpr double kMixedImagesCost = 4e4;
 constexpr double kServingWeight = 1e4;
 
 int TasksOfStepOn(const WorkflowStep& step, const PoolWorker& worker) {
@@ -110,8 +113,13 @@
     if (speed >= kNearlyFullSpeed) return score - kSpeedWeight - kServingWeight * worker.serving_tasks - idle;
     return score - kSpeedWeight * speed - idle;
   }
-  // Tasks that last are packed, so that large holes remain for others; short ones go where most is free.
-  return definition.long_running ? score + free_cpu : score - free_cpu;
+  // Short tasks go where most is free; tasks that last are packed, so that large holes remain for others.
+  if (!definition.long_running) return score - free_cpu;
+  // A worker that serves few images is disturbed by few kinds of filling tasks.
+  if (definition.tail_target_ms > 0 && !worker.serving.contains(definition.image)) {
+    score += worker.serving.empty() ? kCleanWorkerCost : kMixedImagesCost * static_cast<double>(worker.serving.size());
+  }
+  return score + free_cpu;
 }
 
 }  // namespace berylgauge::workflow
