Pass clients' requests on to another entry while the store does not serve this one

Ruled out: shorter reads; the store answers nothing to that machine. The entry now asks its peers whether they are ready and passes whole requests on, so that the peer's configuration and state decide; it stays ready while a peer is.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -4,6 +4,7 @@
 
 #include "base/event_log.h"
 #include "base/stable_hash.h"
+#include "control/member_record.h"
 #include "workflow/job_codec.h"
 #include "workflow/record_keys.h"
 
@@ -27,6 +28,7 @@
 
 /// Waits of the reads; a claim needs to see a silent progress partition soon after the owner's last sign.
 constexpr absl::Duration kProgressWait = absl::Milliseconds(500);
+constexpr absl::Duration kSubmissionWait = absl::Milliseconds(1000);
 
 }  // namespace
 
@@ -41,7 +43,9 @@
       m_last_owner_sign(loop.Now()),
       m_submissions(loop, log,
                     {.partition = m_options.submissions, .producer = m_options.host + "." + m_options.incarnation}),
-      m_submission_tail(loop, log, {.partition = m_options.submissions, .min_interval = m_options.follower_interval},
+      m_submission_tail(loop, log, {.partition = m_options.submissions,
+                         .wait = kSubmissionWait,
+                         .min_interval = m_options.follower_interval},
                         {.on_record = [this](const KeyedRecord& record) { OnSubmissionRecord(record); },
                          .on_reset = [] {},
                          .on_end = [this] { ConsiderClaim(); }}),
@@ -55,6 +59,13 @@
                       {.on_record = [this](const KeyedRecord& record) { OnOperatorRecord(record); },
                        .on_reset = [this] { OnOperatorReset(); },
                        .on_end = [this] { ApplyLimits(); }}),
+      m_member_tail(loop, log, {.partition = m_options.members},
+                    {.on_record = [this](const KeyedRecord& record) { OnMemberRecord(record); },
+                     .on_reset = [] {},
+                     .on_end = [] {}}),
+      m_registration(loop, log,
+                     {.partition = m_options.members, .producer = m_options.host + "." + m_options.incarnation}),
+      m_peers(loop, m_options.host),
       m_alive(std::make_shared<bool>(true)),
       m_accepted(metrics.GetCounter("berylgauge_jobs_accepted_total", "Jobs that were stored")),
       m_refused(metrics.GetCounter("berylgauge_jobs_refused_total", "Jobs that were refused and not stored")),
@@ -73,19 +84,51 @@
   m_operator_tail.Start();
   m_submission_tail.Start();
   m_progress_tail.Start();
+  m_member_tail.Start();
+  Register();
   Tick();
 }
 
 void EntryNode::Tick() {
   m_jobs.Set(static_cast<std::int64_t>(m_index.size()));
   ConsiderClaim();
+  if (!IsServedByStore(m_loop.Now())) m_peers.Probe();
   m_timer = m_loop.AddTimer(m_loop.Now() + kTickInterval, [this] { Tick(); });
 }
 
 bool EntryNode::IsReady(MonotonicTime now) const {
   if (m_leaving || !m_queues || !m_submission_tail.is_loaded() || !m_progress_tail.is_loaded()) return false;
-  return now - m_operator_tail.answered_at() <= m_options.store_silence + absl::Milliseconds(1500) &&
-         !m_submissions.IsRefusing(now);
+  return IsServedByStore(now) || m_peers.HasReadyPeer(now);
+}
+
+bool EntryNode::IsServedByStore(MonotonicTime now) const {
+  const std::optional<MonotonicTime> failing_since = m_submissions.failing_since();
+  if (failing_since && now - *failing_since >= m_options.failing_appends) return false;
+  // The owner does not read what it writes itself.
+  if (m_owner == nullptr && m_progress_tail.failures() >= m_options.failed_reads) return false;
+  return m_submission_tail.failures() < m_options.failed_reads &&
+         now - m_submission_tail.answered_at() <= m_options.store_silence + kSubmissionWait;
+}
+
+void EntryNode::Register() {
+  const MemberRecord member{
+      .kind = MemberKind::kEntry, .address = m_options.address, .port = m_options.internal_port};
+  m_registration.Write({{.key = m_options.host, .value = EncodeMember(member)}}, std::nullopt, std::nullopt,
+                       [](const AppendAnswer& answer) {
+                         LogEvent(LogLevel::kInfo, "registered",
+                                  {{"outcome", kAppendOutcomeNames.NameOf(answer.outcome)}});
+                       });
+}
+
+void EntryNode::OnMemberRecord(const KeyedRecord& record) {
+  const Result<MemberRecord> member = DecodeMember(record.value);
+  if (!member) {
+    LogEvent(LogLevel::kWarning, "member_unreadable", {{"host", record.key}, {"reason", member.error().message}});
+    return;
+  }
+  m_peers.SetPeer(record.key, *member);
+  m_members[record.key] = *member;
+  if (m_owner != nullptr) m_owner->SetMember(record.key, *member);
 }
 
 // ---- Requests
@@ -264,9 +307,9 @@
   m_index.ApplyProgress(workflow::kOwnerKey, EncodeOwner(record));
   m_submission_tail.SetMinInterval(absl::ZeroDuration());
   m_owner = std::make_unique<OwnerRole>(
-      m_loop, m_log, m_clock, std::move(writer), m_index,
+      m_loop, m_clock, std::move(writer), m_index,
       OwnerRoleOptions{
-          .record = record, .members = m_options.members, .agent_port = m_options.agent_port, .scheduler = scheduler},
+          .record = record, .scheduler = scheduler},
       OwnerRole::Listener{.on_deposed = [this] { EndOwnership(); },
                           .on_stored =
                               [this](const std::vector<KeyedRecord>& records, std::int64_t end) {
@@ -301,6 +344,7 @@
     }
     ApplyLimits();
     m_owner->Begin();
+    for (const auto& [host, member] : m_members) m_owner->SetMember(host, member);
   });
 }
 
--- a/src/control/entry_node.h
+++ b/src/control/entry_node.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,7 +14,9 @@
 
 #include "base/clock.h"
 #include "base/metrics.h"
+#include "control/entry_peers.h"
 #include "control/keyed_log.h"
+#include "control/log_writer.h"
 #include "control/operator_settings.h"
 #include "control/owner_role.h"
 #include "control/ownership_policy.h"
@@ -27,18 +30,22 @@
 
 struct EntryNodeOptions {
   std::string host;
+  std::string address;      ///< where the other entries reach this one
+  int internal_port = 0;
   std::string incarnation;  ///< random text that tells the runs of this process apart
   LogPartition submissions;
   LogPartition progress;
   LogPartition operators;
   LogPartition members;
-  int agent_port = 0;
   OwnershipOptions ownership;
   workflow::SchedulerOptions scheduler;
   /// Time between two reads of an entry that is not the owner; clients see the end of a job this much later.
   absl::Duration follower_interval = absl::Milliseconds(100);
-  /// The entry asks for no new connections when the store has not answered for this long.
+  /// The store counts as silent after this time: two reads that wait half a second and time out.
   absl::Duration store_silence = absl::Milliseconds(1600);
+  /// Failed reads in a row, or time since appends fail, after which another entry takes the clients' requests.
+  int failed_reads = 2;
+  absl::Duration failing_appends = absl::Milliseconds(100);
 };
 
 enum class SubmitOutcome {
@@ -82,7 +89,9 @@
   /// Null before the first configuration.
   const QueueTable* queues() const { return m_queues ? &*m_queues : nullptr; }
   bool IsReady(MonotonicTime now) const;
-  bool IsRefusing(MonotonicTime now) const { return m_submissions.IsRefusing(now); }
+  /// Whether the store serves this entry at present; otherwise another entry should take its clients' requests.
+  bool IsServedByStore(MonotonicTime now) const;
+  EntryPeers& peers() { return m_peers; }
   bool IsOwner() const { return m_owner != nullptr; }
   const OwnerRole* owner() const { return m_owner.get(); }
   const workflow::JobIndex& index() const { return m_index; }
@@ -92,6 +101,8 @@
   void OnProgressRecord(const KeyedRecord& record);
   void OnOperatorRecord(const KeyedRecord& record);
   void OnOperatorReset();
+  void OnMemberRecord(const KeyedRecord& record);
+  void Register();
   void ApplyLimits();
   void ConsiderClaim();
   void Claim();
@@ -110,12 +121,16 @@
   workflow::JobIndex m_index;
   std::optional<QueueTable> m_queues;
   absl::flat_hash_set<std::string> m_evacuated_zones;
+  std::map<std::string, MemberRecord> m_members;  ///< by host
   OwnershipPolicy m_ownership;
   MonotonicTime m_last_owner_sign;
   SubmissionQueue m_submissions;
   PartitionTail m_submission_tail;
   PartitionTail m_progress_tail;
   PartitionTail m_operator_tail;
+  PartitionTail m_member_tail;
+  LogWriter m_registration;
+  EntryPeers m_peers;
   bool m_claiming = false;
   bool m_leaving = false;
   std::int64_t m_progress_end = 0;  ///< while owner: end of the progress partition
--- a/src/control/member_record.h
+++ b/src/control/member_record.h
@@ -3,12 +3,21 @@
 #include <string>
 #include <string_view>
 
+#include "base/enum_names.h"
 #include "base/failure.h"
 
 namespace berylgauge::control {
 
-/// Where an agent listens for the owner; the record's key is the name of its host.
+enum class MemberKind { kAgent, kEntry };
+
+inline constexpr auto kMemberKindNames = MakeEnumNames<MemberKind>({
+    {MemberKind::kAgent, "agent"},
+    {MemberKind::kEntry, "entry"},
+});
+
+/// Where a process listens for the other processes of the system; the record's key is the name of its host.
 struct MemberRecord {
+  MemberKind kind = MemberKind::kAgent;
   std::string address;  ///< numeric IP address
   int port = 0;
 
--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "base/event_log.h"
-#include "control/member_record.h"
 #include "workflow/record_keys.h"
 
 namespace berylgauge::control {
@@ -14,10 +13,9 @@
 using workflow::StartOrder;
 using workflow::StopOrder;
 
-OwnerRole::OwnerRole(EventLoop& loop, KeyedLog& log, const Clock& clock, std::unique_ptr<LogWriter> writer,
+OwnerRole::OwnerRole(EventLoop& loop, const Clock& clock, std::unique_ptr<LogWriter> writer,
                      const workflow::JobIndex& index, OwnerRoleOptions options, Listener listener)
     : m_loop(loop),
-      m_log(log),
       m_clock(clock),
       m_options(std::move(options)),
       m_listener(std::move(listener)),
@@ -42,11 +40,6 @@
             {"jobs", m_index.size()},
             {"placed", m_scheduler->PlacedTasks()},
             {"waiting", m_scheduler->WaitingTasks()}});
-  m_members = std::make_unique<PartitionTail>(
-      m_loop, m_log, PartitionTailOptions{.partition = m_options.members, .wait = absl::Milliseconds(2000)},
-      PartitionTail::Listener{
-          .on_record = [this](const KeyedRecord& record) { OnMember(record); }, .on_reset = [] {}, .on_end = [] {}});
-  m_members->Start();
   Kick();
 }
 
@@ -78,16 +71,12 @@
   Kick();
 }
 
-void OwnerRole::OnMember(const KeyedRecord& record) {
-  const Result<MemberRecord> member = DecodeMember(record.value);
-  if (!member) {
-    LogEvent(LogLevel::kWarning, "member_unreadable", {{"host", record.key}, {"reason", member.error().message}});
-    return;
-  }
-  std::unique_ptr<AgentLink>& link = m_links[record.key];
-  if (link != nullptr && link->options().address == member->address) return;
+void OwnerRole::SetMember(const std::string& host, const MemberRecord& member) {
+  if (m_scheduler == nullptr || member.kind != MemberKind::kAgent) return;
+  std::unique_ptr<AgentLink>& link = m_links[host];
+  if (link != nullptr && link->options().address == member.address) return;
   link = std::make_unique<AgentLink>(
-      m_loop, AgentLinkOptions{.host = record.key, .address = member->address, .port = member->port},
+      m_loop, AgentLinkOptions{.host = host, .address = member.address, .port = member.port},
       m_options.record.epoch, MakeLinkListener());
   link->Start();
 }
--- a/src/control/owner_role.h
+++ b/src/control/owner_role.h
@@ -14,7 +14,7 @@
 #include "control/agent_link.h"
 #include "control/keyed_log.h"
 #include "control/log_writer.h"
-#include "control/partition_tail.h"
+#include "control/member_record.h"
 #include "transport/event_loop.h"
 #include "workflow/job_index.h"
 #include "workflow/scheduler.h"
@@ -23,8 +23,6 @@
 
 struct OwnerRoleOptions {
   workflow::OwnerRecord record;  ///< as claimed
-  LogPartition members;          ///< addresses of the agents
-  int agent_port = 0;
   /// Time between two signs of life in the progress partition; other entries wait three times as long.
   absl::Duration sign_interval = absl::Milliseconds(400);
   /// Leases are granted and starts sent only while the newest successful append is younger than this.
@@ -44,7 +42,7 @@
   };
 
   /// `writer` has stored the claim. `index` must outlive the role.
-  OwnerRole(EventLoop& loop, KeyedLog& log, const Clock& clock, std::unique_ptr<LogWriter> writer,
+  OwnerRole(EventLoop& loop, const Clock& clock, std::unique_ptr<LogWriter> writer,
             const workflow::JobIndex& index, OwnerRoleOptions options, Listener listener);
   ~OwnerRole();
 
@@ -54,6 +52,8 @@
   void OnSubmission(const std::string& job);
   void OnCancellation(const std::string& job);
   void SetLimits(workflow::PlacementLimits limits);
+  /// Where an agent listens; connects to it. Not to be called before `Begin`.
+  void SetMember(const std::string& host, const MemberRecord& member);
 
   /// Writes a record that lets another entry claim at once; `done` is called when it is stored or failed.
   void HandOver(std::function<void()> done);
@@ -76,14 +76,12 @@
   void SendStarts(std::vector<workflow::StartOrder> starts);
   void SendStops(std::vector<workflow::StopOrder> stops);
   void SendTo(const std::string& agent, OrdersRequest request);
-  void OnMember(const KeyedRecord& record);
   void OnOrdersAnswer(const OrdersRequest& request, const OrdersAnswer& answer);
   void OnOrdersFailure(const std::string& agent, const OrdersRequest& request, const Failure& failure);
   AgentLink::Listener MakeLinkListener();
   std::int64_t UnixNow() const;
 
   EventLoop& m_loop;
-  KeyedLog& m_log;
   const Clock& m_clock;
   const OwnerRoleOptions m_options;
   Listener m_listener;
@@ -91,7 +89,6 @@
   workflow::PlacementLimits m_limits;
   std::unique_ptr<LogWriter> m_writer;
   std::unique_ptr<workflow::Scheduler> m_scheduler;
-  std::unique_ptr<PartitionTail> m_members;
   absl::flat_hash_map<std::string, std::unique_ptr<AgentLink>> m_links;
   MonotonicTime m_signed_at;
   bool m_run_deferred = false;
--- a/src/control/partition_tail.h
+++ b/src/control/partition_tail.h
@@ -57,6 +57,8 @@
   void SetMinInterval(absl::Duration interval) { m_options.min_interval = interval; }
 
   bool is_loaded() const { return m_loaded; }
+  /// Reads that failed since the last answer.
+  int failures() const { return m_failures; }
   /// Whether the last read left nothing unread.
   bool is_at_end() const { return m_at_end; }
   /// Offset of the next record to read.
--- a/src/control/submission_queue.h
+++ b/src/control/submission_queue.h
@@ -39,6 +39,7 @@
 
   /// Whether a new submission would be refused at once.
   bool IsRefusing(MonotonicTime now) const;
+  std::optional<MonotonicTime> failing_since() const { return m_writer.failing_since(); }
   std::size_t size() const { return m_waiting.size() + m_sent.size(); }
 
  private:
