Write one hand-over record; test the processes around the decisions

Cause, found by the new test of a hand-over: the leaving owner wrote its hand-over record again and again until it ended, so that a claim on the end of the partition failed each time (the successor came only after the process was gone). The write under way now says what it is, and a handed-over role writes nothing more.

--- a/cmake/BerylgaugePackage.cmake
+++ b/cmake/BerylgaugePackage.cmake
@@ -1,6 +1,7 @@
 add_library(berylgauge_flags INTERFACE)
-target_compile_options(berylgauge_flags INTERFACE -Wall -Wextra -Werror -Wno-missing-field-initializers
-  -Wno-error=restrict)  # GCC 12 reports it falsely for std::string at -O3
+target_compile_options(berylgauge_flags INTERFACE -Wall -Wextra -Werror -Wno-missing-field-initializers)
+# GCC 12 reports it falsely for std::string at -O3.
+target_compile_options(berylgauge_flags INTERFACE $<$<CONFIG:Release>:-Wno-error=restrict>)
 target_include_directories(berylgauge_flags INTERFACE ${PROJECT_SOURCE_DIR}/src)
 if(BERYLGAUGE_ASAN)
   # GCC 12 reports a false maybe-uninitialized in <regex> with these sanitizers.
--- a/src/clients/async_http_client.h
+++ b/src/clients/async_http_client.h
@@ -36,7 +36,7 @@
   /// Called once, on the loop's thread, never from within `Send`. Verdicts are those of `HttpClient::Call`.
   using Callback = absl::AnyInvocable<void(Result<HttpResponse>)>;
 
-  AsyncHttpClient(EventLoop& loop, const AsyncHttpClientOptions& options = {});
+  explicit AsyncHttpClient(EventLoop& loop, const AsyncHttpClientOptions& options = {});
 
   /// Ends the calls under way without calling back.
   ~AsyncHttpClient();
--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -143,13 +143,14 @@
     if (batch) {
       std::vector<KeyedRecord> records;
       for (auto& [key, value] : batch->records) records.push_back({.key = std::move(key), .value = std::move(value)});
-      WriteBatch(std::move(records), false);
+      WriteBatch(std::move(records), WriteKind::kBatch);
     } else if (m_handing_over) {
       workflow::OwnerRecord record = m_options.record;
       record.holder.clear();
-      WriteBatch({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(record)}}, true);
+      WriteBatch({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(record)}}, WriteKind::kHandOver);
     } else if (now - m_signed_at >= m_options.sign_interval) {
-      WriteBatch({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(m_options.record)}}, true);
+      WriteBatch({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(m_options.record)}},
+                 WriteKind::kSignOfLife);
     }
   }
   const MonotonicTime next = m_scheduler != nullptr ? m_scheduler->NextDeadline(now) : InfiniteFuture();
@@ -161,16 +162,15 @@
   m_timer = m_loop.AddTimer(at, [this] { Run(); });
 }
 
-void OwnerRole::WriteBatch(std::vector<KeyedRecord> records, bool is_sign) {
+void OwnerRole::WriteBatch(std::vector<KeyedRecord> records, WriteKind kind) {
   m_signed_at = m_loop.Now();
   std::vector<KeyedRecord> copy = records;
-  m_writer->Write(std::move(copy), std::nullopt, std::nullopt,
-                  [this, records = std::move(records), is_sign](const AppendAnswer& answer) {
-                    OnWritten(answer, records, is_sign);
-                  });
+  m_writer->Write(
+      std::move(copy), std::nullopt, std::nullopt,
+      [this, records = std::move(records), kind](const AppendAnswer& answer) { OnWritten(answer, records, kind); });
 }
 
-void OwnerRole::OnWritten(const AppendAnswer& answer, const std::vector<KeyedRecord>& records, bool is_sign) {
+void OwnerRole::OnWritten(const AppendAnswer& answer, const std::vector<KeyedRecord>& records, WriteKind kind) {
   if (answer.outcome != AppendOutcome::kStored) {
     LogEvent(LogLevel::kWarning, "owner_deposed",
              {{"epoch", m_options.record.epoch},
@@ -181,9 +181,13 @@
     return;
   }
   m_listener.on_stored(records, answer.end);
-  if (is_sign) {
-    if (m_handing_over && m_handed_over) std::exchange(m_handed_over, nullptr)();
-  } else {
+  if (kind == WriteKind::kHandOver) {
+    // A further record would look like a sign of life to the entry that is about to claim.
+    m_deposed = true;
+    std::exchange(m_handed_over, nullptr)();
+    return;
+  }
+  if (kind == WriteKind::kBatch) {
     const std::vector<std::string> retired = m_scheduler->RetiredInBatch();
     SendStarts(m_scheduler->OnBatchDurable(m_loop.Now()));
     if (!retired.empty()) m_listener.on_retired(retired);
--- a/src/control/owner_role.h
+++ b/src/control/owner_role.h
@@ -62,16 +62,17 @@
   const workflow::Scheduler* scheduler() const { return m_scheduler.get(); }
 
  private:
-  struct PendingOrders {
-    std::string agent;
-    OrdersRequest request;
+  enum class WriteKind {
+    kBatch,       ///< of the scheduler
+    kSignOfLife,  ///< nothing else was written for a while
+    kHandOver,    ///< names no holder
   };
 
   void Kick();
   void Run();
   void ScheduleRun(MonotonicTime at);
-  void WriteBatch(std::vector<KeyedRecord> records, bool is_sign);
-  void OnWritten(const AppendAnswer& answer, const std::vector<KeyedRecord>& records, bool is_sign);
+  void WriteBatch(std::vector<KeyedRecord> records, WriteKind kind);
+  void OnWritten(const AppendAnswer& answer, const std::vector<KeyedRecord>& records, WriteKind kind);
   bool IsValid(MonotonicTime now) const;
   void SendStarts(std::vector<workflow::StartOrder> starts);
   void SendStops(std::vector<workflow::StopOrder> stops);
--- /dev/null
+++ b/tests/unit/control/agent_node_test.cc
@@ -0,0 +1,276 @@
+#include "control/agent_node.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "wait_until.h"
+
+namespace berylgauge::control {
+namespace {
+
+using workflow::RunEndKind;
+using workflow::StartAnswer;
+using workflow::StartRefusal;
+using workflow::WorkerCondition;
+
+/// A worker whose calls the test makes fail.
+class FakeWorker final : public WorkerPort {
+ public:
+  explicit FakeWorker(EventLoop& loop) : m_loop(loop) {}
+
+  int unanswered_starts = 0;  ///< so many starts are carried out and not answered
+  int vanished_starts = 0;    ///< so many starts have no answer and no effect
+  StartRefusal refusal = StartRefusal::kNone;
+  bool refuses_connections = false;
+  std::int64_t born = 1000;
+  std::int64_t highest_epoch = 0;
+  std::map<std::string, int> runs;
+  std::vector<workflow::RunEnd> ends;
+  int starts = 0;
+  std::int64_t lease_end_ms = 0;
+
+  void Hold(const HoldCall& call, absl::Duration, absl::AnyInvocable<void(Result<HoldAnswer>)> callback) override {
+    if (refuses_connections) return Answer<HoldAnswer>(std::move(callback), Refused());
+    if (call.epoch < highest_epoch) return Answer<HoldAnswer>(std::move(callback), Stale());
+    highest_epoch = call.epoch;
+    lease_end_ms = std::max(lease_end_ms, call.lease_end_ms.value_or(0));
+    std::erase_if(ends, [&](const workflow::RunEnd& end) { return end.number <= call.acknowledged; });
+    HoldAnswer answer{.clock_ms = ++m_clock_ms, .born = born, .runs = {}, .ends = ends};
+    for (const auto& [task, run] : runs) answer.runs.push_back({.task = task, .run = run, .checkpoint = {}});
+    Answer<HoldAnswer>(std::move(callback), std::move(answer));
+  }
+
+  void Start(const StartCall& call, absl::Duration, absl::AnyInvocable<void(Result<StartAnswer>)> callback) override {
+    ++starts;
+    if (vanished_starts > 0) {
+      --vanished_starts;
+      return Answer<StartAnswer>(std::move(callback), MayHaveRun(FailureCode::kDeadlineExceeded, "no answer"));
+    }
+    StartAnswer answer{.refusal = refusal, .clock_ms = ++m_clock_ms};
+    if (refusal == StartRefusal::kNone) runs[call.task] = call.run;
+    if (unanswered_starts > 0) {
+      --unanswered_starts;
+      return Answer<StartAnswer>(std::move(callback), MayHaveRun(FailureCode::kDeadlineExceeded, "no answer"));
+    }
+    Answer<StartAnswer>(std::move(callback), answer);
+  }
+
+  void Stop(const StopCall& call, absl::Duration, absl::AnyInvocable<void(Result<void>)> callback) override {
+    const auto found = runs.find(call.task);
+    if (found != runs.end() && found->second == call.run) {
+      runs.erase(found);
+      ends.push_back({.number = ++m_last_end, .task = call.task, .run = call.run, .kind = RunEndKind::kStopped});
+    }
+    Answer<void>(std::move(callback), Result<void>());
+  }
+
+  void Pace(const PaceCall&, absl::Duration, absl::AnyInvocable<void(Result<void>)> callback) override {
+    Answer<void>(std::move(callback), Result<void>());
+  }
+
+ private:
+  static Failure Refused() { return {.code = FailureCode::kConnectionRefused, .message = "refused", .field = {}}; }
+  static Failure Stale() { return {.code = FailureCode::kConflict, .message = "fence", .field = {}}; }
+
+  template <typename T>
+  void Answer(absl::AnyInvocable<void(Result<T>)> callback, Failure failure) {
+    Answer<T>(std::move(callback), Result<T>(tl::make_unexpected(std::move(failure))));
+  }
+  template <typename T>
+  void Answer(absl::AnyInvocable<void(Result<T>)> callback, Result<T> result) {
+    m_loop.AddTimer(m_loop.Now() + absl::Milliseconds(2),
+                    [callback = std::move(callback), result = std::move(result)]() mutable { callback(result); });
+  }
+
+  EventLoop& m_loop;
+  std::int64_t m_clock_ms = 0;
+  std::int64_t m_last_end = 0;
+};
+
+class AgentWorld {
+ public:
+  AgentWorld() {
+    m_loop.RunSync([&] {
+      m_agent = std::make_unique<AgentNode>(m_loop, m_worker, m_metrics,
+                                            AgentNodeOptions{.incarnation = 7,
+                                                             .hold_wait = absl::Milliseconds(20),
+                                                             .pending_pause = absl::Milliseconds(20),
+                                                             .retry_pause = absl::Milliseconds(10)});
+    });
+  }
+  ~AgentWorld() {
+    m_loop.RunSync([&] { m_agent.reset(); });
+  }
+
+  void Announce(bool draining = false) {
+    m_loop.RunSync([&] {
+      m_agent->OnAnnouncement({.life = life(), .sequence = ++m_sequence, .service = "s", .draining = draining});
+    });
+  }
+
+  std::optional<OrdersAnswer> Order(std::int64_t epoch, OrdersRequest request) {
+    request.epoch = epoch;
+    request.life = life();
+    std::optional<OrdersAnswer> answer;
+    bool answered = false;
+    m_loop.RunSync([&] {
+      m_agent->OnOrders(request, [&](std::optional<OrdersAnswer> given) {
+        answer = std::move(given);
+        answered = true;
+      });
+    });
+    REQUIRE(WaitUntil(m_loop, absl::Seconds(5), [&] { return answered; }));
+    return answer;
+  }
+
+  std::optional<OrdersAnswer> StartTask(std::int64_t epoch) {
+    return Order(
+        epoch,
+        {.life = {}, .lease_end_ms = 100, .jobs = {{.payload = "p", .starts = {{.task = "a.0.0.0", .run = 1}}}}});
+  }
+
+  std::optional<WatchAnswer> Watch(WatchRequest request) {
+    std::optional<WatchAnswer> answer;
+    bool answered = false;
+    m_loop.RunSync([&] {
+      m_agent->OnWatch(request, [&](std::optional<WatchAnswer> given) {
+        answer = std::move(given);
+        answered = true;
+      });
+    });
+    REQUIRE(WaitUntil(m_loop, absl::Seconds(5), [&] { return answered; }));
+    return answer;
+  }
+
+  workflow::WorkerLife life() const { return {.worker = "w1", .born = 1000}; }
+  FakeWorker& worker() { return m_worker; }
+  EventLoop& loop() { return m_loop; }
+
+ private:
+  EventLoop m_loop;
+  FakeWorker m_worker{m_loop};
+  MetricsRegistry m_metrics;
+  std::unique_ptr<AgentNode> m_agent;
+  std::uint64_t m_sequence = 0;
+};
+
+// Guards against two runs, or none, when the worker's answer to a start is lost.
+TEST_CASE("a start without answer is repeated with the same run", "[agent]") {
+  const bool carried_out = GENERATE(true, false);
+  AgentWorld world;
+  world.Announce();
+  (carried_out ? world.worker().unanswered_starts : world.worker().vanished_starts) = 2;
+  const std::optional<OrdersAnswer> answer = world.StartTask(5);
+  REQUIRE(answer.has_value());
+  CHECK(answer->starts.at(0).answer.refusal == StartRefusal::kNone);
+  CHECK(world.worker().starts == 3);
+  CHECK(world.worker().runs.size() == 1);
+}
+
+// Guards against a run that begins late although its start was reported as refused.
+TEST_CASE("a refusal after a start without answer is left to a stop", "[agent]") {
+  AgentWorld world;
+  world.Announce();
+  world.worker().vanished_starts = 1;
+  world.worker().refusal = StartRefusal::kRoom;
+  const std::optional<OrdersAnswer> answer = world.StartTask(5);
+  REQUIRE(answer.has_value());
+  CHECK(answer->starts.at(0).answer.refusal == StartRefusal::kEnded);
+}
+
+TEST_CASE("a plain refusal is passed on", "[agent]") {
+  AgentWorld world;
+  world.Announce();
+  world.worker().refusal = StartRefusal::kRoom;
+  const std::optional<OrdersAnswer> answer = world.StartTask(5);
+  REQUIRE(answer.has_value());
+  CHECK(answer->starts.at(0).answer.refusal == StartRefusal::kRoom);
+}
+
+// Guards against orders of an owner that has a successor.
+TEST_CASE("orders and watches of a former owner are refused", "[agent]") {
+  AgentWorld world;
+  world.Announce();
+  REQUIRE(world.Watch({.epoch = 9, .life = {}}).has_value());
+  CHECK(!world.StartTask(8).has_value());
+  CHECK(!world.Watch({.epoch = 8, .life = {}}).has_value());
+  CHECK(world.worker().starts == 0);
+  CHECK(WaitUntil(world.loop(), absl::Seconds(2), [&] { return world.worker().highest_epoch == 9; }));
+}
+
+// Guards against a task that starts on a worker after its draining was acknowledged.
+TEST_CASE("nothing is started on a draining worker", "[agent]") {
+  AgentWorld world;
+  world.Announce();
+  world.Announce(true);
+  const std::optional<OrdersAnswer> answer = world.StartTask(5);
+  REQUIRE(answer.has_value());
+  CHECK(answer->starts.at(0).answer.refusal == StartRefusal::kDraining);
+  CHECK(world.worker().starts == 0);
+}
+
+TEST_CASE("a stop says whether the end is listed", "[agent]") {
+  const bool runs = GENERATE(true, false);
+  AgentWorld world;
+  world.Announce();
+  if (runs) world.StartTask(5);
+  const std::optional<OrdersAnswer> answer =
+      world.Order(5, {.life = {}, .jobs = {}, .stops = {{.agent = {}, .life = {}, .task = "a.0.0.0", .run = 1}}});
+  REQUIRE(answer.has_value());
+  CHECK(answer->stops.at(0).end_listed == runs);
+}
+
+// Guards against lost work that is noticed only when its lease lapses.
+TEST_CASE("a worker whose port refuses connections is reported as gone", "[agent]") {
+  AgentWorld world;
+  world.Announce();
+  std::optional<WatchAnswer> answer = world.Watch({.epoch = 5, .life = {}});
+  REQUIRE(answer.has_value());
+  world.worker().refuses_connections = true;
+  for (int i = 0; i < 20 && answer->report.condition != WorkerCondition::kGone; ++i) {
+    answer =
+        world.Watch({.epoch = 5, .known_version = answer->version, .known_incarnation = 7, .wait_ms = 100, .life = {}});
+    REQUIRE(answer.has_value());
+  }
+  CHECK(answer->report.condition == WorkerCondition::kGone);
+}
+
+// Guards against ends that the worker forgets before their record is durable.
+TEST_CASE("ends are acknowledged to the worker only when the owner says so", "[agent]") {
+  AgentWorld world;
+  world.Announce();
+  world.StartTask(5);
+  world.Order(5, {.life = {}, .jobs = {}, .stops = {{.agent = {}, .life = {}, .task = "a.0.0.0", .run = 1}}});
+  absl::SleepFor(absl::Milliseconds(100));
+  world.loop().RunSync([&] { CHECK(world.worker().ends.size() == 1); });
+  world.Watch({.epoch = 5, .life = world.life(), .lease_end_ms = 4500, .acknowledged = 1});
+  CHECK(WaitUntil(world.loop(), absl::Seconds(2), [&] { return world.worker().ends.empty(); }));
+  CHECK(WaitUntil(world.loop(), absl::Seconds(2), [&] { return world.worker().lease_end_ms == 4500; }));
+}
+
+TEST_CASE("messages between owner and agent are read back as written", "[messages]") {
+  WatchRequest watch{
+      .epoch = 3, .known_version = 4, .wait_ms = 5, .life = {.worker = "w", .born = 6}, .lease_end_ms = 7};
+  watch.traits = {{.task = "t", .fills_idle_cpu = true, .tail_target_ms = 50, .image = "i", .demand_cpu = 9}};
+  watch.interference = {{.serving_image = "s", .filling_image = "f", .ms_per_core = 1.5}};
+  const Result<WatchRequest> read = DecodeWatchRequest(EncodeWatchRequest(watch));
+  REQUIRE(read.has_value());
+  CHECK(read->life == watch.life);
+  CHECK(read->traits.at(0).image == "i");
+  CHECK(read->interference == watch.interference);
+  OrdersRequest orders{.epoch = 3, .life = {.worker = "w", .born = 6}, .lease_end_ms = 8};
+  orders.jobs = {{.payload = "p", .starts = {{.task = "t", .run = 2, .checkpoint = "c", .image = "i"}}}};
+  const Result<OrdersRequest> read_orders = DecodeOrdersRequest(EncodeOrdersRequest(orders));
+  REQUIRE(read_orders.has_value());
+  CHECK(read_orders->jobs.at(0).starts.at(0).checkpoint == "c");
+  CHECK(!DecodeOrdersRequest("junk"));
+  CHECK(!DecodeWatchAnswer(EncodeOrdersRequest(orders)));
+}
+
+}  // namespace
+}  // namespace berylgauge::control
--- /dev/null
+++ b/tests/unit/control/entry_node_test.cc
@@ -0,0 +1,180 @@
+#include "control/entry_node.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "memory_store.h"
+#include "wait_until.h"
+
+namespace berylgauge::control {
+namespace {
+
+/// Every record of the operators is a configuration with one queue.
+class FixedOperators final : public OperatorRecordDecoder {
+ public:
+  Result<OperatorRecord> Decode(std::string_view, std::string_view) const override {
+    OperatorRecord record;
+    record.kind = OperatorRecord::Kind::kQueues;
+    record.queues = QueueTable(1, {{.host = "h", .path_prefix = "/q/", .queue = {.name = "q", .service = "s"}}});
+    return record;
+  }
+};
+
+constexpr LogPartition MakePartition(const char* topic, int number) { return {.topic = topic, .number = number}; }
+
+/// Entries on one store, each with its own way to it.
+class EntryWorld {
+ public:
+  ~EntryWorld() {
+    m_loop.RunSync([&] { m_entries.clear(); });
+    m_loop.RunSync([] {});  // deferred destruction
+  }
+
+  EntryNode& Add(const std::string& host) {
+    m_loop.RunSync([&] {
+      m_logs.push_back(std::make_unique<MemoryKeyedLog>(m_loop, m_store));
+      m_entries.push_back(std::make_unique<EntryNode>(
+          m_loop, *m_logs.back(), m_clock, m_operators, m_metrics,
+          EntryNodeOptions{.host = host,
+                           .address = "127.0.0.1",
+                           .internal_port = 1,
+                           .incarnation = std::to_string(++m_starts),
+                           .submissions = MakePartition("keyed.work", 0),
+                           .progress = MakePartition("keyed.work", 1),
+                           .operators = MakePartition("keyed.op", 0),
+                           .members = MakePartition("keyed.members", 0),
+                           .ownership = {.silence = absl::Milliseconds(700),
+                                         .stagger = absl::Milliseconds(50) * static_cast<int>(m_entries.size())}}));
+      m_entries.back()->Start();
+    });
+    return *m_entries.back();
+  }
+
+  /// Ends the process of the entry without a hand-over.
+  void Kill(std::size_t index) {
+    m_loop.RunSync([&] { m_entries[index].reset(); });
+  }
+
+  int Owners() {
+    int owners = 0;
+    for (const auto& entry : m_entries) owners += entry != nullptr && entry->IsOwner() ? 1 : 0;
+    return owners;
+  }
+
+  EventLoop& loop() { return m_loop; }
+  StoreFaults& FaultsOf(std::size_t index) { return m_logs[index]->faults; }
+  EntryNode& entry(std::size_t index) { return *m_entries[index]; }
+
+ private:
+  EventLoop m_loop;
+  MemoryStore m_store;
+  SystemClock m_clock;
+  FixedOperators m_operators;
+  MetricsRegistry m_metrics;
+  int m_starts = 0;
+  std::vector<std::unique_ptr<MemoryKeyedLog>> m_logs;
+  std::vector<std::unique_ptr<EntryNode>> m_entries;
+};
+
+workflow::JobDefinition SmallJob(const std::string& id) {
+  workflow::JobDefinition job;
+  job.id = id;
+  job.queue = {.name = "q", .service = "s"};
+  job.steps = {{.task_count = 1}};
+  return job;
+}
+
+// Guards against two owners after a common start: the store confirms appends with equal producer, epoch and sequence.
+TEST_CASE("of entries that start together one becomes the owner", "[entry]") {
+  EntryWorld world;
+  for (const char* host : {"e1", "e2", "e3"}) world.Add(host);
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return world.Owners() == 1; }));
+  absl::SleepFor(absl::Milliseconds(300));
+  CHECK(WaitUntil(world.loop(), absl::ZeroDuration(), [&] { return world.Owners() == 1; }));
+}
+
+TEST_CASE("another entry claims when the owner is gone, and at once after a hand-over", "[entry]") {
+  const bool planned = GENERATE(false, true);
+  EntryWorld world;
+  world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return world.Owners() == 1; }));
+  EntryNode& second = world.Add("e2");
+  absl::SleepFor(absl::Milliseconds(200));
+  if (planned) {
+    bool done = false;
+    world.loop().RunSync([&] { world.entry(0).HandOver([&] { done = true; }); });
+    REQUIRE(WaitUntil(world.loop(), absl::Seconds(2), [&] { return done; }));
+  } else {
+    world.Kill(0);
+  }
+  CHECK(
+      WaitUntil(world.loop(), planned ? absl::Milliseconds(900) : absl::Seconds(3), [&] { return second.IsOwner(); }));
+}
+
+// Guards against two seconds without an owner after all processes were killed.
+TEST_CASE("the host of the recorded owner claims without waiting when it is started again", "[entry]") {
+  EntryWorld world;
+  world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return world.Owners() == 1; }));
+  world.Kill(0);
+  EntryNode& restarted = world.Add("e1");
+  CHECK(WaitUntil(world.loop(), absl::Milliseconds(650), [&] { return restarted.IsOwner(); }));
+}
+
+// Guards against 410 for a job that exists, from an entry that the store does not serve.
+TEST_CASE("an unknown job is reported as unknown only if the store was asked", "[entry]") {
+  struct Row {
+    const char* name;
+    bool refuses;
+    bool certain;
+  };
+  const Row row = GENERATE(Row{"served", false, true}, Row{"not served", true, false});
+  INFO(row.name);
+  EntryWorld world;
+  EntryNode& entry = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return entry.IsOwner(); }));
+  std::optional<JobLookup> found;
+  std::optional<CancelOutcome> cancelled;
+  world.loop().RunSync([&] {
+    world.FaultsOf(0).refuses = row.refuses;
+    entry.Lookup("00000000000000aa", [&](const JobLookup& lookup) { found = lookup; });
+    entry.Cancel("00000000000000aa", [&](CancelOutcome outcome) { cancelled = outcome; });
+  });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return found.has_value() && cancelled.has_value(); }));
+  CHECK(!found->phase.has_value());
+  CHECK(found->is_certain == row.certain);
+  CHECK(cancelled == (row.certain ? CancelOutcome::kUnknownJob : CancelOutcome::kFailed));
+}
+
+TEST_CASE("a job accepted at one entry is known and can be cancelled at another", "[entry]") {
+  EntryWorld world;
+  EntryNode& first = world.Add("e1");
+  EntryNode& second = world.Add("e2");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return world.Owners() == 1; }));
+  std::optional<SubmitOutcome> submitted;
+  std::optional<CancelOutcome> cancelled;
+  world.loop().RunSync([&] { first.Submit(SmallJob("00000000000000aa"), [&](SubmitOutcome o) { submitted = o; }); });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(2), [&] { return submitted.has_value(); }));
+  CHECK(submitted == SubmitOutcome::kAccepted);
+  world.loop().RunSync([&] { second.Cancel("00000000000000aa", [&](CancelOutcome o) { cancelled = o; }); });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(2), [&] { return cancelled.has_value(); }));
+  CHECK(cancelled == CancelOutcome::kCancelled);
+  CHECK(WaitUntil(world.loop(), absl::Seconds(2),
+                  [&] { return first.index().PhaseOf("00000000000000aa") == workflow::JobPhase::kCancelled; }));
+}
+
+// Guards against readiness of an entry that would refuse everything.
+TEST_CASE("an entry that the store does not serve is not ready without a ready peer", "[entry]") {
+  EntryWorld world;
+  EntryNode& entry = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return entry.IsOwner(); }));
+  world.loop().RunSync([&] { world.FaultsOf(0).refuses = true; });
+  CHECK(WaitUntil(world.loop(), absl::Seconds(3), [&] { return !entry.IsServedByStore(world.loop().Now()); }));
+  CHECK(WaitUntil(world.loop(), absl::Seconds(3), [&] { return !entry.IsReady(world.loop().Now()); }));
+}
+
+}  // namespace
+}  // namespace berylgauge::control
