Stand-ins of the platform's store and worker; process tests of entries and agents on them

The store keeps newest records, producers, conditions and history; the worker runs under a lease with run numbers, fence tokens and a list of ends.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -28,13 +28,13 @@
 
 Usage:
   berylgauged [--check] SETTINGS
-  berylgauged [--check] --platform
+  berylgauged [--check] --platform [SETTINGS]
   berylgauged (-h | --help)
   berylgauged --version
 
 Options:
   --check     Check the settings and exit.
-  --platform  Run on the shared platform; the variable BERYLGAUGE_BOOT names its settings file.
+  --platform  Run on the shared platform; its settings file is SETTINGS or named by the variable BERYLGAUGE_BOOT.
   -h --help   Show this text.
   --version   Show the version.
 
@@ -97,10 +97,11 @@
   return RunNode(*MakeNode(*settings));
 }
 
-int RunOnPlatform(bool check_only) {
-  const char* path = std::getenv(kPlatformSettingsVariable);
-  if (path == nullptr) {
-    std::cerr << kPlatformSettingsVariable << " is not set\n";
+int RunOnPlatform(std::string path, bool check_only) {
+  const char* named = std::getenv(kPlatformSettingsVariable);
+  if (path.empty() && named != nullptr) path = named;
+  if (path.empty()) {
+    std::cerr << "no SETTINGS, and " << kPlatformSettingsVariable << " is not set\n";
     return kExitUsage;
   }
   const auto settings = berylgauge::platform::LoadPlatformSettings(path);
@@ -118,7 +119,10 @@
 int main(int argc, char** argv) {
   try {
     const auto arguments = docopt::docopt_parse(kUsage, {argv + 1, argv + argc}, true, true);
-    if (arguments.at("--platform").asBool()) return RunOnPlatform(arguments.at("--check").asBool());
+    const docopt::value& settings = arguments.at("SETTINGS");
+    if (arguments.at("--platform").asBool()) {
+      return RunOnPlatform(settings ? settings.asString() : "", arguments.at("--check").asBool());
+    }
     return Run(arguments.at("SETTINGS").asString(), arguments.at("--check").asBool());
   } catch (const docopt::DocoptExitHelp&) {
     std::cout << kUsage;
--- /dev/null
+++ b/tests/process/platform_cluster.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "clients/http_client.h"
+#include "support/child_process.h"
+#include "support/standin.h"
+
+namespace berylgauge {
+
+/// Entries and agents as on the shared platform, with stand-ins for its store and workers, on an address range of their
+/// own in 127.0.0.0/8.
+class PlatformCluster {
+ public:
+  PlatformCluster(int entries, int workers);
+  ~PlatformCluster();
+
+  void StartEntry(int i);
+  void StartAgent(int i);
+  ChildProcess& entry(int i) { return *m_entries[static_cast<std::size_t>(i)]; }
+  ChildProcess& agent(int i) { return *m_agents[static_cast<std::size_t>(i)]; }
+  Standin& store() { return *m_store; }
+  Standin& worker(int i) { return *m_workers[static_cast<std::size_t>(i)]; }
+
+  /// Sends a client's request to an entry; status 0 if there is no answer.
+  HttpResponse Call(int entry, const std::string& method, const std::string& path, const std::string& body = {});
+  std::string StateOf(int entry, const std::string& job);
+  bool WaitForState(int entry, const std::string& job, const std::string& state, absl::Duration limit);
+
+  /// Tasks that ran twice at the same time or after an end as done, from what the workers recorded; empty if none.
+  std::string Violation();
+  /// Runs that ended as done.
+  int DoneRuns();
+
+ private:
+  std::string AddressOf(int group, int i) const;
+  std::string WriteSettings(const std::string& host, bool is_agent, int i);
+
+  HttpClient m_http;
+  std::string m_folder;
+  std::unique_ptr<Standin> m_store;
+  std::vector<std::unique_ptr<Standin>> m_workers;
+  std::vector<std::unique_ptr<ChildProcess>> m_entries;
+  std::vector<std::unique_ptr<ChildProcess>> m_agents;
+};
+
+}  // namespace berylgauge
--- a/tests/unit/control/entry_node_test.cc
+++ b/tests/unit/control/entry_node_test.cc
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "memory_store.h"
+#include "memory_keyed_log.h"
 #include "wait_until.h"
 
 namespace berylgauge::control {
--- a/tests/unit/control/log_writer_test.cc
+++ b/tests/unit/control/log_writer_test.cc
@@ -5,7 +5,7 @@
 
 #include "control/partition_tail.h"
 #include "control/submission_queue.h"
-#include "memory_store.h"
+#include "memory_keyed_log.h"
 #include "wait_until.h"
 
 namespace berylgauge::control {
--- /dev/null
+++ b/tests/unit/control/memory_keyed_log.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "control/keyed_log.h"
+#include "support/memory_store.h"
+#include "transport/event_loop.h"
+
+namespace berylgauge::control {
+
+/// How the store behaves towards one process.
+struct StoreFaults {
+  bool refuses = false;  ///< answers that it has done nothing
+  int lost_answers = 0;  ///< so many appends are carried out and not answered
+  bool is_cut = false;   ///< no call arrives, and none is answered
+};
+
+/// One process's way to the store. Used on the loop's thread.
+class MemoryKeyedLog final : public KeyedLog {
+ public:
+  MemoryKeyedLog(EventLoop& loop, MemoryStore& store) : m_loop(loop), m_store(store) {}
+
+  StoreFaults faults;
+  int appends = 0;  ///< calls made
+
+  void Append(const AppendCall& call, absl::Duration timeout, AppendCallback callback) override;
+  void Read(const LogPartition& partition, std::int64_t from, absl::Duration wait, absl::Duration timeout,
+            ReadCallback callback) override;
+  void ReadNewest(const LogPartition& partition, const std::string& after, absl::Duration timeout,
+                  NewestCallback callback) override;
+
+ private:
+  void TryRead(const LogPartition& partition, std::int64_t from, MonotonicTime until, ReadCallback callback);
+
+  EventLoop& m_loop;
+  MemoryStore& m_store;
+};
+
+}  // namespace berylgauge::control
--- /dev/null
+++ b/tests/unit/platform/decode_test.cc
@@ -0,0 +1,145 @@
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+#include "platform/http_keyed_log.h"
+#include "platform/http_worker_port.h"
+#include "platform/job_request.h"
+#include "platform/operator_records.h"
+#include "platform/platform_settings.h"
+#include "platform/worker_heartbeat.h"
+
+namespace berylgauge::platform {
+namespace {
+
+struct JobRow {
+  const char* body;
+  const char* field;  ///< of the failure; empty if the body is valid
+};
+
+// Guards against bodies that break the page and are accepted, or refused without naming the field.
+TEST_CASE("a job's body is checked and the offending field is named", "[platform]") {
+  const JobRow row = GENERATE(
+      JobRow{R"({"spec":"x","steps":[{"count":4,"cpu":500,"mem_mb":256,"est_ms":900,"affinity":"r1-3"}]})", ""},
+      JobRow{R"({"steps":[{"count":1},{"after":[0]}],"repeats":3,"start_ms":1,"interval_ms":2})", ""},
+      JobRow{R"([])", "body"}, JobRow{R"({"spec":"x"})", "steps"}, JobRow{R"({"steps":[]})", "steps"},
+      JobRow{R"({"steps":[{"count":0}]})", "steps[0].count"}, JobRow{R"({"steps":[{"cpu":"1"}]})", "steps[0].cpu"},
+      JobRow{R"({"steps":[{},{"after":[1]}]})", "steps[1].after"}, JobRow{R"({"steps":[{"gang":1}]})", "steps[0].gang"},
+      JobRow{R"({"spec":7,"steps":[{}]})", "spec"}, JobRow{R"({"steps":[7]})", "steps[0]."});
+  INFO(row.body);
+  const auto job = DecodeJobRequest(row.body, "00000000000000a1", {.name = "q"});
+  CHECK(job.has_value() == (row.field[0] == '\0'));
+  if (!job) CHECK(job.error().field == row.field);
+}
+
+TEST_CASE("any bytes are a valid job or an invalid argument", "[platform]") {
+  const bool ok = rc::check([](const std::string& bytes) {
+    const auto job = DecodeJobRequest(bytes, "00000000000000a1", {});
+    RC_ASSERT(job || job.error().code == FailureCode::kInvalidArgument);
+  });
+  CHECK(ok);
+}
+
+struct HeartbeatRow {
+  const char* body;
+  bool valid;
+};
+
+// Guards against a worker that is used although its heartbeat comes from another writer.
+TEST_CASE("only a whole heartbeat names a worker", "[platform]") {
+  const HeartbeatRow row = GENERATE(
+      HeartbeatRow{
+          R"({"service":"s","zone":"z","labels":["a","r1"],"capacity":{"cpu":1,"mem_mb":2,"gpu":0},"state":"ready","born":5,"seq":1})",
+          true},
+      HeartbeatRow{
+          R"({"service":"s","zone":"z","labels":["a"],"capacity":{"cpu":1,"mem_mb":2},"state":"draining","remaining_ms":9,"born":5,"seq":1})",
+          true},
+      HeartbeatRow{
+          R"({"service":"s","zone":"z","labels":["a"],"capacity":{"cpu":1,"mem_mb":2},"state":"odd","born":5,"seq":1})",
+          false},
+      HeartbeatRow{
+          R"({"service":"s","zone":"z","labels":["a"],"capacity":{"cpu":"1","mem_mb":2},"state":"ready","born":5,"seq":1})",
+          false},
+      HeartbeatRow{
+          R"({"service":"s","zone":"z","labels":["a"],"capacity":{"cpu":1,"mem_mb":2},"state":"ready","seq":1})",
+          false},
+      HeartbeatRow{"\xff\xfe", false}, HeartbeatRow{"[]", false});
+  INFO(row.body);
+  CHECK(DecodeHeartbeat("w1", row.body).has_value() == row.valid);
+}
+
+TEST_CASE("records are framed as the store expects and read back", "[platform]") {
+  const std::string body = EncodeLogRecords({{.key = "ab", .value = "xyz"}, {.key = "c", .value = ""}});
+  CHECK(body == std::string("\0\0\0\6\2abxyz\0\0\0\2\1c", 16));
+  const auto read = DecodeLogRead(std::string("\0\0\0\0\0\0\0\x9\0\0\0\0\0\0\0\3", 16) + body, 7);
+  REQUIRE(read.has_value());
+  CHECK(read->end == 9);
+  REQUIRE(read->records.size() == 2);
+  CHECK(read->records[0].key == "ab");
+  CHECK(read->records[0].value == "xyz");
+  CHECK(read->records[1].offset == 8);
+  CHECK(!DecodeLogRead("short", 0));
+  CHECK(!DecodeLogRead(std::string(16, '\0') + std::string("\0\0\0\x9x", 5), 0));
+}
+
+TEST_CASE("a page of newest records names the next one", "[platform]") {
+  const auto page = DecodeLogNewest(R"({"items":[{"key":"k","value":"eA==","offset":4}],"more":true,"end":6})");
+  REQUIRE(page.has_value());
+  CHECK(page->records.at(0).value == "x");
+  CHECK(page->next_after == "k");
+  CHECK(!DecodeLogNewest(R"({"items":[{"key":"k","value":"!","offset":4}],"end":6})"));
+}
+
+TEST_CASE("the operators' records are decoded", "[platform]") {
+  const OperatorRecords decoder;
+  const auto evacuation = decoder.Decode("evacuate/galway-yard", "{}");
+  REQUIRE(evacuation.has_value());
+  CHECK(evacuation->kind == control::OperatorRecord::Kind::kEvacuation);
+  CHECK(evacuation->zone == "galway-yard");
+  const auto config = decoder.Decode(
+      "config",
+      R"({"version":7,"routes":[{"host":"H.example","path_prefix":"/a/","service":"s","attempts":2},{"host":"h.example","path_prefix":"/a/b/","service":"t"}]})");
+  REQUIRE(config.has_value());
+  CHECK(config->queues->version() == 7);
+  CHECK(config->queues->Find("h.example:80", "/a/b/c")->queue.service == "t");  // the longest prefix
+  CHECK(config->queues->Find("h.example", "/a/x")->queue.max_attempts == 2);
+  CHECK(config->queues->Find("h.example", "/x/") == nullptr);
+  CHECK(config->queues->Find("other", "/a/") == nullptr);
+  CHECK(!decoder.Decode("config", "{"));
+  CHECK(decoder.Decode("wave/1", "{}")->kind == control::OperatorRecord::Kind::kOther);
+}
+
+struct StartRow {
+  int status;
+  const char* body;
+  workflow::StartRefusal refusal;
+};
+
+TEST_CASE("the worker's answers to a start are decoded", "[platform]") {
+  using workflow::StartRefusal;
+  const StartRow row =
+      GENERATE(StartRow{200, R"({"clock_ms":5})", StartRefusal::kNone},
+               StartRow{409, R"({"clock_ms":5,"reason":"room"})", StartRefusal::kRoom},
+               StartRow{409, R"({"clock_ms":5,"reason":"old"})", StartRefusal::kEnded},
+               StartRow{409, R"({"clock_ms":5,"reason":"fence"})", StartRefusal::kStaleOwner},
+               StartRow{421, "", StartRefusal::kOtherLife}, StartRow{503, "", StartRefusal::kUnhealthy});
+  const auto answer = DecodeStart({.status = row.status, .headers = {}, .body = row.body});
+  REQUIRE(answer.has_value());
+  CHECK(answer->refusal == row.refusal);
+  CHECK(!DecodeStart({.status = 409, .headers = {}, .body = "{}"}));
+}
+
+TEST_CASE("settings of the platform are read leniently, but not without addresses", "[platform]") {
+  const std::string agent =
+      R"({"node":"side-1","ip":"10.0.0.1","serves":["side"],"listen":{"control":"10.0.0.1:81"},"app":"10.0.0.1:80","port_range":[7,9],"platform":{"addr":"10.0.0.2:5"},"unknown":{}})";
+  const auto settings = ParsePlatformSettings(agent);
+  REQUIRE(settings.has_value());
+  CHECK(settings->role == PlatformRole::kAgent);
+  CHECK(settings->internal_port == 7);
+  CHECK(settings->store.ToString() == "10.0.0.2:5");
+  CHECK(!ParsePlatformSettings("{}"));
+  CHECK(!ParsePlatformSettings("x"));
+}
+
+}  // namespace
+}  // namespace berylgauge::platform
