--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -5,8 +5,16 @@
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <unistd.h>
 
 #include <cstdio>
+#include <memory>
+#include <mutex>
+
+#include "base/clock.h"
+#include "base/enum_names.h"
+#include "base/line_writer.h"
+#include "base/log_budget.h"
 
 namespace berylgauge {
 namespace {
@@ -16,6 +24,55 @@
   return kLogger;
 }
 
+/// Lines of one kind a second. At the peak of both sites some 80 tasks start a second.
+constexpr std::uint32_t kLinesPerSecond = 200;
+
+constexpr auto kLevelNames = MakeEnumNames<LogLevel>({
+    {LogLevel::kDebug, "DEBUG"},
+    {LogLevel::kInfo, "INFO"},
+    {LogLevel::kWarning, "WARN"},
+    {LogLevel::kError, "ERROR"},
+});
+
+/// Log on standard output, which must never hold the program up; a console appender of log4cxx would.
+class StandardOutputLog {
+ public:
+  StandardOutputLog(std::string_view program, LogLevel level) : m_program(program), m_level(level) {}
+
+  void Write(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
+    if (level < m_level) return;
+    const MonotonicTime now = m_clock.Now();
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [kind, count] : m_budget.TakeOmitted(now)) {
+      WriteLine(LogLevel::kWarning, FormatEvent("log_omitted", {{"kind", kind}, {"lines", count}}));
+    }
+    if (const std::uint64_t dropped = m_writer.TakeDropped(); dropped > 0) {
+      WriteLine(LogLevel::kWarning, FormatEvent("log_dropped", {{"lines", dropped}}));
+    }
+    if (m_budget.Allow(event, now)) WriteLine(level, FormatEvent(event, fields));
+  }
+
+ private:
+  void WriteLine(LogLevel level, const std::string& text) {
+    const std::string time = absl::FormatTime("%Y-%m-%dT%H:%M:%E3S", m_clock.WallNow(), absl::UTCTimeZone());
+    m_writer.Write("time=" + time + " level=" + std::string(kLevelNames.NameOf(level)) + " program=" + m_program + " " +
+                   text + "\n");
+  }
+
+  const std::string m_program;
+  const LogLevel m_level;
+  const SystemClock m_clock;
+  std::mutex m_mutex;
+  LogBudget m_budget{kLinesPerSecond};
+  LineWriter m_writer{STDOUT_FILENO};
+};
+
+/// Null unless the log goes to standard output; set once, before other threads start.
+std::unique_ptr<StandardOutputLog>& OutputLog() {
+  static std::unique_ptr<StandardOutputLog> log;
+  return log;
+}
+
 log4cxx::LevelPtr ToLog4cxx(LogLevel level) {
   switch (level) {
     case LogLevel::kDebug:
@@ -62,10 +119,13 @@
 }  // namespace
 
 void InitEventLog(std::string_view program, LogLevel level, LogTarget target) {
+  if (target == LogTarget::kStandardOutput) {
+    OutputLog() = std::make_unique<StandardOutputLog>(program, level);
+    return;
+  }
   const auto layout = std::make_shared<log4cxx::PatternLayout>(
       "time=%d{yyyy-MM-dd}T%d{HH:mm:ss.SSS} level=%p program=" + std::string(program) + " %m%n");
-  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-      layout, target == LogTarget::kStandardError ? "System.err" : "System.out");
+  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
   EventLogger()->removeAllAppenders();
   EventLogger()->setAdditivity(false);
   EventLogger()->addAppender(appender);
@@ -88,6 +148,10 @@
 }
 
 void LogEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
+  if (OutputLog() != nullptr) {
+    OutputLog()->Write(level, event, fields);
+    return;
+  }
   const log4cxx::LoggerPtr logger = EventLogger();
   const log4cxx::LevelPtr log_level = ToLog4cxx(level);
   if (!logger->isEnabledFor(log_level)) return;
