--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -312,6 +312,7 @@
   LogEvent(
       LogLevel::kInfo, "worker_life",
       {{"worker", report.life.worker}, {"born", report.life.born}, {"agent", worker.agent}, {"zone", worker.zone}});
+  LoseOrphansOfHost(worker.agent, report.life.worker, now);
   const auto orphans = m_orphans.find(report.life.worker);
   if (orphans == m_orphans.end()) return;
   const std::vector<TaskRef> tasks = std::move(orphans->second);
@@ -323,6 +324,21 @@
   }
 }
 
+void Scheduler::LoseOrphansOfHost(const std::string& agent, const std::string& present_worker, MonotonicTime now) {
+  std::vector<TaskRef> lost;
+  for (const auto& [worker, tasks] : m_orphans) {
+    if (worker == present_worker) continue;
+    for (const TaskRef task : tasks) {
+      if (task.step->tasks[static_cast<std::size_t>(task.index)].agent == agent) lost.push_back(task);
+    }
+  }
+  if (lost.empty()) return;
+  // A host has one worker at a time, so the one that the former owner used is gone.
+  LogEvent(LogLevel::kInfo, "former_worker_replaced",
+           {{"agent", agent}, {"worker", present_worker}, {"runs", lost.size()}});
+  for (const TaskRef task : lost) LoseRun(task, now);
+}
+
 void Scheduler::LoseAllRuns(PoolWorker& worker, MonotonicTime now) {
   std::vector<TaskRef> tasks;
   for (const auto& [task, held] : worker.runs) tasks.push_back(task);
@@ -652,6 +668,7 @@
   progress.state = TaskState::kWaiting;
   progress.worker.clear();
   progress.worker_born = 0;
+  progress.agent.clear();
   runtime.stage = RunStage::kNone;
   runtime.waiting_since = now;
   runtime.checkpoint.clear();
@@ -825,6 +842,7 @@
   progress.run = run;
   progress.worker = worker.life.worker;
   progress.worker_born = worker.life.born;
+  progress.agent = worker.agent;
   step.runtimes[i].stage = RunStage::kRecording;
   m_workers.Attach(worker, {.step = &step, .index = index});
   m_quarantine.RecordPlaced(WorkerId(worker.life.worker), now);
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -139,6 +139,7 @@
   void ForgetIfIdle(WorkflowJob& job, MonotonicTime now);
 
   void StartLife(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
+  void LoseOrphansOfHost(const std::string& agent, const std::string& present_worker, MonotonicTime now);
   void LoseAllRuns(PoolWorker& worker, MonotonicTime now);
   void CompareRuns(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
   void MoveLastingTasks(PoolWorker& worker, MonotonicTime now);
--- a/src/workflow/step_progress.cc
+++ b/src/workflow/step_progress.cc
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 /// First element of each record; a reader refuses other formats.
-constexpr int kFormat = 1;
+constexpr int kFormat = 2;
 
 constexpr int kNoWorker = -1;
 
@@ -27,7 +27,7 @@
     if (task.run == 0) continue;
     int worker = kNoWorker;
     if (task.state == TaskState::kPlaced) {
-      const json entry = json::array({task.worker, task.worker_born});
+      const json entry = json::array({task.worker, task.worker_born, task.agent});
       const auto found = std::find(workers.begin(), workers.end(), entry);
       worker = static_cast<int>(found - workers.begin());
       if (found == workers.end()) workers.push_back(entry);
@@ -64,6 +64,7 @@
       if (worker != kNoWorker) {
         workers.at(static_cast<std::size_t>(worker)).at(0).get_to(task.worker);
         workers.at(static_cast<std::size_t>(worker)).at(1).get_to(task.worker_born);
+        workers.at(static_cast<std::size_t>(worker)).at(2).get_to(task.agent);
       }
       row.at(5).get_to(task.checkpoint);
     }
--- a/src/workflow/step_progress.h
+++ b/src/workflow/step_progress.h
@@ -21,6 +21,7 @@
   int run = 0;                   ///< number of the newest run; 0 before the first
   int failures = 0;              ///< runs that ended as failed
   std::string worker;            ///< of the newest run while placed
+  std::string agent;             ///< host of that worker
   std::int64_t worker_born = 0;  ///< life of that worker, Unix milliseconds of its start
   std::string checkpoint;        ///< from which the next run resumes; empty for none
 
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -120,6 +120,20 @@
   CHECK(world.StartsOf("a0.0.0.0") == 2);
 }
 
+// Guards against five seconds of waiting for leases after all hosts were restarted: workers come back under new ids.
+TEST_CASE("a successor regards a worker as gone when its host has another one", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  world.Submit(SingleStepJob("a0", ShortStep(1)));
+  REQUIRE(world.PlaceOf("a0.0.0.0") == "w1");
+  world.Rename("w1", "w2");
+  world.Replace();
+  world.Settle();
+  CHECK(world.StartsOf("a0.0.0.0") == 2);
+  CHECK(world.PlaceOf("a0.0.0.0") == "w2");
+  CHECK(world.violations().empty());
+}
+
 TEST_CASE("a worker's new life ends the runs of its former one", "[scheduler]") {
   SchedulerWorld world;
   world.AddWorker("w1");
--- a/tests/unit/workflow/scheduler_world.cc
+++ b/tests/unit/workflow/scheduler_world.cc
@@ -131,6 +131,12 @@
   worker.last_end = 0;
 }
 
+void SchedulerWorld::Rename(const std::string& name, const std::string& new_name) {
+  const std::string agent = m_workers.at(name).agent;
+  m_workers.erase(name);
+  AddWorker(new_name).agent = agent;
+}
+
 std::string SchedulerWorld::PlaceOf(const std::string& task) const {
   for (const auto& [name, worker] : m_workers) {
     if (worker.runs.contains(task)) return name;
--- a/tests/unit/workflow/scheduler_world.h
+++ b/tests/unit/workflow/scheduler_world.h
@@ -51,6 +51,8 @@
   void Replace(SchedulerOptions options = {});
   /// The worker starts anew with nothing.
   void Restart(const std::string& name);
+  /// The worker of the host is replaced by one with another id.
+  void Rename(const std::string& name, const std::string& new_name);
 
   Scheduler& scheduler() { return *m_scheduler; }
   const JobIndex& index() const { return m_index; }
