--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -324,7 +324,7 @@
 
 void AgentNode::FinishOne(OrderBatch& batch) {
   if (--batch.pending > 0) return;
-  batch.reply(std::move(batch.answer));
+  batch.reply(batch.answer);
 }
 
 // ---- Starts and stops
