Read and write CBOR records in one place, with the limits on nesting and lengths

Six codecs of the platform's path each had their own parse, format check and exception handler, and none used the pass that refuses deep nesting and false lengths in messages of other processes. cbor_document moves from membership to base with ToCbor and ReadCbor, which the older attempt messages use too. The name of a queue is taken from the decoded job instead of from byte offsets; the assertion on the removed DecodeQueueName asks the index for the same name. The record format of a job loses its second copy of the name and is 2.

--- a/src/membership/cbor_document.cc
+++ b/src/base/cbor_document.cc
@@ -1,4 +1,4 @@
-#include "membership/cbor_document.h"
+#include "base/cbor_document.h"
 
 #include <cstdint>
 #include <string>
@@ -42,6 +42,12 @@
 
 }  // namespace
 
+std::string ToCbor(const nlohmann::json& document) {
+  std::string bytes;
+  nlohmann::json::to_cbor(document, bytes);
+  return bytes;
+}
+
 Result<nlohmann::json> ParseCborDocument(std::string_view bytes, std::size_t max_bytes) {
   if (bytes.size() > max_bytes) {
     return NotRun(FailureCode::kInvalidArgument,
--- a/src/control/agent_messages.cc
+++ b/src/control/agent_messages.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/cbor_document.h"
+
 namespace berylgauge::control {
 namespace {
 
@@ -20,22 +22,15 @@
 /// Version of the messages; processes of different versions refuse each other's.
 constexpr int kFormat = 1;
 
-std::string Encode(json body) {
-  std::string bytes;
-  json::to_cbor(json::array({kFormat, std::move(body)}), bytes);
-  return bytes;
-}
+std::string Encode(json body) { return ToCbor(json::array({kFormat, std::move(body)})); }
 
 /// Calls `read` with the body; any malformed content becomes a `kCorrupt` failure.
 template <typename T, typename Read>
 Result<T> Decode(std::string_view bytes, Read read) {
-  try {
-    const json document = json::from_cbor(bytes);
+  return ReadCbor<T>(bytes, "message", [&](const json& document) -> Result<T> {
     if (document.at(0) != kFormat) return NotRun(FailureCode::kCorrupt, "message has an unknown format");
     return read(document.at(1));
-  } catch (const json::exception& error) {
-    return NotRun(FailureCode::kCorrupt, std::string("message: ") + error.what());
-  }
+  });
 }
 
 template <typename E>
--- a/src/daemon/messages/attempt_messages.cc
+++ b/src/daemon/messages/attempt_messages.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/cbor_document.h"
 #include "base/json_object_reader.h"
 #include "state/decimal_text.h"
 #include "state/resources_json.h"
@@ -12,12 +13,6 @@
 const StringRule kOptionalText{.default_value = "", .min_length = 0, .max_length = 8192};
 constexpr std::int64_t kMaxDurationMs = 30LL * 24 * 3600 * 1000;
 
-std::string ToCbor(const nlohmann::json& document) {
-  std::string bytes;
-  nlohmann::json::to_cbor(document, bytes);
-  return bytes;
-}
-
 /// Decodes `bytes` and passes the object to `read`; fails if anything in it is wrong.
 template <typename Message, typename Read>
 Result<Message> FromCbor(const std::string& bytes, Read read) {
--- a/src/membership/heartbeat.cc
+++ b/src/membership/heartbeat.cc
@@ -4,8 +4,8 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "base/cbor_document.h"
 #include "base/json_object_reader.h"
-#include "membership/cbor_document.h"
 #include "membership/cbor_fields.h"
 #include "membership/message_limits.h"
 
--- a/src/membership/heartbeat_reply.cc
+++ b/src/membership/heartbeat_reply.cc
@@ -2,8 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/cbor_document.h"
 #include "base/json_object_reader.h"
-#include "membership/cbor_document.h"
 #include "membership/cbor_fields.h"
 #include "membership/message_limits.h"
 
--- a/src/workflow/job_codec.cc
+++ b/src/workflow/job_codec.cc
@@ -4,13 +4,15 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/cbor_document.h"
+
 namespace berylgauge::workflow {
 namespace {
 
 using nlohmann::json;
 
 /// First element of each record; a reader refuses other formats.
-constexpr int kFormat = 1;
+constexpr int kFormat = 2;
 
 json StepToJson(const StepDefinition& step) {
   return json::array({step.task_count, step.demand.cpu_millis, step.demand.memory_mb, step.demand.accelerators,
@@ -67,43 +69,23 @@
 std::string EncodeJob(const JobDefinition& job) {
   json steps = json::array();
   for (const StepDefinition& step : job.steps) steps.push_back(StepToJson(step));
-  const json document = json::array({kFormat, job.queue.name, job.id, QueueToJson(job.queue), job.payload,
-                                     std::move(steps), job.occurrences, job.first_due_unix_ms, job.interval_ms});
-  std::string bytes;
-  json::to_cbor(document, bytes);
-  return bytes;
+  return ToCbor(json::array({kFormat, job.id, QueueToJson(job.queue), job.payload, std::move(steps), job.occurrences,
+                             job.first_due_unix_ms, job.interval_ms}));
 }
 
 Result<JobDefinition> DecodeJob(std::string_view bytes) {
-  try {
-    const json document = json::from_cbor(bytes);
+  return ReadCbor<JobDefinition>(bytes, "job record", [](const json& document) -> Result<JobDefinition> {
     if (document.at(0) != kFormat) return NotRun(FailureCode::kCorrupt, "job record has an unknown format");
     JobDefinition job;
-    document.at(2).get_to(job.id);
-    job.queue = QueueFromJson(document.at(3));
-    document.at(4).get_to(job.payload);
-    for (const json& row : document.at(5)) job.steps.push_back(StepFromJson(row));
-    document.at(6).get_to(job.occurrences);
-    document.at(7).get_to(job.first_due_unix_ms);
-    document.at(8).get_to(job.interval_ms);
+    document.at(1).get_to(job.id);
+    job.queue = QueueFromJson(document.at(2));
+    document.at(3).get_to(job.payload);
+    for (const json& row : document.at(4)) job.steps.push_back(StepFromJson(row));
+    document.at(5).get_to(job.occurrences);
+    document.at(6).get_to(job.first_due_unix_ms);
+    document.at(7).get_to(job.interval_ms);
     return job;
-  } catch (const json::exception& error) {
-    return NotRun(FailureCode::kCorrupt, std::string("job record: ") + error.what());
-  }
-}
-
-std::string DecodeQueueName(std::string_view bytes) {
-  // An array of 9 elements, the format, then the name as a CBOR text string.
-  constexpr std::size_t kNameOffset = 2;
-  constexpr unsigned char kTextString = 0x60;
-  constexpr unsigned char kTextStringWithLength = 0x78;
-  if (bytes.size() <= kNameOffset + 1) return {};
-  const auto head = static_cast<unsigned char>(bytes[kNameOffset]);
-  if (head >= kTextString && head < kTextStringWithLength) {
-    return std::string(bytes.substr(kNameOffset + 1, head - kTextString));
-  }
-  if (head != kTextStringWithLength) return {};
-  return std::string(bytes.substr(kNameOffset + 2, static_cast<unsigned char>(bytes[kNameOffset + 1])));
+  });
 }
 
 }  // namespace berylgauge::workflow
--- a/src/workflow/job_codec.h
+++ b/src/workflow/job_codec.h
@@ -14,7 +14,4 @@
 /// Fails with `kCorrupt` for anything that `EncodeJob` did not make.
 Result<JobDefinition> DecodeJob(std::string_view bytes);
 
-/// Reads only the name of the job's queue, which costs less than the whole job; empty if the bytes are corrupt.
-std::string DecodeQueueName(std::string_view bytes);
-
 }  // namespace berylgauge::workflow
--- a/src/workflow/job_index.cc
+++ b/src/workflow/job_index.cc
@@ -22,7 +22,12 @@
     job.cancelled = !value.empty();
   } else {
     job.definition = std::string(value);
-    job.queue = DecodeQueueName(value);
+    job.queue.clear();
+    if (Result<JobDefinition> definition = DecodeJob(value)) {
+      job.queue = std::move(definition->queue.name);
+    } else if (!value.empty()) {
+      ++m_corrupt_records;
+    }
   }
   Count(job, 1);
   EraseIfEmpty(id);
--- a/src/workflow/owner_record.cc
+++ b/src/workflow/owner_record.cc
@@ -2,8 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
-namespace berylgauge::workflow {
+#include "base/cbor_document.h"
 
+namespace berylgauge::workflow {
 namespace {
 
 /// Enough for claimants of one moment to differ, and few enough for epochs to stay exact in JSON (53 bits).
@@ -16,19 +17,12 @@
   return (((former >> kSaltBits) + 1) << kSaltBits) | static_cast<std::int64_t>(salt & mask);
 }
 
-std::string EncodeOwner(const OwnerRecord& owner) {
-  std::string bytes;
-  nlohmann::json::to_cbor(nlohmann::json::array({owner.epoch, owner.holder}), bytes);
-  return bytes;
-}
+std::string EncodeOwner(const OwnerRecord& owner) { return ToCbor(nlohmann::json::array({owner.epoch, owner.holder})); }
 
 Result<OwnerRecord> DecodeOwner(std::string_view bytes) {
-  try {
-    const nlohmann::json document = nlohmann::json::from_cbor(bytes);
+  return ReadCbor<OwnerRecord>(bytes, "owner record", [](const nlohmann::json& document) {
     return OwnerRecord{.epoch = document.at(0).get<std::int64_t>(), .holder = document.at(1).get<std::string>()};
-  } catch (const nlohmann::json::exception& error) {
-    return NotRun(FailureCode::kCorrupt, std::string("owner record: ") + error.what());
-  }
+  });
 }
 
 }  // namespace berylgauge::workflow
--- a/src/workflow/step_progress.cc
+++ b/src/workflow/step_progress.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/cbor_document.h"
+
 namespace berylgauge::workflow {
 namespace {
 
@@ -35,16 +37,13 @@
     rows.push_back(
         json::array({index, static_cast<int>(task.state), task.run, task.failures, worker, task.checkpoint}));
   }
-  const json document = json::array({kFormat, all_done, std::move(workers), std::move(rows)});
-  std::string bytes;
-  json::to_cbor(document, bytes);
-  return bytes;
+  return ToCbor(json::array({kFormat, all_done, std::move(workers), std::move(rows)}));
 }
 
 Result<std::vector<TaskProgress>> DecodeStepProgress(std::string_view bytes, int task_count) {
-  std::vector<TaskProgress> tasks(static_cast<std::size_t>(std::max(task_count, 0)));
-  try {
-    const json document = json::from_cbor(bytes);
+  using Tasks = std::vector<TaskProgress>;
+  return ReadCbor<Tasks>(bytes, "step record", [&](const json& document) -> Result<Tasks> {
+    Tasks tasks(static_cast<std::size_t>(std::max(task_count, 0)));
     if (document.at(0) != kFormat) return NotRun(FailureCode::kCorrupt, "step record has an unknown format");
     if (document.at(1).get<bool>()) {
       for (TaskProgress& task : tasks) task.state = TaskState::kDone;
@@ -52,28 +51,26 @@
     }
     const json& workers = document.at(2);
     for (const json& row : document.at(3)) {
-      TaskProgress& task = tasks.at(row.at(0).get<std::size_t>());
+      const auto index = row.at(0).get<std::size_t>();
       const int state = row.at(1).get<int>();
-      if (state < 0 || state > static_cast<int>(TaskState::kDone)) {
-        return NotRun(FailureCode::kCorrupt, "step record has an unknown task state");
+      if (index >= tasks.size() || state < 0 || state > static_cast<int>(TaskState::kDone)) {
+        return NotRun(FailureCode::kCorrupt, "step record names a task or a state that does not exist");
       }
+      TaskProgress& task = tasks[index];
       task.state = static_cast<TaskState>(state);
       row.at(2).get_to(task.run);
       row.at(3).get_to(task.failures);
-      const int worker = row.at(4).get<int>();
-      if (worker != kNoWorker) {
-        workers.at(static_cast<std::size_t>(worker)).at(0).get_to(task.worker);
-        workers.at(static_cast<std::size_t>(worker)).at(1).get_to(task.worker_born);
-        workers.at(static_cast<std::size_t>(worker)).at(2).get_to(task.agent);
+      const int number = row.at(4).get<int>();
+      if (number != kNoWorker) {
+        const json& worker = workers.at(static_cast<std::size_t>(number));
+        worker.at(0).get_to(task.worker);
+        worker.at(1).get_to(task.worker_born);
+        worker.at(2).get_to(task.agent);
       }
       row.at(5).get_to(task.checkpoint);
     }
     return tasks;
-  } catch (const json::exception& error) {
-    return NotRun(FailureCode::kCorrupt, std::string("step record: ") + error.what());
-  } catch (const std::out_of_range&) {
-    return NotRun(FailureCode::kCorrupt, "step record names a task that the step does not have");
-  }
+  });
 }
 
 }  // namespace berylgauge::workflow
--- a/tests/unit/workflow/codec_test.cc
+++ b/tests/unit/workflow/codec_test.cc
@@ -26,7 +26,9 @@
     job.occurrences = count;
     const std::string bytes = EncodeJob(job);
     RC_ASSERT(DecodeJob(bytes) == job);
-    RC_ASSERT(DecodeQueueName(bytes) == job.queue.name);
+    JobIndex index;
+    index.ApplySubmission(job.id, bytes);
+    RC_ASSERT(index.WaitingIn(job.queue.name) == 1);
   });
   CHECK(ok);
 }
