Remove what nothing reads, and write batches and doubling delays once

- A batch was copied three times on its way to the store (TakeBatch, the owner, the log writer); it is now lent and the writer gives back what it wrote.
RetiredInBatch is part of the durable batch.
- TakeInterferenceFor derived the images of a worker that the pool already keeps.
- Not read by anything: progressed_at, complete_as_of, PoolWorker::remaining_ms, ForEach, priorities of orders, the agent of an acknowledgement, times passed to functions that decide nothing.

--- a/src/control/agent_messages.cc
+++ b/src/control/agent_messages.cc
@@ -151,7 +151,7 @@
     json starts = json::array();
     for (const StartOrder& start : job.starts) {
       starts.push_back(json::array({start.task, start.run, start.checkpoint, start.fills_idle_cpu, start.tail_target_ms,
-                                    start.priority, start.ticket, start.image, start.demand_cpu}));
+                                    start.ticket, start.image, start.demand_cpu}));
     }
     jobs.push_back(json::array({job.payload, std::move(starts)}));
   }
@@ -177,10 +177,9 @@
         start.at(2).get_to(order.checkpoint);
         start.at(3).get_to(order.fills_idle_cpu);
         start.at(4).get_to(order.tail_target_ms);
-        start.at(5).get_to(order.priority);
-        start.at(6).get_to(order.ticket);
-        start.at(7).get_to(order.image);
-        start.at(8).get_to(order.demand_cpu);
+        start.at(5).get_to(order.ticket);
+        start.at(6).get_to(order.image);
+        start.at(7).get_to(order.demand_cpu);
         starts.starts.push_back(std::move(order));
       }
       message.jobs.push_back(std::move(starts));
--- a/src/control/log_writer.cc
+++ b/src/control/log_writer.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/doubling_delay.h"
 #include "base/event_log.h"
 
 namespace berylgauge::control {
@@ -56,9 +57,8 @@
 }
 
 absl::Duration LogWriter::Timeout() const {
-  absl::Duration timeout = std::clamp(m_usual_latency * kTimeoutFactor, kShortestTimeout, kLongestTimeout);
-  for (int i = 1; i < m_tries && timeout < kLongestTimeout; ++i) timeout *= 2;
-  return std::min(timeout, kLongestTimeout);
+  const absl::Duration first = std::clamp(m_usual_latency * kTimeoutFactor, kShortestTimeout, kLongestTimeout);
+  return DoublingDelay(m_tries, first, kLongestTimeout);
 }
 
 void LogWriter::OnAnswer(AppendAnswer answer, MonotonicTime sent, std::uint64_t attempt) {
@@ -78,9 +78,8 @@
     }
     const bool give_up = m_give_up_at && now >= *m_give_up_at && !m_may_be_stored;
     if (!give_up) {
-      absl::Duration pause = kFirstRetryPause;
-      for (int i = 1; i < m_tries && pause < kLongestRetryPause; ++i) pause *= 2;
-      m_timer = m_loop.AddTimer(now + std::min(pause, kLongestRetryPause), [this] { Send(); });
+      const absl::Duration pause = DoublingDelay(m_tries, kFirstRetryPause, kLongestRetryPause);
+      m_timer = m_loop.AddTimer(now + pause, [this] { Send(); });
       return;
     }
     answer.outcome = AppendOutcome::kNothingDone;
--- a/src/control/log_writer.h
+++ b/src/control/log_writer.h
@@ -40,6 +40,8 @@
              std::optional<absl::Duration> give_up_after, Callback callback);
 
   bool is_busy() const { return m_busy; }
+  /// Of the batch that was written last; valid until the next one.
+  const std::vector<KeyedRecord>& records() const { return m_call.records; }
   /// Since when no append has been answered usefully; nothing while the store answers.
   std::optional<MonotonicTime> failing_since() const { return m_failing_since; }
   /// When the newest successful append was sent.
--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -138,18 +138,17 @@
     SendStops(m_scheduler->TakeStops());
   }
   if (!m_writer->is_busy()) {
-    std::optional<Batch> batch;
-    if (m_scheduler != nullptr) batch = m_scheduler->TakeBatch(now);
-    if (batch) {
+    const Batch* batch = m_scheduler != nullptr ? m_scheduler->TakeBatch(now) : nullptr;
+    if (batch != nullptr) {
       std::vector<KeyedRecord> records;
-      for (auto& [key, value] : batch->records) records.push_back({.key = std::move(key), .value = std::move(value)});
-      WriteBatch(std::move(records), WriteKind::kBatch);
+      for (const auto& [key, value] : batch->records) records.push_back({.key = key, .value = value});
+      Write(std::move(records), WriteKind::kBatch);
     } else if (m_handing_over) {
       workflow::OwnerRecord record = m_options.record;
       record.holder.clear();
-      WriteBatch({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(record)}}, WriteKind::kHandOver);
+      Write({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(record)}}, WriteKind::kHandOver);
     } else if (now - m_signed_at >= m_options.sign_interval) {
-      WriteBatch({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(m_options.record)}},
+      Write({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(m_options.record)}},
                  WriteKind::kSignOfLife);
     }
   }
@@ -162,15 +161,13 @@
   m_timer = m_loop.AddTimer(at, [this] { Run(); });
 }
 
-void OwnerRole::WriteBatch(std::vector<KeyedRecord> records, WriteKind kind) {
+void OwnerRole::Write(std::vector<KeyedRecord> records, WriteKind kind) {
   m_signed_at = m_loop.Now();
-  std::vector<KeyedRecord> copy = records;
-  m_writer->Write(
-      std::move(copy), std::nullopt, std::nullopt,
-      [this, records = std::move(records), kind](const AppendAnswer& answer) { OnWritten(answer, records, kind); });
+  m_writer->Write(std::move(records), std::nullopt, std::nullopt,
+                  [this, kind](const AppendAnswer& answer) { OnWritten(answer, kind); });
 }
 
-void OwnerRole::OnWritten(const AppendAnswer& answer, const std::vector<KeyedRecord>& records, WriteKind kind) {
+void OwnerRole::OnWritten(const AppendAnswer& answer, WriteKind kind) {
   if (answer.outcome != AppendOutcome::kStored) {
     LogEvent(LogLevel::kWarning, "owner_deposed",
              {{"epoch", m_options.record.epoch},
@@ -180,7 +177,7 @@
     m_listener.on_deposed();
     return;
   }
-  m_listener.on_stored(records, answer.end);
+  m_listener.on_stored(m_writer->records(), answer.end);
   if (kind == WriteKind::kHandOver) {
     // A further record would look like a sign of life to the entry that is about to claim.
     m_deposed = true;
@@ -188,9 +185,9 @@
     return;
   }
   if (kind == WriteKind::kBatch) {
-    const std::vector<std::string> retired = m_scheduler->RetiredInBatch();
-    SendStarts(m_scheduler->OnBatchDurable(m_loop.Now()));
-    if (!retired.empty()) m_listener.on_retired(retired);
+    Batch batch = m_scheduler->OnBatchDurable(m_loop.Now());
+    SendStarts(std::move(batch.starts));
+    if (!batch.retired_jobs.empty()) m_listener.on_retired(batch.retired_jobs);
   }
   Kick();
 }
--- a/src/control/owner_role.h
+++ b/src/control/owner_role.h
@@ -71,8 +71,8 @@
   void Kick();
   void Run();
   void ScheduleRun(MonotonicTime at);
-  void WriteBatch(std::vector<KeyedRecord> records, WriteKind kind);
-  void OnWritten(const AppendAnswer& answer, const std::vector<KeyedRecord>& records, WriteKind kind);
+  void Write(std::vector<KeyedRecord> records, WriteKind kind);
+  void OnWritten(const AppendAnswer& answer, WriteKind kind);
   bool IsValid(MonotonicTime now) const;
   void SendStarts(std::vector<workflow::StartOrder> starts);
   void SendStops(std::vector<workflow::StopOrder> stops);
--- a/src/control/partition_tail.cc
+++ b/src/control/partition_tail.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/doubling_delay.h"
 #include "base/event_log.h"
 
 namespace berylgauge::control {
@@ -47,24 +48,23 @@
 void PartitionTail::LoadPage(const std::string& after) {
   if (after.empty()) {
     m_pages.clear();
-    m_load_begun = m_loop.Now();
   }
-  const MonotonicTime begun = m_loop.Now();
   const int factor = std::min(1 + m_failures, kMaxTimeoutFactor);
-  m_log.ReadNewest(m_options.partition, after, m_options.answer_timeout * factor,
-                   [this, begun, generation = m_generation, alive = m_alive](Result<LogNewestPage> page) {
-                     if (*alive && generation == m_generation) OnPage(std::move(page), begun);
-                   });
+  m_log.ReadNewest(
+      m_options.partition, after, m_options.answer_timeout * factor,
+      [this, is_first = after.empty(), generation = m_generation, alive = m_alive](Result<LogNewestPage> page) {
+        if (*alive && generation == m_generation) OnPage(std::move(page), is_first);
+      });
 }
 
-void PartitionTail::OnPage(Result<LogNewestPage> page, MonotonicTime begun) {
+void PartitionTail::OnPage(Result<LogNewestPage> page, bool is_first) {
   if (!page) {
     RetryLater(page.error());
     return;
   }
   m_failures = 0;
   m_answered_at = m_loop.Now();
-  if (m_pages.empty() && begun == m_load_begun) m_first_page_end = page->end;
+  if (is_first) m_first_page_end = page->end;
   m_last_page_end = page->end;
   for (KeyedRecord& record : page->records) m_pages.push_back(std::move(record));
   if (page->next_after) {
@@ -88,7 +88,6 @@
   m_position = m_first_page_end;
   m_loaded = true;
   if (is_snapshot) {
-    m_complete_as_of = m_load_begun;
     m_at_end = true;
     m_listener.on_end();
   }
@@ -116,12 +115,12 @@
   m_read_begun = m_loop.Now();
   const int factor = std::min(1 + m_failures, kMaxTimeoutFactor);
   m_log.Read(m_options.partition, m_position, m_options.wait, m_options.wait + m_options.answer_timeout * factor,
-             [this, begun = m_read_begun, generation = m_generation, alive = m_alive](Result<LogReadAnswer> answer) {
-               if (*alive && generation == m_generation) OnRead(std::move(answer), begun);
+             [this, generation = m_generation, alive = m_alive](Result<LogReadAnswer> answer) {
+               if (*alive && generation == m_generation) OnRead(std::move(answer));
              });
 }
 
-void PartitionTail::OnRead(Result<LogReadAnswer> answer, MonotonicTime begun) {
+void PartitionTail::OnRead(Result<LogReadAnswer> answer) {
   if (!answer) {
     RetryLater(answer.error());
     return;
@@ -136,11 +135,11 @@
     LoadPage({});
     return;
   }
-  Apply(*answer, begun);
+  Apply(*answer);
   ScheduleRead(absl::ZeroDuration());
 }
 
-void PartitionTail::Apply(const LogReadAnswer& answer, MonotonicTime begun) {
+void PartitionTail::Apply(const LogReadAnswer& answer) {
   for (const KeyedRecord& record : answer.records) {
     if (record.offset < m_position) continue;
     m_position = record.offset + 1;
@@ -151,8 +150,6 @@
   if (m_position >= m_last_page_end) m_loaded_offsets.clear();
   m_at_end = m_position >= answer.end;
   if (m_at_end) {
-    // A read that waited for a record was complete when it began; a later one shows what came meanwhile.
-    m_complete_as_of = std::max(m_complete_as_of, begun);
     m_listener.on_end();
   }
 }
@@ -164,11 +161,10 @@
         LogLevel::kWarning, "store_read_failing",
         {{"topic", m_options.partition.topic}, {"partition", m_options.partition.number}, {"reason", failure.message}});
   }
-  absl::Duration pause = kFirstRetryPause;
-  for (int i = 1; i < m_failures && pause < kLongestRetryPause; ++i) pause *= 2;
   if (m_paused) return;
   m_loop.CancelTimer(m_timer);
-  m_timer = m_loop.AddTimer(m_loop.Now() + std::min(pause, kLongestRetryPause), [this] { Read(); });
+  m_timer = m_loop.AddTimer(m_loop.Now() + DoublingDelay(m_failures, kFirstRetryPause, kLongestRetryPause),
+                            [this] { Read(); });
 }
 
 void PartitionTail::ReadToEnd(absl::Duration timeout, absl::AnyInvocable<void(bool)> callback) {
@@ -176,9 +172,8 @@
     m_loop.Defer([callback = std::move(callback)]() mutable { callback(false); });
     return;
   }
-  const MonotonicTime begun = m_loop.Now();
   m_log.Read(m_options.partition, m_position, absl::ZeroDuration(), timeout,
-             [this, begun, alive = m_alive, callback = std::move(callback)](Result<LogReadAnswer> answer) mutable {
+             [this, alive = m_alive, callback = std::move(callback)](Result<LogReadAnswer> answer) mutable {
                if (!*alive) return;
                if (!answer || answer->expired) {
                  callback(false);
@@ -186,7 +181,7 @@
                }
                m_answered_at = m_loop.Now();
                // The regular read may have passed this one's start, so records are skipped that were applied meanwhile.
-               Apply(*answer, begun);
+               Apply(*answer);
                callback(m_position >= answer->end);
              });
 }
--- a/src/control/partition_tail.h
+++ b/src/control/partition_tail.h
@@ -63,18 +63,16 @@
   bool is_at_end() const { return m_at_end; }
   /// Offset of the next record to read.
   std::int64_t position() const { return m_position; }
-  /// When the newest read began that reached the end of the partition.
-  MonotonicTime complete_as_of() const { return m_complete_as_of; }
   /// When the store answered last.
   MonotonicTime answered_at() const { return m_answered_at; }
 
  private:
   void LoadPage(const std::string& after);
-  void OnPage(Result<LogNewestPage> page, MonotonicTime begun);
+  void OnPage(Result<LogNewestPage> page, bool is_first);
   void ScheduleRead(absl::Duration delay);
   void Read();
-  void OnRead(Result<LogReadAnswer> answer, MonotonicTime begun);
-  void Apply(const LogReadAnswer& answer, MonotonicTime begun);
+  void OnRead(Result<LogReadAnswer> answer);
+  void Apply(const LogReadAnswer& answer);
   void RetryLater(const Failure& failure);
 
   EventLoop& m_loop;
@@ -85,7 +83,6 @@
   bool m_paused = false;
   bool m_at_end = false;
   std::int64_t m_position = 0;
-  MonotonicTime m_complete_as_of = InfinitePast();
   MonotonicTime m_answered_at = InfinitePast();
   MonotonicTime m_read_begun = InfinitePast();
   int m_failures = 0;              ///< since the last answer
@@ -94,7 +91,6 @@
 
   std::vector<KeyedRecord> m_pages;  ///< read so far of the newest records
   std::int64_t m_first_page_end = 0;
-  MonotonicTime m_load_begun;
   std::int64_t m_last_page_end = 0;
   absl::flat_hash_map<std::string, std::int64_t> m_loaded_offsets;  ///< of the newest records, until passed
   std::shared_ptr<bool> m_alive;
--- a/src/routing/outlier_detector.cc
+++ b/src/routing/outlier_detector.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/doubling_delay.h"
+
 namespace berylgauge {
 namespace {
 
@@ -27,9 +29,7 @@
 }
 
 absl::Duration OutlierDetector::EjectionFor(int ejections) const {
-  absl::Duration duration = m_options.base_ejection;
-  for (int i = 1; i < ejections && duration < m_options.max_ejection; ++i) duration *= 2;
-  return std::min(duration, m_options.max_ejection);
+  return DoublingDelay(ejections, m_options.base_ejection, m_options.max_ejection);
 }
 
 absl::Duration OutlierDetector::NextEjection(const EndpointState& state, MonotonicTime now) const {
--- a/src/workflow/orders.h
+++ b/src/workflow/orders.h
@@ -22,9 +22,8 @@
   int tail_target_ms = 0;       ///< 0 for a task that serves nobody
   std::int64_t demand_cpu = 0;  ///< thousandths of a core
   std::string image;            ///< what the task runs; empty if unnamed
-  int priority = 0;
-  std::string ticket;     ///< of the advice service; empty for none
-  bool was_sent = false;  ///< an earlier message with this start may have arrived
+  std::string ticket;           ///< of the advice service; empty for none
+  bool was_sent = false;        ///< an earlier message with this start may have arrived
 };
 
 /// Tells an agent to stop a run, or to make sure that it never starts.
@@ -68,7 +67,6 @@
 
 /// Ends of a worker that may be acknowledged to it once the batch is durable.
 struct EndAcknowledgement {
-  std::string agent;
   WorkerLife life;
   std::int64_t number = 0;  ///< of the last end
 };
--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/absl_string_view.h"
+#include "base/doubling_delay.h"
 #include "base/event_log.h"
 #include "base/ids.h"
 #include "workflow/job_codec.h"
@@ -17,6 +18,9 @@
 /// Longest time between two calls of `Advance`; bounds how late a lapsed lease or a retry is noticed.
 constexpr absl::Duration kAdvanceInterval = absl::Milliseconds(250);
 
+/// Time between two searches for finished jobs whose retention is over.
+constexpr absl::Duration kRetirementInterval = absl::Seconds(1);
+
 /// Time between two solutions of the interference model, and between two messages of it to one agent.
 constexpr absl::Duration kInterferenceInterval = absl::Seconds(1);
 
@@ -31,17 +35,28 @@
 /// A cancelled or failed job gets no further runs.
 bool TakesRuns(const WorkflowJob& job) { return !IsFinal(job.phase); }
 
-/// Whether the demand needs at least as much as one that found no room.
-struct FailedDemand {
-  const WorkflowStep* step;
+/// Whether a step needs at least as much as one that found no room on any worker. Says no where the failed one was
+/// restricted to some workers, or waits for more room than it takes (tasks that last).
+bool NeedsAtLeast(const StepDefinition& step, const StepDefinition& failed) {
+  if (failed.long_running || !failed.required_label.empty() || failed.max_per_worker > 0) return false;
+  return failed.fills_idle_cpu == step.fills_idle_cpu && failed.long_running == step.long_running &&
+         failed.demand.FitsIn(step.demand);
+}
 
-  bool Covers(const StepDefinition& other) const {
-    const StepDefinition& failed = *step->definition;
-    return failed.fills_idle_cpu == other.fills_idle_cpu && failed.long_running == other.long_running &&
-           !failed.long_running && failed.required_label.empty() && failed.max_per_worker == 0 &&
-           failed.demand.FitsIn(other.demand);
+/// Estimated time of the job if nothing ever waits.
+absl::Duration LongestChain(const JobDefinition& job) {
+  std::vector<std::int64_t> finish_ms(job.steps.size(), 0);
+  std::int64_t longest_ms = 0;
+  for (std::size_t i = 0; i < job.steps.size(); ++i) {
+    std::int64_t begin_ms = 0;
+    for (const int before : job.steps[i].after) {
+      begin_ms = std::max(begin_ms, finish_ms[static_cast<std::size_t>(before)]);
+    }
+    finish_ms[i] = begin_ms + job.steps[i].estimate_ms;
+    longest_ms = std::max(longest_ms, finish_ms[i]);
   }
-};
+  return absl::Milliseconds(longest_ms);
+}
 
 }  // namespace
 
@@ -134,20 +149,6 @@
   RefreshReadySteps(steps, now);
 }
 
-absl::Duration Scheduler::LongestChain(const JobDefinition& job) const {
-  std::vector<std::int64_t> finish_ms(job.steps.size(), 0);
-  std::int64_t longest_ms = 0;
-  for (std::size_t i = 0; i < job.steps.size(); ++i) {
-    std::int64_t begin_ms = 0;
-    for (const int before : job.steps[i].after) {
-      begin_ms = std::max(begin_ms, finish_ms[static_cast<std::size_t>(before)]);
-    }
-    finish_ms[i] = begin_ms + job.steps[i].estimate_ms;
-    longest_ms = std::max(longest_ms, finish_ms[i]);
-  }
-  return absl::Milliseconds(longest_ms);
-}
-
 void Scheduler::RefreshReadySteps(std::vector<std::unique_ptr<WorkflowStep>>& steps, MonotonicTime now) {
   for (const std::unique_ptr<WorkflowStep>& step : steps) {
     const bool was_ready = step->ready;
@@ -194,8 +195,7 @@
     for (const std::unique_ptr<WorkflowStep>& step : steps) {
       UpdateWaiting(*step);
       for (std::size_t i = 0; i < step->tasks.size(); ++i) {
-        if (step->tasks[i].state == TaskState::kPlaced)
-          OrderStop({.step = step.get(), .index = static_cast<int>(i)}, now);
+        if (step->tasks[i].state == TaskState::kPlaced) OrderStop({.step = step.get(), .index = static_cast<int>(i)});
       }
     }
   }
@@ -268,7 +268,6 @@
     worker.condition = report.condition;
     m_placement_due = true;
   }
-  worker.remaining_ms = report.remaining_ms;
   worker.capacity = report.capacity;
   worker.labels = report.labels;
   if (report.worker_clock_ms > worker.clock_ms) {
@@ -291,9 +290,9 @@
     worker.reconciled = true;
     m_placement_due = true;
   } else {
-    NoteProgress(worker, report, now);
+    NoteProgress(worker, report);
   }
-  if (worker.condition == WorkerCondition::kDraining) MoveLastingTasks(worker, now);
+  if (worker.condition == WorkerCondition::kDraining) MoveLastingTasks(worker);
 }
 
 void Scheduler::StartLife(PoolWorker& worker, const WorkerReport& report, MonotonicTime now) {
@@ -367,7 +366,6 @@
         runtime.stage = RunStage::kRunning;
         runtime.started_at = now;
         runtime.started_clock_ms = report.worker_clock_ms;
-        runtime.progressed_at = now;
       }
       runtime.checkpoint = listed->checkpoint;
       // Cancelled while no owner acted.
@@ -379,7 +377,7 @@
         (runtime.stage == RunStage::kRunning && runtime.started_clock_ms < report.worker_clock_ms);
     if (must_be_listed) to_stop.push_back(task);
   }
-  for (const TaskRef task : to_stop) OrderStop(task, now);
+  for (const TaskRef task : to_stop) OrderStop(task);
   for (const ActiveRun& run : report.runs) {
     if (expected.contains(run.task)) continue;
     LogEvent(LogLevel::kWarning, "unknown_run", {{"task", run.task}, {"run", run.run}, {"worker", worker.life.worker}});
@@ -387,7 +385,7 @@
   }
 }
 
-void Scheduler::NoteProgress(PoolWorker& worker, const WorkerReport& report, MonotonicTime now) {
+void Scheduler::NoteProgress(PoolWorker& worker, const WorkerReport& report) {
   absl::flat_hash_map<std::string, const ActiveRun*> listed;
   for (const ActiveRun& run : report.runs) listed.emplace(run.task, &run);
   std::vector<TaskRef> missing;
@@ -403,14 +401,13 @@
     }
     const ActiveRun& run = *found->second;
     listed.erase(found);
-    if (run.percent != runtime.percent) runtime.progressed_at = now;
-    runtime.percent = run.percent;
+    if (run.percent != runtime.percent) runtime.percent = run.percent;
     runtime.measured = run.measured;
     if (!run.checkpoint.empty()) runtime.checkpoint = run.checkpoint;
   }
   LearnInterference(worker);
   // An end that is on its way arrives in the same report or a later one; asking costs one call.
-  for (const TaskRef task : missing) OrderStop(task, now);
+  for (const TaskRef task : missing) OrderStop(task);
   for (const auto& [name, run] : listed) {
     LogEvent(LogLevel::kWarning, "unknown_run", {{"task", name}, {"run", run->run}, {"worker", worker.life.worker}});
     m_stops.push_back({.agent = worker.agent, .life = worker.life, .task = run->task, .run = run->run});
@@ -442,16 +439,9 @@
   if (worker == nullptr || worker->serving_tasks == 0 || worker->filling_cpu == 0) return {};
   if (now - worker->interference_sent_at < kInterferenceInterval) return {};
   worker->interference_sent_at = now;
-  std::set<std::string> serving;
-  std::set<std::string> filling;
-  for (const auto& [task, held] : worker->runs) {
-    const StepDefinition& definition = *task.step->definition;
-    if (definition.tail_target_ms > 0) serving.insert(definition.image);
-    if (definition.fills_idle_cpu) filling.insert(definition.image);
-  }
   std::vector<InterferenceEntry> entries;
-  for (const std::string& image : serving) {
-    for (const std::string& filler : filling) {
+  for (const auto& [image, use] : worker->serving) {
+    for (const auto& [filler, cpu] : worker->filling) {
       entries.push_back(
           {.serving_image = image, .filling_image = filler, .ms_per_core = m_interference.table().Get(image, filler)});
     }
@@ -459,12 +449,12 @@
   return entries;
 }
 
-void Scheduler::MoveLastingTasks(PoolWorker& worker, MonotonicTime now) {
+void Scheduler::MoveLastingTasks(PoolWorker& worker) {
   std::vector<TaskRef> lasting;
   for (const auto& [task, held] : worker.runs) {
     if (task.step->definition->long_running) lasting.push_back(task);
   }
-  for (const TaskRef task : lasting) OrderStop(task, now);
+  for (const TaskRef task : lasting) OrderStop(task);
 }
 
 void Scheduler::MoveSlowFillers(MonotonicTime now) {
@@ -487,7 +477,7 @@
               {"cpu", runtime.measured},
               {"demand", task.step->definition->demand.cpu_millis},
               {"percent", runtime.percent}});
-    OrderStop(task, now);
+    OrderStop(task);
   }
 }
 
@@ -544,11 +534,10 @@
         runtime.stage = RunStage::kRunning;
         runtime.started_at = now;
         runtime.started_clock_ms = answer.clock_ms;
-        runtime.progressed_at = now;
       }
       return;
     case StartRefusal::kEnded:
-      OrderStop(*ref, now);  // tells whether the end is listed
+      OrderStop(*ref);  // tells whether the end is listed
       return;
     case StartRefusal::kStaleOwner:
       return;  // this process is about to learn that it is no longer the owner
@@ -566,10 +555,10 @@
   LoseRun(*ref, now);
 }
 
-void Scheduler::OnStopAnswer(const std::string& task, int run, const WorkerLife& life, bool present,
+void Scheduler::OnStopAnswer(const std::string& task, int run, const WorkerLife& life, bool end_listed,
                              MonotonicTime now) {
   const std::optional<TaskRef> ref = FindRun(task, run, life);
-  if (!ref || present) return;
+  if (!ref || end_listed) return;
   LoseRun(*ref, now);
 }
 
@@ -618,9 +607,8 @@
   WorkflowStep& step = *task.step;
   TaskProgress& progress = step.tasks[static_cast<std::size_t>(task.index)];
   ++progress.failures;
-  absl::Duration pause = m_options.first_retry_pause;
-  for (int i = 1; i < progress.failures && pause < m_options.longest_retry_pause; ++i) pause *= 2;
-  step.runtimes[static_cast<std::size_t>(task.index)].not_before = now + std::min(pause, m_options.longest_retry_pause);
+  step.runtimes[static_cast<std::size_t>(task.index)].not_before =
+      now + DoublingDelay(progress.failures, m_options.first_retry_pause, m_options.longest_retry_pause);
 }
 
 void Scheduler::SettleGang(WorkflowStep& step, int ended_index, RunEndKind kind, MonotonicTime now) {
@@ -642,7 +630,7 @@
     for (TaskProgress& task : step.tasks) task.checkpoint = ended.checkpoint;
   }
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-    if (step.tasks[i].state == TaskState::kPlaced) OrderStop({.step = &step, .index = static_cast<int>(i)}, now);
+    if (step.tasks[i].state == TaskState::kPlaced) OrderStop({.step = &step, .index = static_cast<int>(i)});
   }
 }
 
@@ -705,7 +693,7 @@
   EndJob(job, JobPhase::kDone, now);
 }
 
-void Scheduler::OrderStop(TaskRef task, MonotonicTime now) {
+void Scheduler::OrderStop(TaskRef task) {
   const TaskProgress& progress = task.step->tasks[static_cast<std::size_t>(task.index)];
   TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
   // Nothing was sent yet; the record of the placement is superseded by the next one.
@@ -715,7 +703,6 @@
   runtime.stage = RunStage::kStopping;
   m_stops.push_back(
       {.agent = worker->agent, .life = worker->life, .task = task.step->TaskNameOf(task.index), .run = progress.run});
-  static_cast<void>(now);
 }
 
 void Scheduler::MarkChanged(WorkflowStep& step) {
@@ -762,10 +749,11 @@
     if (m_quarantine.MayPlace(WorkerId(worker->life.worker), now)) candidates.push_back(worker);
   }
   const std::vector<WorkflowStep*> waiting(m_waiting.begin(), m_waiting.end());
-  std::vector<FailedDemand> failed;
+  std::vector<const StepDefinition*> failed;
   for (WorkflowStep* step : waiting) {
-    const bool is_hopeless =
-        std::any_of(failed.begin(), failed.end(), [&](const FailedDemand& f) { return f.Covers(*step->definition); });
+    const bool is_hopeless = std::any_of(failed.begin(), failed.end(), [&](const StepDefinition* other) {
+      return NeedsAtLeast(*step->definition, *other);
+    });
     if (is_hopeless) continue;
     if (step->definition->gang) {
       PlaceGang(*step, candidates, now);
@@ -783,7 +771,7 @@
         if (step->definition->long_running) {
           m_next_retry = std::min(m_next_retry, now + m_options.placement.reserve_patience);
         }
-        failed.push_back({.step = step});
+        failed.push_back(step->definition);
         break;
       }
       Place(*step, static_cast<int>(i), *worker, step->tasks[i].run + 1, now);
@@ -875,13 +863,12 @@
                           .tail_target_ms = step.definition->tail_target_ms,
                           .demand_cpu = step.definition->demand.cpu_millis,
                           .image = step.definition->image,
-                          .priority = job.definition.queue.priority,
                           .ticket = {}});
 }
 
 void Scheduler::RetireJobs(MonotonicTime now) {
   if (now < m_next_retirement) return;
-  m_next_retirement = now + absl::Seconds(1);
+  m_next_retirement = now + kRetirementInterval;
   std::vector<std::string> retired;
   for (const auto& [id, at] : m_retire_at) {
     if (at <= now) retired.push_back(id);
@@ -895,8 +882,8 @@
 
 // ---- Batches
 
-std::optional<Batch> Scheduler::TakeBatch(MonotonicTime now) {
-  if (m_batch) return std::nullopt;
+const Batch* Scheduler::TakeBatch(MonotonicTime now) {
+  if (m_batch) return nullptr;
   Batch batch;
   for (WorkflowStep* step : m_changed_steps) {
     step->changed = false;
@@ -915,18 +902,15 @@
   batch.starts = std::exchange(m_new_starts, {});
   for (const PoolWorker* worker : m_workers.workers()) {
     if (worker->ends_applied <= worker->ends_durable) continue;
-    batch.acknowledgements.push_back({.agent = worker->agent, .life = worker->life, .number = worker->ends_applied});
+    batch.acknowledgements.push_back({.life = worker->life, .number = worker->ends_applied});
   }
-  if (batch.records.empty() && batch.starts.empty() && batch.acknowledgements.empty()) return std::nullopt;
   m_batch = std::move(batch);
-  if (m_batch->records.empty()) {
-    OnBatchDurable(now);
-    return std::nullopt;
-  }
-  return m_batch;
+  if (!m_batch->records.empty()) return &*m_batch;
+  OnBatchDurable(now);  // nothing to store: the ends change no record
+  return nullptr;
 }
 
-std::vector<StartOrder> Scheduler::OnBatchDurable(MonotonicTime now) {
+Batch Scheduler::OnBatchDurable(MonotonicTime now) {
   if (!m_batch) return {};
   Batch batch = std::move(*m_batch);
   m_batch.reset();
@@ -947,7 +931,8 @@
     runtime.started_at = now;  // until the answer tells better
     allowed.push_back(std::move(order));
   }
-  return allowed;
+  batch.starts = std::move(allowed);
+  return batch;
 }
 
 bool Scheduler::MaySend(const StartOrder& order) {
@@ -973,10 +958,6 @@
   return found == m_jobs.end() ? nullptr : &found->second->definition;
 }
 
-std::vector<std::string> Scheduler::RetiredInBatch() const {
-  return m_batch ? m_batch->retired_jobs : std::vector<std::string>();
-}
-
 std::vector<StopOrder> Scheduler::TakeStops() { return std::exchange(m_stops, {}); }
 
 std::int64_t Scheduler::LeaseEndFor(const PoolWorker& worker) const {
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -85,14 +85,15 @@
   void OnStartAnswer(const std::string& task, int run, const WorkerLife& life, const StartAnswer& answer,
                      MonotonicTime now);
   /// A stop was answered: the run is listed as ended, or will never be there.
-  void OnStopAnswer(const std::string& task, int run, const WorkerLife& life, bool present, MonotonicTime now);
+  void OnStopAnswer(const std::string& task, int run, const WorkerLife& life, bool end_listed, MonotonicTime now);
   /// Leases that lapsed, occurrences that are due, retries, then placement. `unix_now_ms` is the time of day.
   void Advance(MonotonicTime now, std::int64_t unix_now_ms);
 
-  /// Everything that changed since the last batch; nothing if there is no change or a batch is under way.
-  std::optional<Batch> TakeBatch(MonotonicTime now);
-  /// The records of the batch are stored. Returns the starts to send.
-  std::vector<StartOrder> OnBatchDurable(MonotonicTime now);
+  /// Everything that changed since the last batch; null if there is nothing to store or a batch is under way. Valid until
+  /// `OnBatchDurable`.
+  const Batch* TakeBatch(MonotonicTime now);
+  /// The records of the batch are stored. Returns the batch with those of its starts that may still be sent.
+  Batch OnBatchDurable(MonotonicTime now);
   /// Stops that are due; each is returned once until its answer.
   std::vector<StopOrder> TakeStops();
 
@@ -106,8 +107,6 @@
   bool IsStarting(const StartOrder& order);
   bool IsStopping(const StopOrder& order);
   const JobDefinition* FindJob(std::string_view id) const;
-  /// Jobs whose records are removed by the batch under way.
-  std::vector<std::string> RetiredInBatch() const;
   /// What was learnt of the images on the worker since the last call; nothing more often than every few seconds.
   std::vector<InterferenceEntry> TakeInterferenceFor(std::string_view agent, MonotonicTime now);
   const PoolWorker* FindWorker(std::string_view agent) { return m_workers.Find(agent); }
@@ -124,7 +123,6 @@
 
   void AddOccurrence(WorkflowJob& job, std::int64_t occurrence, const JobIndex::Job* recorded, MonotonicTime now);
   void RefreshReadySteps(std::vector<std::unique_ptr<WorkflowStep>>& steps, MonotonicTime now);
-  absl::Duration LongestChain(const JobDefinition& job) const;
   WorkflowStep* FindStep(const StepName& name);
   std::optional<TaskRef> FindRun(const std::string& task, int run, const WorkerLife& life);
 
@@ -142,8 +140,8 @@
   void LoseOrphansOfHost(const std::string& agent, const std::string& present_worker, MonotonicTime now);
   void LoseAllRuns(PoolWorker& worker, MonotonicTime now);
   void CompareRuns(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
-  void MoveLastingTasks(PoolWorker& worker, MonotonicTime now);
-  void NoteProgress(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
+  void MoveLastingTasks(PoolWorker& worker);
+  void NoteProgress(PoolWorker& worker, const WorkerReport& report);
   void LearnInterference(PoolWorker& worker);
   void MoveSlowFillers(MonotonicTime now);
   bool IsWorthMoving(const PoolWorker& worker, TaskRef task, MonotonicTime now) const;
@@ -153,7 +151,7 @@
   void PlaceWaiting(MonotonicTime now);
   bool PlaceGang(WorkflowStep& step, const std::vector<PoolWorker*>& candidates, MonotonicTime now);
   void Place(WorkflowStep& step, int index, PoolWorker& worker, int run, MonotonicTime now);
-  void OrderStop(TaskRef task, MonotonicTime now);
+  void OrderStop(TaskRef task);
   void MarkChanged(WorkflowStep& step);
   void UpdateWaiting(WorkflowStep& step);
   void RetireJobs(MonotonicTime now);
--- a/src/workflow/worker_pool.cc
+++ b/src/workflow/worker_pool.cc
@@ -74,8 +74,4 @@
   m_by_worker[life.worker] = &worker;
 }
 
-void WorkerPool::ForEach(const std::function<void(PoolWorker& worker)>& visit) {
-  for (PoolWorker* worker : m_order) visit(*worker);
-}
-
 }  // namespace berylgauge::workflow
--- a/src/workflow/worker_pool.h
+++ b/src/workflow/worker_pool.h
@@ -4,7 +4,6 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -46,7 +45,6 @@
   std::string rack;  ///< label that names its rack; empty if none does
   std::vector<std::string> labels;
   Resources capacity;
-  std::int64_t remaining_ms = 0;
   bool reconciled = false;            ///< its list of runs was compared with the records
   std::int64_t clock_ms = 0;          ///< newest reading of its steady clock
   MonotonicTime clock_read_at;        ///< when that reading arrived here
@@ -80,7 +78,6 @@
   /// The worker got another life.
   void Reindex(PoolWorker& worker, const WorkerLife& life);
 
-  void ForEach(const std::function<void(PoolWorker& worker)>& visit);
   const std::vector<PoolWorker*>& workers() const { return m_order; }
 
  private:
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -33,7 +33,6 @@
   std::vector<std::string> avoid;  ///< workers on which it failed
   std::string checkpoint;          ///< newest that the worker listed for the present run
   int percent = 0;                 ///< of its work, as listed last
-  MonotonicTime progressed_at;     ///< when `percent` changed last
   std::int64_t measured = 0;
 };
 
--- a/tests/unit/workflow/scheduler_world.cc
+++ b/tests/unit/workflow/scheduler_world.cc
@@ -52,10 +52,10 @@
     changed = true;
     if (order.life.worker != silent) Deliver(order);
   }
-  const std::optional<Batch> batch = m_scheduler->TakeBatch(m_now);
-  if (!batch) return changed;
+  const Batch* batch = m_scheduler->TakeBatch(m_now);
+  if (batch == nullptr) return changed;
   for (const auto& [key, value] : batch->records) m_index.ApplyProgress(key, value);
-  for (const StartOrder& order : m_scheduler->OnBatchDurable(m_now)) {
+  for (const StartOrder& order : m_scheduler->OnBatchDurable(m_now).starts) {
     if (order.life.worker != silent) Deliver(order);
   }
   return true;
