--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -30,6 +30,26 @@
 constexpr absl::Duration kProgressWait = absl::Milliseconds(500);
 constexpr absl::Duration kSubmissionWait = absl::Milliseconds(1000);
 
+constexpr const char* kDecisionsMetric = "berylgauge_scheduler_decisions";
+constexpr const char* kDecisionsHelp = "Decisions since this entry became the owner";
+
+struct DecisionCount {
+  const char* label;
+  std::uint64_t workflow::SchedulerCounts::*value;
+};
+
+constexpr DecisionCount kDecisionCounts[] = {
+    {"kind=\"placement\"", &workflow::SchedulerCounts::placements},
+    {"kind=\"end-done\"", &workflow::SchedulerCounts::ends_done},
+    {"kind=\"end-failed\"", &workflow::SchedulerCounts::ends_failed},
+    {"kind=\"end-lost\"", &workflow::SchedulerCounts::ends_lost},
+    {"kind=\"end-other\"", &workflow::SchedulerCounts::ends_other},
+    {"kind=\"refused-start\"", &workflow::SchedulerCounts::refused_starts},
+    {"kind=\"move\"", &workflow::SchedulerCounts::moves},
+    {"kind=\"job-done\"", &workflow::SchedulerCounts::jobs_done},
+    {"kind=\"job-failed\"", &workflow::SchedulerCounts::jobs_failed},
+};
+
 }  // namespace
 
 EntryNode::EntryNode(EventLoop& loop, KeyedLog& log, const Clock& clock, const OperatorRecordDecoder& operators,
@@ -67,12 +87,16 @@
                      {.partition = m_options.members, .producer = m_options.host + "." + m_options.incarnation}),
       m_peers(loop, m_options.host),
       m_alive(std::make_shared<bool>(true)),
+      m_metrics(metrics),
       m_accepted(metrics.GetCounter("berylgauge_jobs_accepted_total", "Jobs that were stored")),
       m_refused(metrics.GetCounter("berylgauge_jobs_refused_total", "Jobs that were refused and not stored")),
       m_cancelled(metrics.GetCounter("berylgauge_jobs_cancelled_total", "Cancellations that were stored")),
       m_claims(metrics.GetCounter("berylgauge_owner_claims_total", "Claims of the ownership that were stored")),
       m_is_owner(metrics.GetGauge("berylgauge_is_owner", "1 while this entry owns the scheduling decisions")),
       m_jobs(metrics.GetGauge("berylgauge_jobs", "Jobs known to this entry")),
+      m_corrupt_records(metrics.GetGauge("berylgauge_corrupt_records", "Records of the store that cannot be read")),
+      m_waiting_tasks(metrics.GetGauge("berylgauge_waiting_tasks", "Tasks that wait for a worker, at the owner")),
+      m_placed_tasks(metrics.GetGauge("berylgauge_placed_tasks", "Tasks with a run, at the owner")),
       m_config_version(metrics.GetGauge("berylgauge_config_version", "Version of the configuration in force")) {}
 
 EntryNode::~EntryNode() {
@@ -90,12 +114,25 @@
 }
 
 void EntryNode::Tick() {
-  m_jobs.Set(static_cast<std::int64_t>(m_index.size()));
+  PublishMetrics();
   ConsiderClaim();
   if (!IsServedByStore(m_loop.Now())) m_peers.Probe();
   m_timer = m_loop.AddTimer(m_loop.Now() + kTickInterval, [this] { Tick(); });
 }
 
+void EntryNode::PublishMetrics() {
+  m_jobs.Set(static_cast<std::int64_t>(m_index.size()));
+  m_corrupt_records.Set(static_cast<std::int64_t>(m_index.corrupt_records()));
+  const workflow::Scheduler* scheduler = m_owner != nullptr ? m_owner->scheduler() : nullptr;
+  if (scheduler == nullptr) return;
+  m_waiting_tasks.Set(static_cast<std::int64_t>(scheduler->WaitingTasks()));
+  m_placed_tasks.Set(static_cast<std::int64_t>(scheduler->PlacedTasks()));
+  for (const DecisionCount& count : kDecisionCounts) {
+    m_metrics.GetGauge(kDecisionsMetric, kDecisionsHelp, count.label)
+        .Set(static_cast<std::int64_t>(scheduler->counts().*count.value));
+  }
+}
+
 bool EntryNode::IsReady(MonotonicTime now) const {
   if (m_leaving || !m_queues || !m_submission_tail.is_loaded() || !m_progress_tail.is_loaded()) return false;
   return IsServedByStore(now) || m_peers.HasReadyPeer(now);
--- a/src/control/entry_node.h
+++ b/src/control/entry_node.h
@@ -93,7 +93,6 @@
   bool IsServedByStore(MonotonicTime now) const;
   EntryPeers& peers() { return m_peers; }
   bool IsOwner() const { return m_owner != nullptr; }
-  const OwnerRole* owner() const { return m_owner.get(); }
   const workflow::JobIndex& index() const { return m_index; }
 
  private:
@@ -112,6 +111,7 @@
   void BeginOwnership();
   void EndOwnership();
   void Tick();
+  void PublishMetrics();
 
   EventLoop& m_loop;
   KeyedLog& m_log;
@@ -138,12 +138,16 @@
   EventLoop::TimerId m_timer;
   std::shared_ptr<bool> m_alive;
 
+  MetricsRegistry& m_metrics;
   Counter& m_accepted;
   Counter& m_refused;
   Counter& m_cancelled;
   Counter& m_claims;
   Gauge& m_is_owner;
   Gauge& m_jobs;
+  Gauge& m_corrupt_records;
+  Gauge& m_waiting_tasks;
+  Gauge& m_placed_tasks;
   Gauge& m_config_version;
 };
 
--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -149,7 +149,7 @@
       Write({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(record)}}, WriteKind::kHandOver);
     } else if (now - m_signed_at >= m_options.sign_interval) {
       Write({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(m_options.record)}},
-                 WriteKind::kSignOfLife);
+            WriteKind::kSignOfLife);
     }
   }
   const MonotonicTime next = m_scheduler != nullptr ? m_scheduler->NextDeadline(now) : InfiniteFuture();
--- a/src/daemon/common/node.h
+++ b/src/daemon/common/node.h
@@ -12,7 +12,7 @@
   /// Opens the listeners and starts working.
   virtual Result<void> Start() = 0;
 
-  /// The settings file may have changed; what cannot change while the process runs is logged and left as it is.
+  /// The settings file may have changed. A node whose settings hold until its next start ignores it.
   virtual void Reload() {}
 
   /// Shuts down gracefully: announces leaving, takes nothing new, finishes what is under way. Returns true if
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -89,8 +89,8 @@
   /// Leases that lapsed, occurrences that are due, retries, then placement. `unix_now_ms` is the time of day.
   void Advance(MonotonicTime now, std::int64_t unix_now_ms);
 
-  /// Everything that changed since the last batch; null if there is nothing to store or a batch is under way. Valid until
-  /// `OnBatchDurable`.
+  /// Everything that changed since the last batch; null if there is nothing to store or a batch is under way. Valid
+  /// until `OnBatchDurable`.
   const Batch* TakeBatch(MonotonicTime now);
   /// The records of the batch are stored. Returns the batch with those of its starts that may still be sent.
   Batch OnBatchDurable(MonotonicTime now);
