Log why a run is given up, which ends match no run, and what keeps a task waiting

New lines run_lost, end_unmatched and task_waiting (at most 20 steps every 2 s), a gauge of the longest wait and a counter of unmatched ends. No decision is changed; the conditions of eligibility and room name the obstacle that they found.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -45,6 +45,7 @@
     {"kind=\"end-failed\"", &workflow::SchedulerCounts::ends_failed},
     {"kind=\"end-lost\"", &workflow::SchedulerCounts::ends_lost},
     {"kind=\"end-other\"", &workflow::SchedulerCounts::ends_other},
+    {"kind=\"end-unmatched\"", &workflow::SchedulerCounts::ends_unmatched},
     {"kind=\"refused-start\"", &workflow::SchedulerCounts::refused_starts},
     {"kind=\"move\"", &workflow::SchedulerCounts::moves},
     {"kind=\"job-done\"", &workflow::SchedulerCounts::jobs_done},
@@ -95,6 +96,8 @@
       m_jobs(metrics.GetGauge("berylgauge_jobs", "Jobs known to this entry")),
       m_corrupt_records(metrics.GetGauge("berylgauge_corrupt_records", "Records of the store that cannot be read")),
       m_waiting_tasks(metrics.GetGauge("berylgauge_waiting_tasks", "Tasks that wait for a worker, at the owner")),
+      m_longest_wait(metrics.GetGauge("berylgauge_longest_wait_ms",
+                                      "Time for which the task that waits longest has waited, at the owner")),
       m_placed_tasks(metrics.GetGauge("berylgauge_placed_tasks", "Tasks with a run, at the owner")),
       m_config_version(metrics.GetGauge("berylgauge_config_version", "Version of the configuration in force")) {}
 
@@ -125,6 +128,7 @@
   const workflow::Scheduler* scheduler = m_owner != nullptr ? m_owner->scheduler() : nullptr;
   if (scheduler == nullptr) return;
   m_waiting_tasks.Set(static_cast<std::int64_t>(scheduler->WaitingTasks()));
+  m_longest_wait.Set(absl::ToInt64Milliseconds(scheduler->LongestWait(m_loop.Now())));
   m_placed_tasks.Set(static_cast<std::int64_t>(scheduler->PlacedTasks()));
   for (const DecisionCount& count : kDecisionCounts) {
     m_metrics.GetGauge(kDecisionsMetric, kDecisionsHelp, count.label)
--- a/src/control/entry_node.h
+++ b/src/control/entry_node.h
@@ -156,6 +156,7 @@
   Gauge& m_jobs;
   Gauge& m_corrupt_records;
   Gauge& m_waiting_tasks;
+  Gauge& m_longest_wait;
   Gauge& m_placed_tasks;
   Gauge& m_config_version;
 };
--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -52,31 +52,37 @@
   return best;
 }
 
-bool PlacementPolicy::IsEligible(const WorkflowStep& step, const PoolWorker& worker, const PlacementLimits& limits,
-                                 MonotonicTime now) const {
+PlacementObstacle PlacementPolicy::EligibilityObstacle(const WorkflowStep& step, const PoolWorker& worker,
+                                                       const PlacementLimits& limits, MonotonicTime now) const {
   const StepDefinition& definition = *step.definition;
-  if (!worker.reconciled || worker.condition != WorkerCondition::kReady) return false;
-  if (worker.service != step.job->definition.queue.service) return false;
-  if (now < worker.avoid_until) return false;
-  if (limits.evacuated_zones.contains(worker.zone)) return false;
-  if (!definition.required_label.empty() && !HasLabel(worker, definition.required_label)) return false;
-  return definition.max_per_worker == 0 || TasksOfStepOn(step, worker) < definition.max_per_worker;
+  if (!worker.reconciled) return PlacementObstacle::kListMissing;
+  if (worker.condition != WorkerCondition::kReady) return PlacementObstacle::kNotReady;
+  if (worker.service != step.job->definition.queue.service) return PlacementObstacle::kOtherService;
+  if (now < worker.avoid_until) return PlacementObstacle::kPaused;
+  if (limits.evacuated_zones.contains(worker.zone)) return PlacementObstacle::kZoneEvacuated;
+  if (!definition.required_label.empty() && !HasLabel(worker, definition.required_label)) {
+    return PlacementObstacle::kLabelMissing;
+  }
+  const bool is_spread = definition.max_per_worker == 0 || TasksOfStepOn(step, worker) < definition.max_per_worker;
+  return is_spread ? PlacementObstacle::kNone : PlacementObstacle::kSpread;
 }
 
-bool PlacementPolicy::HasRoom(const WorkflowStep& step, int index, const PoolWorker& worker, MonotonicTime now) const {
+PlacementObstacle PlacementPolicy::RoomObstacle(const WorkflowStep& step, int index, const PoolWorker& worker,
+                                                MonotonicTime now) const {
   const StepDefinition& definition = *step.definition;
   const Resources free = worker.Free();
   Resources demand = definition.demand;
+  if (definition.fills_idle_cpu) demand.cpu_millis = 0;
+  if (!demand.FitsIn(free)) return PlacementObstacle::kRoom;
   if (definition.fills_idle_cpu) {
-    demand.cpu_millis = 0;
-    if (!demand.FitsIn(free)) return false;
-    return FillingSpeed(definition, worker) >= m_options.lowest_filling_speed;
+    const bool is_fast = FillingSpeed(definition, worker) >= m_options.lowest_filling_speed;
+    return is_fast ? PlacementObstacle::kNone : PlacementObstacle::kTooSlow;
   }
-  if (!demand.FitsIn(free)) return false;
-  if (!definition.long_running) return true;
+  if (!definition.long_running) return PlacementObstacle::kNone;
   const MonotonicTime waiting_since = step.runtimes[static_cast<std::size_t>(index)].waiting_since;
-  if (now - waiting_since >= m_options.reserve_patience) return true;
-  return free.cpu_millis >= demand.cpu_millis + m_options.short_task_reserve_cpu;
+  if (now - waiting_since >= m_options.reserve_patience) return PlacementObstacle::kNone;
+  const bool leaves_reserve = free.cpu_millis >= demand.cpu_millis + m_options.short_task_reserve_cpu;
+  return leaves_reserve ? PlacementObstacle::kNone : PlacementObstacle::kReserved;
 }
 
 double PlacementPolicy::FillingSpeed(const StepDefinition& definition, const PoolWorker& worker) const {
--- a/src/workflow/placement_policy.h
+++ b/src/workflow/placement_policy.h
@@ -9,6 +9,7 @@
 
 #include "base/monotonic_time.h"
 #include "workflow/interference_model.h"
+#include "workflow/placement_obstacle.h"
 #include "workflow/worker_pool.h"
 
 namespace berylgauge::workflow {
@@ -48,10 +49,22 @@
 
   /// Whether the worker may run the task at all at present, whatever its load.
   bool IsEligible(const WorkflowStep& step, const PoolWorker& worker, const PlacementLimits& limits,
-                  MonotonicTime now) const;
+                  MonotonicTime now) const {
+    return EligibilityObstacle(step, worker, limits, now) == PlacementObstacle::kNone;
+  }
 
   /// Whether the worker has room for one more task of the step.
-  bool HasRoom(const WorkflowStep& step, int index, const PoolWorker& worker, MonotonicTime now) const;
+  bool HasRoom(const WorkflowStep& step, int index, const PoolWorker& worker, MonotonicTime now) const {
+    return RoomObstacle(step, index, worker, now) == PlacementObstacle::kNone;
+  }
+
+  /// What keeps the worker from running the task, whatever its load.
+  PlacementObstacle EligibilityObstacle(const WorkflowStep& step, const PoolWorker& worker,
+                                        const PlacementLimits& limits, MonotonicTime now) const;
+
+  /// What of the worker's load keeps it from running one more task of the step.
+  PlacementObstacle RoomObstacle(const WorkflowStep& step, int index, const PoolWorker& worker,
+                                 MonotonicTime now) const;
 
   /// Expected speed of one more filling task, 0 to 1: what idle processors and the targets of serving tasks allow.
   double FillingSpeed(const StepDefinition& definition, const PoolWorker& worker) const;
--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -217,6 +217,7 @@
   RefreshInterference(now);
   MoveSlowFillers(now);
   if (m_placement_due || now >= m_next_retry) PlaceWaiting(now);
+  LogLongWaits(now);
 }
 
 void Scheduler::CreateDueOccurrences(MonotonicTime now, std::int64_t unix_now_ms) {
@@ -299,7 +300,7 @@
     const std::optional<TaskRef> ref = FindRun(order.task, order.run, order.life);
     if (!ref) continue;
     if (!MaySend(order)) {
-      LoseRun(*ref, now);
+      LoseRun(*ref, RunLoss::kStartForbidden, now);
       continue;
     }
     TaskRuntime& runtime = ref->step->runtimes[static_cast<std::size_t>(ref->index)];
@@ -356,6 +357,17 @@
   return count;
 }
 
+absl::Duration Scheduler::LongestWait(MonotonicTime now) const {
+  absl::Duration longest = absl::ZeroDuration();
+  for (const WorkflowStep* step : m_waiting) {
+    for (std::size_t i = 0; i < step->tasks.size(); ++i) {
+      if (step->tasks[i].state != TaskState::kWaiting) continue;
+      longest = std::max(longest, now - step->runtimes[i].waiting_since);
+    }
+  }
+  return longest;
+}
+
 std::size_t Scheduler::PlacedTasks() const {
   std::size_t count = 0;
   for (const auto& [id, job] : m_jobs) count += static_cast<std::size_t>(job->placed);
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -19,6 +19,7 @@
 #include "workflow/job_index.h"
 #include "workflow/orders.h"
 #include "workflow/placement_policy.h"
+#include "workflow/run_loss.h"
 #include "workflow/worker_pool.h"
 #include "workflow/worker_report.h"
 #include "workflow/workflow_job.h"
@@ -64,6 +65,7 @@
   std::uint64_t ends_failed = 0;
   std::uint64_t ends_lost = 0;  ///< lapsed leases, lives that ended, runs that never began
   std::uint64_t ends_other = 0;
+  std::uint64_t ends_unmatched = 0;  ///< listed by a worker for a run that is not, or no longer, placed there
   std::uint64_t refused_starts = 0;
   std::uint64_t moves = 0;  ///< filling tasks stopped to run faster elsewhere
   std::uint64_t jobs_done = 0;
@@ -121,6 +123,8 @@
   const SchedulerCounts& counts() const { return m_counts; }
   std::size_t WaitingTasks() const;
   std::size_t PlacedTasks() const;
+  /// How long the task that waits longest has waited; zero if none waits.
+  absl::Duration LongestWait(MonotonicTime now) const;
 
  private:
   /// `begun`: when the objective began to count.
@@ -134,7 +138,7 @@
   /// A worker has shown that the present run of the task is, or was, carried out.
   void NoteBegun(PoolWorker* worker, TaskRef task);
   void FinishRun(TaskRef task, RunEndKind kind, const std::string& checkpoint, MonotonicTime now);
-  void LoseRun(TaskRef task, MonotonicTime now);
+  void LoseRun(TaskRef task, RunLoss reason, MonotonicTime now);
   void Release(TaskRef task, const std::string& checkpoint, MonotonicTime now);
   void CountFailure(TaskRef task, MonotonicTime now);
   void AfterTaskDone(WorkflowStep& step, MonotonicTime now);
@@ -144,7 +148,7 @@
 
   void StartLife(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
   void LoseOrphansOfHost(const std::string& agent, const std::string& present_worker, MonotonicTime now);
-  void LoseAllRuns(PoolWorker& worker, MonotonicTime now);
+  void LoseAllRuns(PoolWorker& worker, RunLoss reason, MonotonicTime now);
   void CompareRuns(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
   void MoveLastingTasks(PoolWorker& worker);
   void NoteProgress(PoolWorker& worker, const WorkerReport& report);
@@ -157,6 +161,7 @@
   void CreateDueOccurrences(MonotonicTime now, std::int64_t unix_now_ms);
   void PlaceWaiting(MonotonicTime now);
   bool PlaceGang(WorkflowStep& step, const std::vector<PoolWorker*>& candidates, MonotonicTime now);
+  void LogLongWaits(MonotonicTime now);
   void Place(WorkflowStep& step, int index, PoolWorker& worker, int run, MonotonicTime now);
   void OrderStop(TaskRef task);
   void MarkChanged(WorkflowStep& step);
@@ -189,6 +194,7 @@
   MonotonicTime m_next_retry = InfiniteFuture();  ///< when a pause of a worker or task ends
   MonotonicTime m_next_retirement;
   MonotonicTime m_next_move;
+  MonotonicTime m_next_wait_check;
 };
 
 }  // namespace berylgauge::workflow
--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -1,5 +1,8 @@
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 #include <map>
+#include <string>
 #include <utility>
 
 #include "base/event_log.h"
@@ -10,6 +13,24 @@
 namespace berylgauge::workflow {
 namespace {
 
+/// A task that has waited this long is logged, as often as the second figure says.
+constexpr absl::Duration kLongWait = absl::Seconds(3);
+constexpr absl::Duration kWaitLogInterval = absl::Seconds(2);
+/// Steps that are logged at most in one interval, the most urgent first.
+constexpr std::size_t kMaxLoggedWaits = 20;
+
+/// Index of the task of the step that waits longest; the first one if none waits.
+std::size_t LongestWaitingTask(const WorkflowStep& step) {
+  std::size_t longest = 0;
+  MonotonicTime since = InfiniteFuture();
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    if (step.tasks[i].state != TaskState::kWaiting || step.runtimes[i].waiting_since >= since) continue;
+    since = step.runtimes[i].waiting_since;
+    longest = i;
+  }
+  return longest;
+}
+
 /// Whether a step needs at least as much as one that found no room on any worker. Says no where the failed one was
 /// restricted to some workers, or waits for more room than it takes (tasks that last).
 bool NeedsAtLeast(const StepDefinition& step, const StepDefinition& failed) {
@@ -61,6 +82,42 @@
   m_placement_due = false;
 }
 
+void Scheduler::LogLongWaits(MonotonicTime now) {
+  if (now < m_next_wait_check) return;
+  m_next_wait_check = now + kWaitLogInterval;
+  std::vector<WorkflowStep*> waiting(m_waiting.begin(), m_waiting.end());
+  std::erase_if(waiting, [&](const WorkflowStep* step) {
+    return now - step->runtimes[LongestWaitingTask(*step)].waiting_since < kLongWait;
+  });
+  SortByUrgency(waiting, now);
+  if (waiting.size() > kMaxLoggedWaits) waiting.resize(kMaxLoggedWaits);
+  for (const WorkflowStep* step : waiting) {
+    const std::size_t i = LongestWaitingTask(*step);
+    std::map<std::string, int> workers;
+    for (const PoolWorker* worker : m_workers.workers()) {
+      if (!m_quarantine.MayPlace(WorkerId(worker->life.worker), now)) {
+        ++workers["quarantined"];
+        continue;
+      }
+      PlacementObstacle obstacle = m_policy.EligibilityObstacle(*step, *worker, m_limits, now);
+      if (obstacle == PlacementObstacle::kNone) {
+        obstacle = m_policy.RoomObstacle(*step, static_cast<int>(i), *worker, now);
+      }
+      ++workers[std::string(kPlacementObstacleNames.NameOf(obstacle))];
+    }
+    LogEvent(LogLevel::kInfo, "task_waiting",
+             {{"task", step->TaskNameOf(static_cast<int>(i))},
+              {"waited_ms", absl::ToInt64Milliseconds(now - step->runtimes[i].waiting_since)},
+              {"paused_ms", std::max<std::int64_t>(0, absl::ToInt64Milliseconds(step->runtimes[i].not_before - now))},
+              {"prospect", kProspectNames.NameOf(ProspectOf(*step, now))},
+              {"placed_of_job", step->job->placed},
+              {"cpu", step->definition->demand.cpu_millis},
+              {"memory", step->definition->demand.memory_mb},
+              {"fills", step->definition->fills_idle_cpu},
+              {"workers", absl::StrJoin(workers, ",", absl::PairFormatter(":"))}});
+  }
+}
+
 bool Scheduler::PlaceGang(WorkflowStep& step, const std::vector<PoolWorker*>& candidates, MonotonicTime now) {
   int run = 0;
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -37,7 +37,7 @@
     const bool is_unfit = answer.refusal == StartRefusal::kUnhealthy || answer.refusal == StartRefusal::kRoom;
     if (is_unfit) worker->avoid_until = now + m_options.refusal_pause;
   }
-  LoseRun(*ref, now);
+  LoseRun(*ref, RunLoss::kStartRefused, now);
 }
 
 void Scheduler::NoteBegun(PoolWorker* worker, TaskRef task) {
@@ -54,12 +54,21 @@
                              MonotonicTime now) {
   const std::optional<TaskRef> ref = FindRun(task, run, life);
   if (!ref || end_listed) return;
-  LoseRun(*ref, now);
+  LoseRun(*ref, RunLoss::kAbsent, now);
 }
 
 void Scheduler::ApplyEnd(const WorkerLife& life, const RunEnd& end, MonotonicTime now) {
   const std::optional<TaskRef> ref = FindRun(end.task, end.run, life);
-  if (!ref) return;
+  if (!ref) {
+    ++m_counts.ends_unmatched;
+    LogEvent(LogLevel::kInfo, "end_unmatched",
+             {{"task", end.task},
+              {"run", end.run},
+              {"worker", life.worker},
+              {"born", life.born},
+              {"end", kRunEndKindNames.NameOf(end.kind)}});
+    return;
+  }
   NoteBegun(m_workers.FindLife(life), *ref);
   FinishRun(*ref, end.kind, end.checkpoint, now);
 }
@@ -130,9 +139,15 @@
   }
 }
 
-void Scheduler::LoseRun(TaskRef task, MonotonicTime now) {
+void Scheduler::LoseRun(TaskRef task, RunLoss reason, MonotonicTime now) {
   WorkflowStep& step = *task.step;
+  const TaskProgress& progress = step.tasks[static_cast<std::size_t>(task.index)];
   ++m_counts.ends_lost;
+  LogEvent(LogLevel::kInfo, "run_lost",
+           {{"task", step.TaskNameOf(task.index)},
+            {"run", progress.run},
+            {"worker", progress.worker},
+            {"reason", kRunLossNames.NameOf(reason)}});
   Release(task, {}, now);
   if (step.definition->gang) SettleGang(step, task.index, RunEndKind::kLapsed, now);
   MarkChanged(step);
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -57,7 +57,7 @@
     ApplyEnd(report.life, end, now);
   }
   if (report.condition == WorkerCondition::kGone) {
-    LoseAllRuns(worker, now);
+    LoseAllRuns(worker, RunLoss::kWorkerGone, now);
     worker.reconciled = false;
     return;
   }
@@ -73,7 +73,7 @@
 }
 
 void Scheduler::StartLife(PoolWorker& worker, const WorkerReport& report, MonotonicTime now) {
-  LoseAllRuns(worker, now);
+  LoseAllRuns(worker, RunLoss::kOtherLife, now);
   m_workers.Reindex(worker, report.life);
   m_quarantine.Forget(WorkerId(report.life.worker));
   worker.condition = WorkerCondition::kReady;
@@ -97,7 +97,7 @@
     if (task.step->tasks[static_cast<std::size_t>(task.index)].worker_born == report.life.born) {
       m_workers.Attach(worker, task);
     } else {
-      LoseRun(task, now);
+      LoseRun(task, RunLoss::kOtherLife, now);
     }
   }
 }
@@ -114,10 +114,10 @@
   // A host has one worker at a time, so the one that the former owner used is gone.
   LogEvent(LogLevel::kInfo, "former_worker_replaced",
            {{"agent", agent}, {"worker", present_worker}, {"runs", lost.size()}});
-  for (const TaskRef task : lost) LoseRun(task, now);
+  for (const TaskRef task : lost) LoseRun(task, RunLoss::kFormerWorkerReplaced, now);
 }
 
-void Scheduler::LoseAllRuns(PoolWorker& worker, MonotonicTime now) {
+void Scheduler::LoseAllRuns(PoolWorker& worker, RunLoss reason, MonotonicTime now) {
   std::vector<TaskRef> tasks;
   for (const auto& [task, held] : worker.runs) tasks.push_back(task);
   if (!tasks.empty()) {
@@ -127,7 +127,7 @@
               {"runs", tasks.size()},
               {"clock_age_ms", absl::ToInt64Milliseconds(now - worker.clock_read_at)}});
   }
-  for (const TaskRef task : tasks) LoseRun(task, now);
+  for (const TaskRef task : tasks) LoseRun(task, reason, now);
 }
 
 void Scheduler::CompareRuns(PoolWorker& worker, const WorkerReport& report, MonotonicTime now) {
@@ -293,7 +293,7 @@
   const absl::Duration limit = m_options.lease * m_options.clock_tolerance;
   for (PoolWorker* worker : m_workers.workers()) {
     if (now - worker->clock_read_at <= limit) continue;
-    LoseAllRuns(*worker, now);
+    LoseAllRuns(*worker, RunLoss::kLeaseLapsed, now);
     worker->reconciled = false;
   }
 }
@@ -304,7 +304,7 @@
   auto orphans = std::exchange(m_orphans, {});
   for (const auto& [worker, tasks] : orphans) {
     LogEvent(LogLevel::kInfo, "former_worker_lapsed", {{"worker", worker}, {"runs", tasks.size()}});
-    for (const TaskRef task : tasks) LoseRun(task, now);
+    for (const TaskRef task : tasks) LoseRun(task, RunLoss::kFormerLeaseLapsed, now);
   }
 }
 
--- a/src/workflow/work_order.h
+++ b/src/workflow/work_order.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "base/enum_names.h"
 #include "base/monotonic_time.h"
 #include "workflow/job_definition.h"
 
@@ -19,6 +20,12 @@
   kExpired,  ///< later than that
 };
 
+inline constexpr auto kProspectNames = MakeEnumNames<Prospect>({
+    {Prospect::kInTime, "in-time"},
+    {Prospect::kLate, "late"},
+    {Prospect::kExpired, "expired"},
+});
+
 /// Estimated durations of a job if nothing ever waits.
 struct ChainTimes {
   absl::Duration whole;                    ///< of its longest chain of steps
