Leave orders to a later repeat while an agent does not know its worker

Cause: an agent that was started again knows no worker until the worker's next announcement, 1.5 s later. It answered starts with "another life" and stops with "not there", and the owner took both as proof that no run exists. In the same way the refusal of a repeated start counted as final although the call of the agent's former process could still be carried out. Class of fault: a process that has lost its memory gives a negative answer that only memory could justify.

Change: an agent says that it does not know its worker until that worker has given its lists in the announced life, and reports no life before. The owner keeps such runs, repeats the orders, and places nothing there meanwhile. A repeated start is marked, and a refusal of it is settled by a stop.

--- a/src/control/agent_link.cc
+++ b/src/control/agent_link.cc
@@ -121,7 +121,7 @@
                    }
                    const Result<OrdersAnswer> answer = DecodeOrdersAnswer(response->body);
                    if (response->status == kStatusOk && answer) {
-                     m_listener.on_orders_answer(request, *answer);
+                     m_listener.on_orders_answer(m_options.host, request, *answer);
                      return;
                    }
                    m_listener.on_orders_failure(
--- a/src/control/agent_link.h
+++ b/src/control/agent_link.h
@@ -33,7 +33,8 @@
     /// Adds the lease, the acknowledgement and, for an agent that was started again, the traits.
     std::function<void(const std::string& host, bool with_traits, WatchRequest& request)> on_prepare;
     std::function<void(const std::string& host, const workflow::WorkerReport& report)> on_report;
-    std::function<void(const OrdersRequest& request, const OrdersAnswer& answer)> on_orders_answer;
+    std::function<void(const std::string& host, const OrdersRequest& request, const OrdersAnswer& answer)>
+        on_orders_answer;
     /// The orders were not answered; with verdict `kNotRun` they were not received either.
     std::function<void(const std::string& host, const OrdersRequest& request, const Failure& failure)>
         on_orders_failure;
--- a/src/control/agent_messages.cc
+++ b/src/control/agent_messages.cc
@@ -20,7 +20,7 @@
 using workflow::WorkerReport;
 
 /// Version of the messages; processes of different versions refuse each other's.
-constexpr int kFormat = 1;
+constexpr int kFormat = 2;
 
 std::string Encode(json body) { return ToCbor(json::array({kFormat, std::move(body)})); }
 
@@ -152,7 +152,7 @@
     json starts = json::array();
     for (const StartOrder& start : job.starts) {
       starts.push_back(json::array({start.task, start.run, start.checkpoint, start.fills_idle_cpu, start.tail_target_ms,
-                                    start.ticket, start.image, start.demand_cpu}));
+                                    start.ticket, start.image, start.demand_cpu, start.was_sent}));
     }
     jobs.push_back(json::array({job.payload, std::move(starts)}));
   }
@@ -181,6 +181,7 @@
         start.at(5).get_to(order.ticket);
         start.at(6).get_to(order.image);
         start.at(7).get_to(order.demand_cpu);
+        start.at(8).get_to(order.was_sent);
         starts.starts.push_back(std::move(order));
       }
       message.jobs.push_back(std::move(starts));
@@ -203,19 +204,20 @@
   for (const OrdersAnswer::Stopped& stop : message.stops) {
     stops.push_back(json::array({stop.task, stop.run, stop.end_listed}));
   }
-  return Encode(json::array({std::move(starts), std::move(stops)}));
+  return Encode(json::array({message.is_worker_known, std::move(starts), std::move(stops)}));
 }
 
 Result<OrdersAnswer> DecodeOrdersAnswer(std::string_view bytes) {
   return Decode<OrdersAnswer>(bytes, [](const json& row) {
     OrdersAnswer message;
-    for (const json& start : row.at(0)) {
+    row.at(0).get_to(message.is_worker_known);
+    for (const json& start : row.at(1)) {
       message.starts.push_back({.task = start.at(0).get<std::string>(),
                                 .run = start.at(1).get<int>(),
                                 .answer = {.refusal = ReadEnum(start.at(2), StartRefusal::kStaleOwner),
                                            .clock_ms = start.at(3).get<std::int64_t>()}});
     }
-    for (const json& stop : row.at(1)) {
+    for (const json& stop : row.at(2)) {
       message.stops.push_back(
           {.task = stop.at(0).get<std::string>(), .run = stop.at(1).get<int>(), .end_listed = stop.at(2).get<bool>()});
     }
--- a/src/control/agent_messages.h
+++ b/src/control/agent_messages.h
@@ -71,6 +71,9 @@
     int run = 0;
     bool end_listed = false;  ///< else the run is not there and never will be
   };
+  /// Whether the agent has had an answer of the worker since it was started. Otherwise nothing was done, and nothing is
+  /// known of what its former process did.
+  bool is_worker_known = true;
   std::vector<Started> starts;
   std::vector<Stopped> stops;
 };
--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -247,7 +247,7 @@
   WatchAnswer answer{.version = m_version, .report = {}};
   workflow::WorkerReport& report = answer.report;
   report.agent_incarnation = m_options.incarnation;
-  if (!m_announcement) return answer;
+  if (!IsWorkerKnown()) return answer;
   report.life = m_announcement->life;
   report.condition = m_condition;
   report.service = m_announcement->service;
@@ -256,7 +256,6 @@
   report.rack = m_announcement->rack;
   report.capacity = m_announcement->capacity;
   report.remaining_ms = m_announcement->remaining_ms;
-  if (!m_lists) return answer;
   report.worker_clock_ms = m_lists->clock_ms;
   const std::int64_t acknowledged = request.life == report.life ? request.acknowledged : 0;
   for (const RunEnd& end : m_lists->ends) {
@@ -275,6 +274,12 @@
     reply(std::nullopt);
     return;
   }
+  if (!IsWorkerKnown()) {
+    LogEvent(LogLevel::kInfo, "orders_deferred",
+             {{"worker", request.life.worker}, {"jobs", request.jobs.size()}, {"stops", request.stops.size()}});
+    reply(OrdersAnswer{.is_worker_known = false, .starts = {}, .stops = {}});
+    return;
+  }
   auto batch = std::make_shared<OrderBatch>();
   batch->reply = std::move(reply);
   const bool is_present = IsPresent(request.life);
@@ -293,6 +298,8 @@
                        .checkpoint = order.checkpoint,
                        .ticket = order.ticket,
                        .lease_end_ms = request.lease_end_ms};
+      // A former process of this agent may have made the call.
+      if (order.was_sent) m_unsettled_starts.insert(attempt->key());
       m_traits[order.task] = {.task = order.task,
                               .fills_idle_cpu = order.fills_idle_cpu,
                               .tail_target_ms = order.tail_target_ms,
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -88,6 +88,9 @@
   void FlushWatch();
   WatchAnswer MakeWatchAnswer(const WatchRequest& request);
 
+  /// Whether the worker has given its lists in the life that it announced. Until then this process knows nothing of
+  /// what runs there, and the announcement may be a delayed one of a former life.
+  bool IsWorkerKnown() const { return m_announcement && m_lists; }
   /// Whether the worker is in that life and has not gone.
   bool IsPresent(const workflow::WorkerLife& life) const;
   /// Whether nothing depends any more on what a call for that life, ordered in that epoch, achieves.
--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -104,9 +104,8 @@
     m_scheduler->OnReport(host, report, m_loop.Now());
     Kick();
   };
-  listener.on_orders_answer = [this](const OrdersRequest& request, const OrdersAnswer& answer) {
-    OnOrdersAnswer(request, answer);
-  };
+  listener.on_orders_answer = [this](const std::string& host, const OrdersRequest& request,
+                                     const OrdersAnswer& answer) { OnOrdersAnswer(host, request, answer); };
   listener.on_orders_failure = [this](const std::string& host, const OrdersRequest& request, const Failure& failure) {
     OnOrdersFailure(host, request, failure);
   };
@@ -242,8 +241,18 @@
   link->second->SendOrders(std::move(request));
 }
 
-void OwnerRole::OnOrdersAnswer(const OrdersRequest& request, const OrdersAnswer& answer) {
+void OwnerRole::OnOrdersAnswer(const std::string& agent, const OrdersRequest& request, const OrdersAnswer& answer) {
   const MonotonicTime now = m_loop.Now();
+  if (!answer.is_worker_known) {
+    // Proves only that this message had no effect; an earlier one may have reached the agent's former process.
+    m_scheduler->OnWorkerUnknown(request.life);
+    OnOrdersFailure(agent, request,
+                    {.code = FailureCode::kUnavailable,
+                     .verdict = Verdict::kNotRun,
+                     .message = "the agent does not know its worker yet",
+                     .field = {}});
+    return;
+  }
   for (const OrdersAnswer::Started& start : answer.starts) {
     m_scheduler->OnStartAnswer(start.task, start.run, request.life, start.answer, now);
   }
--- a/src/control/owner_role.h
+++ b/src/control/owner_role.h
@@ -77,7 +77,7 @@
   void SendStarts(std::vector<workflow::StartOrder> starts);
   void SendStops(std::vector<workflow::StopOrder> stops);
   void SendTo(const std::string& agent, OrdersRequest request);
-  void OnOrdersAnswer(const OrdersRequest& request, const OrdersAnswer& answer);
+  void OnOrdersAnswer(const std::string& agent, const OrdersRequest& request, const OrdersAnswer& answer);
   void OnOrdersFailure(const std::string& agent, const OrdersRequest& request, const Failure& failure);
   AgentLink::Listener MakeLinkListener();
   std::int64_t UnixNow() const;
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -90,6 +90,8 @@
   void CancelJob(std::string_view id, MonotonicTime now);
   void SetLimits(PlacementLimits limits) { m_limits = std::move(limits); }
   void OnReport(const std::string& agent, const WorkerReport& report, MonotonicTime now);
+  /// The agent was started again and has no list of the worker yet: nothing more is placed there until it has.
+  void OnWorkerUnknown(const WorkerLife& life);
   void OnStartAnswer(const std::string& task, int run, const WorkerLife& life, const StartAnswer& answer,
                      MonotonicTime now);
   /// A stop was answered: the run is listed as ended, or will never be there.
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -72,6 +72,10 @@
   if (worker.condition == WorkerCondition::kDraining) MoveLastingTasks(worker);
 }
 
+void Scheduler::OnWorkerUnknown(const WorkerLife& life) {
+  if (PoolWorker* worker = m_workers.FindLife(life)) worker->reconciled = false;
+}
+
 void Scheduler::StartLife(PoolWorker& worker, const WorkerReport& report, MonotonicTime now) {
   LoseAllRuns(worker, RunLoss::kOtherLife, now);
   m_workers.Reindex(worker, report.life);
--- a/tests/unit/control/agent_node_test.cc
+++ b/tests/unit/control/agent_node_test.cc
@@ -32,10 +32,16 @@
   std::map<std::string, int> runs;
   std::vector<workflow::RunEnd> ends;
   int starts = 0;
+  int holds = 0;
+  bool lists_nothing = false;  ///< lists have no answer
   std::int64_t lease_end_ms = 0;
 
   void Hold(const HoldCall& call, absl::Duration, absl::AnyInvocable<void(Result<HoldAnswer>)> callback) override {
     if (refuses_connections) return Answer<HoldAnswer>(std::move(callback), Refused());
+    if (lists_nothing) {
+      return Answer<HoldAnswer>(std::move(callback), MayHaveRun(FailureCode::kDeadlineExceeded, "no answer"));
+    }
+    ++holds;
     if (call.epoch < highest_epoch) return Answer<HoldAnswer>(std::move(callback), Stale());
     highest_epoch = call.epoch;
     lease_end_ms = std::max(lease_end_ms, call.lease_end_ms.value_or(0));
@@ -107,7 +113,13 @@
     m_loop.RunSync([&] { m_agent.reset(); });
   }
 
+  /// The worker announces itself; returns once the agent has its first list.
   void Announce(bool draining = false) {
+    BeginAnnounce(draining);
+    REQUIRE(WaitUntil(m_loop, absl::Seconds(5), [&] { return m_worker.holds > 0; }));
+    absl::SleepFor(absl::Milliseconds(20));  // the answer takes 2 ms
+  }
+  void BeginAnnounce(bool draining = false) {
     m_loop.RunSync([&] {
       m_agent->OnAnnouncement({.life = life(), .sequence = ++m_sequence, .service = "s", .draining = draining});
     });
@@ -128,11 +140,15 @@
     return answer;
   }
 
-  static OrdersRequest StartRequest() {
-    return {.life = {}, .lease_end_ms = 100, .jobs = {{.payload = "p", .starts = {{.task = "a.0.0.0", .run = 1}}}}};
+  static OrdersRequest StartRequest(bool was_sent = false) {
+    return {.life = {},
+            .lease_end_ms = 100,
+            .jobs = {{.payload = "p", .starts = {{.task = "a.0.0.0", .run = 1, .was_sent = was_sent}}}}};
   }
 
-  std::optional<OrdersAnswer> StartTask(std::int64_t epoch) { return Order(epoch, StartRequest()); }
+  std::optional<OrdersAnswer> StartTask(std::int64_t epoch, bool was_sent = false) {
+    return Order(epoch, StartRequest(was_sent));
+  }
 
   std::optional<OrdersAnswer> StopTask(std::int64_t epoch) {
     return Order(epoch, {.life = {}, .jobs = {}, .stops = {{.agent = {}, .life = {}, .task = "a.0.0.0", .run = 1}}});
@@ -257,6 +273,48 @@
   CHECK(absl::Now() - begun < absl::Seconds(3));
 }
 
+struct UnconfirmedRow {
+  const char* name;
+  bool announced;
+  bool is_stop;
+};
+
+// Guards against a second run of a task whose agent was killed: the next agent does not know the worker for a second or
+// two, and an order answered as "another life" or "not there" made the owner give up a run that went on (issue 16).
+TEST_CASE("an agent that does not know its worker yet decides no order", "[agent]") {
+  const UnconfirmedRow row = GENERATE(UnconfirmedRow{"start before the announcement", false, false},
+                                      UnconfirmedRow{"stop before the announcement", false, true},
+                                      UnconfirmedRow{"start before the first list", true, false},
+                                      UnconfirmedRow{"stop before the first list", true, true});
+  INFO(row.name);
+  AgentWorld world;
+  world.worker().lists_nothing = true;
+  if (row.announced) world.BeginAnnounce();
+  const std::optional<OrdersAnswer> answer = row.is_stop ? world.StopTask(5) : world.StartTask(5);
+  REQUIRE(answer.has_value());
+  CHECK(!answer->is_worker_known);
+  CHECK(answer->starts.empty());
+  CHECK(answer->stops.empty());
+  CHECK(world.worker().starts == 0);
+  const std::optional<WatchAnswer> watch = world.Watch({.epoch = 5, .life = {}});
+  REQUIRE(watch.has_value());
+  CHECK(watch->report.life.worker.empty());  // a delayed announcement may be of a former life
+}
+
+// Guards against a second run after a restart of the agent: the call of its former process may still be carried out, so
+// the refusal of the repeated one proves nothing (issue 16).
+TEST_CASE("a refusal of a start that a former agent may have sent is left to a stop", "[agent]") {
+  const bool drains = GENERATE(true, false);
+  AgentWorld world;
+  world.Announce();
+  world.worker().refusal = StartRefusal::kRoom;
+  if (drains) world.Announce(true);
+  const std::optional<OrdersAnswer> answer = world.StartTask(5, true);
+  REQUIRE(answer.has_value());
+  REQUIRE(answer->starts.size() == 1);
+  CHECK(answer->starts.at(0).answer.refusal == StartRefusal::kEnded);
+}
+
 TEST_CASE("a plain refusal is passed on", "[agent]") {
   AgentWorld world;
   world.Announce();
--- a/tests/unit/workflow/interleaving_test.cc
+++ b/tests/unit/workflow/interleaving_test.cc
@@ -16,6 +16,7 @@
   int runs_done = 0;
   int takeovers = 0;
   int late_starts = 0;
+  int repeated_starts = 0;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     InterleavingWorld world(seed, Breakage::kNone);
     for (int i = 0; i < kSteps; ++i) world.Step();
@@ -25,11 +26,13 @@
     runs_done += world.runs_done();
     takeovers += world.takeovers();
     late_starts += world.late_starts();
+    repeated_starts += world.repeated_starts();
   }
   // Otherwise the faults would not have been met.
   CHECK(runs_done > 1000);
   CHECK(takeovers > 1000);
   CHECK(late_starts > 100);
+  CHECK(repeated_starts > 100);
 }
 
 struct BreakageRow {
@@ -44,7 +47,8 @@
                BreakageRow{"starts are sent before their placement is durable", Breakage::kStartBeforeDurable},
                BreakageRow{"a new owner does not wait for the former one's leases", Breakage::kNoWaitForFormerOwner},
                BreakageRow{"a start without answer counts as refused", Breakage::kRefusalIsFinal},
-               BreakageRow{"leases are taken for shorter than they are", Breakage::kLeaseTooShort});
+               BreakageRow{"leases are taken for shorter than they are", Breakage::kLeaseTooShort},
+               BreakageRow{"an unknown worker counts as another life", Breakage::kUnknownIsOtherLife});
   INFO(row.name);
   bool noticed = false;
   for (std::uint64_t seed = 1; seed <= kSeeds && !noticed; ++seed) {
--- a/tests/unit/workflow/interleaving_world.cc
+++ b/tests/unit/workflow/interleaving_world.cc
@@ -19,6 +19,10 @@
 constexpr absl::Duration kFormerOwnerGrants = absl::Milliseconds(4400);
 /// After this an agent gives a start without an answer up.
 constexpr absl::Duration kStartLimit = absl::Milliseconds(1500);
+/// An owner sends orders again that had no answer.
+constexpr absl::Duration kOrderPause = absl::Milliseconds(200);
+/// Longest time until a worker announces itself to an agent that was started again, in steps.
+constexpr int kAnnouncementSteps = 15;
 
 JobDefinition TwoStepJob(const std::string& id) {
   JobDefinition job;
@@ -90,7 +94,7 @@
   CarryOutLateStarts();
   GiveUpStarts();
   for (Worker& worker : m_workers) {
-    if (IsConnected(worker)) Report(worker);
+    if (IsReporting(worker)) Report(worker);
   }
   m_scheduler->Advance(m_now, absl::ToInt64Milliseconds(m_now.SinceBoot()));
   for (StopOrder& order : m_scheduler->TakeStops()) m_stops.push_back(std::move(order));
@@ -118,6 +122,8 @@
     m_lost_answers += 1 + Random(3);
   } else if (event < 62) {
     m_lose_batch = true;
+  } else if (event < 66) {
+    RestartAgent();
   }
 }
 
@@ -175,6 +181,17 @@
   worker.highest_epoch = 0;
 }
 
+void InterleavingWorld::RestartAgent() {
+  Worker& worker = AnyWorker();
+  ++worker.agent_incarnation;
+  worker.agent_unaware_until = m_now + (1 + Random(kAnnouncementSteps)) * kTick;
+  for (UnansweredStart& start : m_unanswered) {
+    if (start.order.life != worker.life) continue;
+    start.is_repeated = true;
+    start.given_up_at = m_now + kOrderPause;
+  }
+}
+
 void InterleavingWorld::CutWorker() { AnyWorker().cut_until = m_now + absl::Milliseconds(500 + 100 * Random(80)); }
 
 // ---- Workers
@@ -184,7 +201,7 @@
   const PoolWorker* known = m_scheduler->FindWorker(worker.agent);
   if (known != nullptr && known->life == worker.life) Acknowledge(worker, known->ends_durable);
   WorkerReport report;
-  report.agent_incarnation = 1;
+  report.agent_incarnation = worker.agent_incarnation;
   report.life = worker.life;
   report.service = "s";
   report.zone = "z";
@@ -265,24 +282,51 @@
 // ---- The owner's messages
 
 void InterleavingWorld::GiveUpStarts() {
-  std::vector<StartOrder> given_up;
+  std::vector<UnansweredStart> given_up;
   std::erase_if(m_unanswered, [&](const UnansweredStart& start) {
     if (start.given_up_at > m_now) return false;
-    given_up.push_back(start.order);
+    given_up.push_back(start);
     return true;
   });
   const StartRefusal refusal =
       m_breakage == Breakage::kRefusalIsFinal ? StartRefusal::kUnhealthy : StartRefusal::kEnded;
-  for (const StartOrder& order : given_up) {
+  for (const UnansweredStart& start : given_up) {
+    if (start.is_repeated) {
+      RepeatStart(start);
+      continue;
+    }
+    const StartOrder& order = start.order;
     m_scheduler->OnStartAnswer(order.task, order.run, order.life, {.refusal = refusal}, m_now);
   }
 }
 
+void InterleavingWorld::RepeatStart(const UnansweredStart& start) {
+  const StartOrder& order = start.order;
+  if (!m_scheduler->IsStarting(order)) return;
+  Worker* worker = Find(order.life);
+  const bool is_unaware = worker != nullptr && !IsReporting(*worker);
+  if (is_unaware && m_breakage != Breakage::kUnknownIsOtherLife) {
+    if (IsConnected(*worker)) m_scheduler->OnWorkerUnknown(order.life);
+    m_unanswered.push_back({.order = order, .given_up_at = m_now + kOrderPause, .is_repeated = true});
+    return;
+  }
+  ++m_repeated_starts;
+  if (worker == nullptr || is_unaware) {
+    m_scheduler->OnStartAnswer(order.task, order.run, order.life, {.refusal = StartRefusal::kOtherLife}, m_now);
+    return;
+  }
+  const PoolWorker* known = m_scheduler->FindWorker(worker->agent);
+  StartAnswer answer{.clock_ms = ClockOf(*worker)};
+  const std::int64_t until_ms = known == nullptr ? 0 : m_scheduler->LeaseEndFor(*known);
+  if (!Begin(*worker, order, m_epoch, until_ms)) answer.refusal = StartRefusal::kEnded;
+  m_scheduler->OnStartAnswer(order.task, order.run, order.life, answer, m_now);
+}
+
 void InterleavingWorld::DeliverStops() {
   std::vector<StopOrder> later;
   for (const StopOrder& order : std::exchange(m_stops, {})) {
     Worker* worker = Find(order.life);
-    if (worker != nullptr && (!IsConnected(*worker) || (!m_healed && Random(4) == 0))) {
+    if (worker != nullptr && (!IsReporting(*worker) || (!m_healed && Random(4) == 0))) {
       later.push_back(order);
       continue;
     }
@@ -330,6 +374,12 @@
   }
   const PoolWorker* known = m_scheduler->FindWorker(worker->agent);
   const std::int64_t until_ms = known == nullptr ? 0 : m_scheduler->LeaseEndFor(*known);
+  if (IsConnected(*worker) && !IsReporting(*worker)) {
+    // The first message with this start, so the owner knows that it had no effect.
+    m_scheduler->OnWorkerUnknown(order.life);
+    m_scheduler->OnStartAnswer(order.task, order.run, order.life, {.refusal = StartRefusal::kLate}, m_now);
+    return;
+  }
   if (!IsConnected(*worker) || m_lost_answers > 0) {
     m_lost_answers = std::max(0, m_lost_answers - 1);
     m_unanswered.push_back({.order = order, .given_up_at = m_now + kStartLimit});
--- a/tests/unit/workflow/interleaving_world.h
+++ b/tests/unit/workflow/interleaving_world.h
@@ -21,10 +21,11 @@
   kNoWaitForFormerOwner,      ///< a new owner takes workers that it cannot reach for empty
   kRefusalIsFinal,            ///< a start without an answer counts as refused
   kLeaseTooShort,             ///< the owner takes leases for shorter than they are
+  kUnknownIsOtherLife,        ///< an agent that was started again says that it does not know the worker's life
 };
 
 /// An owner, its successors and workers with the platform's rules, under faults at random: cuts, restarts, lost owners,
-/// lost batches, orders that are carried out seconds late, clocks that are slow.
+/// lost batches, agents that are started again, orders that are carried out seconds late, clocks that are slow.
 ///
 /// Each step lasts 100 ms. Everything follows from the seed.
 class InterleavingWorld {
@@ -41,6 +42,7 @@
   int runs_done() const { return m_runs_done; }
   int takeovers() const { return m_takeovers; }
   int late_starts() const { return m_late_starts; }
+  int repeated_starts() const { return m_repeated_starts; }
 
  private:
   struct LateStart {
@@ -55,6 +57,8 @@
     double clock_rate = 1;
     Resources capacity = {.cpu_millis = 4000, .memory_mb = 8000};
     MonotonicTime cut_until;
+    MonotonicTime agent_unaware_until;  ///< the agent was started again and has not heard of the worker
+    Incarnation agent_incarnation = 1;
     MonotonicTime former_owner_until;  ///< a former owner still grants leases until then
     std::int64_t highest_epoch = 0;
     std::int64_t lease_end_ms = 0;
@@ -70,6 +74,7 @@
   struct UnansweredStart {
     StartOrder order;
     MonotonicTime given_up_at;
+    bool is_repeated = false;  ///< the agent was started again, so the owner sends the order anew
   };
 
   void Tick();
@@ -79,6 +84,7 @@
   void EndRun(RunEndKind kind);
   void ReplaceOwner();
   void RestartWorker();
+  void RestartAgent();
   void CutWorker();
 
   void Report(Worker& worker);
@@ -87,6 +93,7 @@
   void Lapse(Worker& worker);
   void CarryOutLateStarts();
   void GiveUpStarts();
+  void RepeatStart(const UnansweredStart& start);
   void DeliverStops();
   void StoreBatch();
   void Send(const StartOrder& order);
@@ -95,6 +102,7 @@
   void ListEnd(Worker& worker, const std::string& task, RunEndKind kind);
 
   bool IsConnected(const Worker& worker) const { return m_now >= worker.cut_until; }
+  bool IsReporting(const Worker& worker) const { return IsConnected(worker) && m_now >= worker.agent_unaware_until; }
   std::int64_t ClockOf(const Worker& worker) const;
   Worker* Find(const WorkerLife& life);
   Worker& AnyWorker();
@@ -122,6 +130,7 @@
   int m_runs_done = 0;
   int m_takeovers = 0;
   int m_late_starts = 0;
+  int m_repeated_starts = 0;
   std::vector<std::string> m_violations;
 };
 
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -94,6 +94,20 @@
   CHECK(world.RunningTasks() == 1);
 }
 
+// Guards against starts that go to an agent in vain, run after run, until its worker has announced itself (issue 16).
+TEST_CASE("nothing is placed at an agent that does not know its worker yet", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  world.Submit(SingleStepJob("a0", ShortStep(1)));
+  REQUIRE(world.PlaceOf("a0.0.0.0") == "w1");
+  world.scheduler().OnWorkerUnknown(world.worker("w1").life);
+  world.SubmitWithout("w1", SingleStepJob("b0", ShortStep(1)));
+  CHECK(world.StartsOf("b0.0.0.0") == 0);
+  CHECK(world.PlaceOf("a0.0.0.0") == "w1");  // its run is kept
+  world.Settle();
+  CHECK(world.PlaceOf("b0.0.0.0") == "w1");
+}
+
 struct FailureRow {
   const char* name;
   bool lasting;
--- a/tests/unit/workflow/scheduler_world.cc
+++ b/tests/unit/workflow/scheduler_world.cc
@@ -23,11 +23,13 @@
   return worker;
 }
 
-void SchedulerWorld::Submit(const JobDefinition& job) {
+void SchedulerWorld::Submit(const JobDefinition& job) { SubmitWithout({}, job); }
+
+void SchedulerWorld::SubmitWithout(const std::string& silent, const JobDefinition& job) {
   m_jobs[job.id] = job;
   m_index.ApplySubmission(job.id, EncodeJob(job));
   m_scheduler->AddJob(job.id, *m_index.Find(job.id), m_now, unix_now_ms());
-  Settle();
+  SettleWithout(silent);
 }
 
 void SchedulerWorld::Cancel(const std::string& job) {
--- a/tests/unit/workflow/scheduler_world.h
+++ b/tests/unit/workflow/scheduler_world.h
@@ -40,6 +40,8 @@
 
   /// Submits the job and runs until nothing changes.
   void Submit(const JobDefinition& job);
+  /// The same without a report of the named worker.
+  void SubmitWithout(const std::string& silent, const JobDefinition& job);
   void Cancel(const std::string& job);
   /// Reports of all workers, decisions, records, starts and stops, until nothing changes.
   void Settle();
