Bound the wait of a job's first filling task for a worker that is fast enough

Cause: a filling task was placed only where its expected speed was at least 0.35 of full speed. The expectation is made of smoothed tails of serving tasks and of the declared demand of other filling tasks, paused ones too; beside a few serving tasks near their targets no worker ever passes, and steps that are late come last. Nothing bounded the wait. Class of fault: an estimate that should only rank workers was used as a condition.

Change: a job that has no run takes the best worker, at any expected speed, after 2 s, if the worker has the room twice over. Its further tasks wait for a better worker as before. The agent's pace still protects the serving tasks.

The new test "a filling task of a job without a run takes a slow worker after a while" failed before.

--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -75,8 +75,12 @@
   if (definition.fills_idle_cpu) demand.cpu_millis = 0;
   if (!demand.FitsIn(free)) return PlacementObstacle::kRoom;
   if (definition.fills_idle_cpu) {
-    const bool is_fast = FillingSpeed(definition, worker) >= m_options.lowest_filling_speed;
-    return is_fast ? PlacementObstacle::kNone : PlacementObstacle::kTooSlow;
+    if (FillingSpeed(definition, worker) >= m_options.lowest_filling_speed) return PlacementObstacle::kNone;
+    // The expected speed is only an estimate, so it delays the first run of a job but never prevents it.
+    Resources spare = demand;
+    for (int i = 1; i < m_options.slow_worker_room; ++i) spare += demand;
+    const bool takes_any_speed = now >= AnySpeedFrom(step) && spare.FitsIn(free);
+    return takes_any_speed ? PlacementObstacle::kNone : PlacementObstacle::kTooSlow;
   }
   if (!definition.long_running) return PlacementObstacle::kNone;
   const MonotonicTime waiting_since = step.runtimes[static_cast<std::size_t>(index)].waiting_since;
@@ -85,6 +89,12 @@
   return leaves_reserve ? PlacementObstacle::kNone : PlacementObstacle::kReserved;
 }
 
+MonotonicTime PlacementPolicy::AnySpeedFrom(const WorkflowStep& step) const {
+  // Further runs of the job may wait for a better worker, because the job makes progress.
+  if (!step.definition->fills_idle_cpu || step.job->placed > 0) return InfiniteFuture();
+  return step.runtimes[step.LongestWaitingTask()].waiting_since + m_options.slow_worker_patience;
+}
+
 double PlacementPolicy::FillingSpeed(const StepDefinition& definition, const PoolWorker& worker) const {
   const auto demand = static_cast<double>(std::max<std::int64_t>(definition.demand.cpu_millis, 1));
   double speed = (IdleCpu(worker) - static_cast<double>(worker.filling_cpu)) / demand;
--- a/src/workflow/placement_policy.h
+++ b/src/workflow/placement_policy.h
@@ -30,6 +30,11 @@
   double serving_use = 0.5;
   /// Least speed, as a share of full speed, at which a filling task is placed; it waits for a better worker otherwise.
   double lowest_filling_speed = 0.35;
+  /// A filling task of a job without any run takes a slower worker after it has waited this long; with the placement
+  /// itself it stays under the 3 s for which the platform accepts that a job has no run while there is room.
+  absl::Duration slow_worker_patience = absl::Seconds(2);
+  /// A slower worker is taken only if it has this many times the demand free, so that other work is not kept out.
+  int slow_worker_room = 2;
   /// A start without an answer for this long makes its worker the last choice. An answer usually takes under 20 ms.
   absl::Duration late_start = absl::Milliseconds(300);
   /// Share of the target of a serving task up to which predicted interference is accepted.
@@ -66,6 +71,9 @@
   PlacementObstacle RoomObstacle(const WorkflowStep& step, int index, const PoolWorker& worker,
                                  MonotonicTime now) const;
 
+  /// When the step's tasks may take a worker that is slower than it should be; `InfiniteFuture()` if never.
+  MonotonicTime AnySpeedFrom(const WorkflowStep& step) const;
+
   /// Expected speed of one more filling task, 0 to 1: what idle processors and the targets of serving tasks allow.
   double FillingSpeed(const StepDefinition& definition, const PoolWorker& worker) const;
 
--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -19,18 +19,6 @@
 /// Steps that are logged at most in one interval, the most urgent first.
 constexpr std::size_t kMaxLoggedWaits = 20;
 
-/// Index of the task of the step that waits longest; the first one if none waits.
-std::size_t LongestWaitingTask(const WorkflowStep& step) {
-  std::size_t longest = 0;
-  MonotonicTime since = InfiniteFuture();
-  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-    if (step.tasks[i].state != TaskState::kWaiting || step.runtimes[i].waiting_since >= since) continue;
-    since = step.runtimes[i].waiting_since;
-    longest = i;
-  }
-  return longest;
-}
-
 /// Whether a step needs at least as much as one that found no room on any worker. Says no where the failed one was
 /// restricted to some workers, or waits for more room than it takes (tasks that last).
 bool NeedsAtLeast(const StepDefinition& step, const StepDefinition& failed) {
@@ -52,9 +40,12 @@
   SortByUrgency(waiting, now);
   std::vector<const StepDefinition*> failed;
   for (WorkflowStep* step : waiting) {
-    const bool is_hopeless = std::any_of(failed.begin(), failed.end(), [&](const StepDefinition* other) {
-      return NeedsAtLeast(*step->definition, *other);
-    });
+    const MonotonicTime any_speed_from = m_policy.AnySpeedFrom(*step);
+    if (any_speed_from > now) m_next_retry = std::min(m_next_retry, any_speed_from);
+    const bool is_hopeless =
+        any_speed_from > now && std::any_of(failed.begin(), failed.end(), [&](const StepDefinition* other) {
+          return NeedsAtLeast(*step->definition, *other);
+        });
     if (is_hopeless) continue;
     if (step->definition->gang) {
       PlaceGang(*step, candidates, now);
@@ -87,12 +78,12 @@
   m_next_wait_check = now + kWaitLogInterval;
   std::vector<WorkflowStep*> waiting(m_waiting.begin(), m_waiting.end());
   std::erase_if(waiting, [&](const WorkflowStep* step) {
-    return now - step->runtimes[LongestWaitingTask(*step)].waiting_since < kLongWait;
+    return now - step->runtimes[step->LongestWaitingTask()].waiting_since < kLongWait;
   });
   SortByUrgency(waiting, now);
   if (waiting.size() > kMaxLoggedWaits) waiting.resize(kMaxLoggedWaits);
   for (const WorkflowStep* step : waiting) {
-    const std::size_t i = LongestWaitingTask(*step);
+    const std::size_t i = step->LongestWaitingTask();
     std::map<std::string, int> workers;
     for (const PoolWorker* worker : m_workers.workers()) {
       if (!m_quarantine.MayPlace(WorkerId(worker->life.worker), now)) {
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
@@ -57,6 +58,17 @@
 
   bool IsDone() const { return done == static_cast<int>(tasks.size()); }
   std::string TaskNameOf(int index) const { return name + "." + std::to_string(index); }
+  /// Index of the task that waits longest; the first one if none waits.
+  std::size_t LongestWaitingTask() const {
+    std::size_t longest = 0;
+    MonotonicTime since = InfiniteFuture();
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+      if (tasks[i].state != TaskState::kWaiting || runtimes[i].waiting_since >= since) continue;
+      since = runtimes[i].waiting_since;
+      longest = i;
+    }
+    return longest;
+  }
 };
 
 /// A job that the owner schedules.
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -12,6 +12,14 @@
   return {.task_count = tasks, .demand = {.cpu_millis = 240, .memory_mb = 480}, .estimate_ms = 600};
 }
 
+StepDefinition FillingStep(int tasks) {
+  return {.task_count = tasks,
+          .demand = {.cpu_millis = 4000, .memory_mb = 1000},
+          .estimate_ms = 1000,
+          .saves_progress = true,
+          .fills_idle_cpu = true};
+}
+
 StepDefinition LastingStep(int tasks) {
   return {.task_count = tasks, .demand = {.cpu_millis = 3200, .memory_mb = 6400}, .long_running = true};
 }
@@ -108,6 +116,33 @@
   CHECK(world.PlaceOf("b0.0.0.0") == "w1");
 }
 
+// Guards against a job that never runs although most of the workers' room is free, because its filling tasks would run
+// slower there than they should (issue 16).
+TEST_CASE("a filling task of a job without a run takes a slow worker after a while", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  world.Submit(SingleStepJob("a0", FillingStep(4)));  // as many as the idle processors carry
+  REQUIRE(world.RunningTasks() == 4);
+  world.Submit(SingleStepJob("b0", FillingStep(3)));
+  CHECK(world.RunningTasks() == 4);
+  world.Sleep(absl::Milliseconds(2500));
+  world.Settle();
+  CHECK(world.PlaceOf("b0.0.0.0") == "w1");
+  CHECK(world.RunningTasks() == 5);  // the others of the job would only make each other slower
+}
+
+// Guards against slow filling tasks that take the memory that other work needs.
+TEST_CASE("a slow worker is taken only if it has the room twice over", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1").capacity.memory_mb = 5500;
+  world.Submit(SingleStepJob("a0", FillingStep(4)));
+  REQUIRE(world.RunningTasks() == 4);
+  world.Submit(SingleStepJob("b0", FillingStep(1)));
+  world.Sleep(absl::Milliseconds(2500));
+  world.Settle();
+  CHECK(world.RunningTasks() == 4);
+}
+
 struct FailureRow {
   const char* name;
   bool lasting;
--- a/tests/unit/workflow/scheduler_world.cc
+++ b/tests/unit/workflow/scheduler_world.cc
@@ -76,7 +76,7 @@
   WorkerReport report{.agent_incarnation = worker.agent_incarnation,
                       .life = worker.life,
                       .condition = worker.condition,
-                      .service = "dispatch",
+                      .service = worker.service,
                       .zone = worker.zone,
                       .labels = worker.labels,
                       .rack = worker.rack,
@@ -85,7 +85,13 @@
                       .has_runs = true,
                       .runs = {},
                       .ends = worker.ends};
-  for (const auto& [task, run] : worker.runs) report.runs.push_back({.task = task, .run = run, .checkpoint = {}});
+  for (const auto& [task, run] : worker.runs) {
+    const auto percent = worker.percents.find(task);
+    report.runs.push_back({.task = task,
+                           .run = run,
+                           .checkpoint = {},
+                           .percent = percent == worker.percents.end() ? 0 : percent->second});
+  }
   m_scheduler->OnReport(worker.agent, report, m_now);
 }
 
--- a/tests/unit/workflow/scheduler_world.h
+++ b/tests/unit/workflow/scheduler_world.h
@@ -19,11 +19,13 @@
   WorkerLife life;
   Incarnation agent_incarnation = 1;
   WorkerCondition condition = WorkerCondition::kReady;
+  std::string service = "dispatch";
   std::string zone = "galway-yard";
   std::vector<std::string> labels = {"a", "r1-1"};
   std::string rack = "r1-1";
   Resources capacity = {.cpu_millis = 16000, .memory_mb = 64000};
-  std::map<std::string, int> runs;  ///< run by task
+  std::map<std::string, int> runs;      ///< run by task
+  std::map<std::string, int> percents;  ///< of their work, by task; 0 if absent
   std::vector<RunEnd> ends;
   std::int64_t last_end = 0;
   bool answers_starts = true;  ///< otherwise starts have no answer and no effect
