--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -19,12 +19,18 @@
 /// Steps that are logged at most in one interval, the most urgent first.
 constexpr std::size_t kMaxLoggedWaits = 20;
 
-/// Whether a step needs at least as much as one that found no room on any worker. Says no where the failed one was
-/// restricted to some workers, or waits for more room than it takes (tasks that last).
-bool NeedsAtLeast(const StepDefinition& step, const StepDefinition& failed) {
-  if (failed.long_running || !failed.required_label.empty() || failed.max_per_worker > 0) return false;
-  return failed.fills_idle_cpu == step.fills_idle_cpu && failed.long_running == step.long_running &&
-         failed.demand.FitsIn(step.demand);
+/// Whether a step finds no worker either because another one found none: it competes for the same workers by the same
+/// conditions and needs at least as much. Says no where the failed one was restricted to some workers, or waits for
+/// more room than it takes (tasks that last).
+bool FailsLike(const WorkflowStep& step, const WorkflowStep& failed) {
+  const StepDefinition& needed = *step.definition;
+  const StepDefinition& refused = *failed.definition;
+  if (refused.long_running || !refused.required_label.empty() || refused.max_per_worker > 0) return false;
+  if (step.job->definition.queue.service != failed.job->definition.queue.service) return false;
+  if (refused.fills_idle_cpu != needed.fills_idle_cpu || refused.long_running != needed.long_running) return false;
+  // Images disturb serving tasks to a different degree, so each has its own expected speed.
+  if (refused.fills_idle_cpu && refused.image != needed.image) return false;
+  return refused.demand.FitsIn(needed.demand);
 }
 
 }  // namespace
@@ -38,14 +44,13 @@
   }
   std::vector<WorkflowStep*> waiting(m_waiting.begin(), m_waiting.end());
   SortByUrgency(waiting, now);
-  std::vector<const StepDefinition*> failed;
+  std::vector<const WorkflowStep*> failed;
   for (WorkflowStep* step : waiting) {
     const MonotonicTime any_speed_from = m_policy.AnySpeedFrom(*step);
     if (any_speed_from > now) m_next_retry = std::min(m_next_retry, any_speed_from);
     const bool is_hopeless =
-        any_speed_from > now && std::any_of(failed.begin(), failed.end(), [&](const StepDefinition* other) {
-          return NeedsAtLeast(*step->definition, *other);
-        });
+        any_speed_from > now &&
+        std::any_of(failed.begin(), failed.end(), [&](const WorkflowStep* other) { return FailsLike(*step, *other); });
     if (is_hopeless) continue;
     if (step->definition->gang) {
       PlaceGang(*step, candidates, now);
@@ -63,7 +68,7 @@
         if (step->definition->long_running) {
           m_next_retry = std::min(m_next_retry, now + m_options.placement.reserve_patience);
         }
-        failed.push_back(step->definition);
+        failed.push_back(step);
         break;
       }
       Place(*step, static_cast<int>(i), *worker, step->tasks[i].run + 1, now);
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -143,6 +143,19 @@
   CHECK(world.RunningTasks() == 4);
 }
 
+// Guards against a job that waits for the room of another service's workers (issue 16).
+TEST_CASE("a full service does not make the steps of another one wait", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1").capacity.cpu_millis = 300;
+  world.AddWorker("w2").service = "other";
+  world.Submit(SingleStepJob("a0", ShortStep(2)));
+  REQUIRE(world.RunningTasks() == 1);
+  JobDefinition job = SingleStepJob("b0", ShortStep(1));
+  job.queue.service = "other";
+  world.Submit(job);
+  CHECK(world.PlaceOf("b0.0.0.0") == "w2");
+}
+
 struct FailureRow {
   const char* name;
   bool lasting;
