End a worker's quarantine without another event, and when its trial has no result

Change: the end of a pause is a time at which placement is due; a trial without a result is reported as such; a lasting task that is at work counts as a success. The new test "a worker in quarantine is tried again without another event" failed in all three rows before.

--- a/src/schedule/worker_quarantine.cc
+++ b/src/schedule/worker_quarantine.cc
@@ -62,6 +62,11 @@
   return state == QuarantineState::kOpen || state == QuarantineState::kTrialDue;
 }
 
+MonotonicTime WorkerQuarantine::TrialAt(const WorkerId& worker, MonotonicTime now) const {
+  if (StateOf(worker, now) != QuarantineState::kQuarantined) return InfiniteFuture();
+  return m_records.at(worker).trial_at;
+}
+
 std::vector<JobId> WorkerQuarantine::Evidence(const WorkerId& worker) const {
   const auto found = m_records.find(worker);
   if (found == m_records.end()) return {};
--- a/src/schedule/worker_quarantine.h
+++ b/src/schedule/worker_quarantine.h
@@ -63,6 +63,8 @@
 
   QuarantineState StateOf(const WorkerId& worker, MonotonicTime now) const;
   bool MayPlace(const WorkerId& worker, MonotonicTime now) const;
+  /// When the pause of a worker ends that is out; `InfiniteFuture()` for any other.
+  MonotonicTime TrialAt(const WorkerId& worker, MonotonicTime now) const;
   /// Jobs that failed on the worker since its last success.
   std::vector<JobId> Evidence(const WorkerId& worker) const;
 
--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -40,7 +40,9 @@
   std::vector<PoolWorker*> candidates;
   for (PoolWorker* worker : m_workers.workers()) {
     if (worker->avoid_until > now) m_next_retry = std::min(m_next_retry, worker->avoid_until);
-    if (m_quarantine.MayPlace(WorkerId(worker->life.worker), now)) candidates.push_back(worker);
+    const WorkerId id(worker->life.worker);
+    m_next_retry = std::min(m_next_retry, m_quarantine.TrialAt(id, now));
+    if (m_quarantine.MayPlace(id, now)) candidates.push_back(worker);
   }
   std::vector<WorkflowStep*> waiting(m_waiting.begin(), m_waiting.end());
   SortByUrgency(waiting, now);
--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -95,6 +95,7 @@
     step.runtimes[static_cast<std::size_t>(task.index)].avoid.push_back(worker);
   } else {
     ++m_counts.ends_other;
+    m_quarantine.RecordTrialAborted(WorkerId(worker));
   }
   if (step.definition->gang) {
     SettleGang(step, task.index, kind, now);
@@ -148,6 +149,7 @@
             {"run", progress.run},
             {"worker", progress.worker},
             {"reason", kRunLossNames.NameOf(reason)}});
+  m_quarantine.RecordTrialAborted(WorkerId(progress.worker));
   Release(task, {}, now);
   if (step.definition->gang) SettleGang(step, task.index, RunEndKind::kLapsed, now);
   MarkChanged(step);
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -186,7 +186,10 @@
     const ActiveRun& run = *found->second;
     listed.erase(found);
     NoteBegun(&worker, task);
-    if (run.percent != runtime.percent) runtime.percent = run.percent;
+    // A task that lasts never ends as done, so being at work is its success.
+    const bool is_newly_at_work = run.percent == 100 && runtime.percent != 100 && task.step->definition->long_running;
+    if (is_newly_at_work) m_quarantine.RecordSuccess(WorkerId(worker.life.worker));
+    runtime.percent = run.percent;
     runtime.measured = run.measured;
     if (!run.checkpoint.empty()) runtime.checkpoint = run.checkpoint;
   }
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -156,6 +156,45 @@
   CHECK(world.PlaceOf("b0.0.0.0") == "w2");
 }
 
+struct QuarantineRow {
+  const char* name;
+  bool is_lasting;    ///< the trial is a task that lasts
+  bool is_cancelled;  ///< the trial ends without a result
+};
+
+// Guards against a worker that gets nothing any more although it is sound again: nothing looked at it when its pause
+// ended, or its trial never ended as done or failed (issue 16).
+TEST_CASE("a worker in quarantine is tried again without another event", "[scheduler]") {
+  const QuarantineRow row =
+      GENERATE(QuarantineRow{"a short trial", false, false}, QuarantineRow{"a lasting trial", true, false},
+               QuarantineRow{"a cancelled trial", false, true});
+  INFO(row.name);
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  for (const char* id : {"a0", "a1", "a2"}) {
+    JobDefinition job = SingleStepJob(id, ShortStep(1));
+    job.queue.max_attempts = 1;
+    world.Submit(job);
+    world.End(std::string(id) + ".0.0.0", RunEndKind::kFailed);
+    world.Settle();
+  }
+  world.Submit(SingleStepJob("b0", row.is_lasting ? LastingStep(1) : ShortStep(1)));
+  REQUIRE(world.RunningTasks() == 0);  // in quarantine
+  world.Sleep(absl::Seconds(4));
+  world.Settle();
+  REQUIRE(world.PlaceOf("b0.0.0.0") == "w1");
+  if (row.is_cancelled) {
+    world.Cancel("b0");
+  } else if (row.is_lasting) {
+    world.worker("w1").percents["b0.0.0.0"] = 100;
+  } else {
+    world.End("b0.0.0.0", RunEndKind::kDone);
+  }
+  world.Settle();
+  world.Submit(SingleStepJob("c0", ShortStep(1)));
+  CHECK(world.PlaceOf("c0.0.0.0") == "w1");
+}
+
 struct FailureRow {
   const char* name;
   bool lasting;
