Serve a connection that takes the place of one that was just closed

With max_connections reached, a caller that waited for a place was disconnected unserved when another one left.

Cause: libmicrohttpd notifies this server that a connection is closed before it stops counting it. The notification frees the place at the acceptor, which accepts the next connection on its own thread and hands it over; the library's own limit was the same number, so the library refused and closed it. Class of fault: two counters for one limit that are decreased one after the other.

By their options, the agent's local port and the operators' port (one thread each) and the callers' port (two) are all concerned; no run of these was made.

Change: the library's limit leaves room for each admitted connection to replace one that is still counted, so only the acceptor limits. The existing check is unchanged. A new test repeats the replacement 300 times.

--- a/src/web/microhttpd_server.cc
+++ b/src/web/microhttpd_server.cc
@@ -29,6 +29,12 @@
 /// sends a reset, which can destroy the answer before the peer has read it.
 constexpr std::size_t kMaxDiscardedBytes = 4 << 20;
 
+/// Connections for which each thread of the library has room, as a multiple of those that the acceptor admits. The
+/// library divides its limit among its threads, and one thread can receive all connections. It still counts a closed
+/// connection for a moment after it has notified this server, when the acceptor can admit another one in its place. At
+/// worst, all connections of a thread have been replaced before the first of them is no longer counted.
+constexpr std::intptr_t kLibraryLimitFactor = 2;
+
 /// Interval at which overdue transfers are looked for.
 constexpr std::chrono::milliseconds kOverdueCheckInterval{250};
 
@@ -182,10 +188,11 @@
   constexpr unsigned int kFlags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG |
                                   MHD_USE_NO_LISTEN_SOCKET | MHD_USE_ITC;
   const std::size_t head_block = kHeadBlockFactor * (options.max_url_bytes + options.max_header_bytes);
-  // The acceptor enforces the limits on connections. The library divides its own limit among the threads; multiplied by
-  // their number, it never refuses a connection that the acceptor has admitted.
+  // The acceptor enforces the limits on connections; the library's own limit must never refuse what the acceptor has
+  // admitted.
+  const std::intptr_t library_limit = kLibraryLimitFactor * options.max_connections * options.threads;
   std::vector<MHD_OptionItem> items = {
-      {MHD_OPTION_CONNECTION_LIMIT, std::intptr_t{options.max_connections} * options.threads, nullptr},
+      {MHD_OPTION_CONNECTION_LIMIT, library_limit, nullptr},
       {MHD_OPTION_CONNECTION_TIMEOUT, options.idle_timeout_s, nullptr},
       {MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::intptr_t>(head_block), nullptr},
   };
--- a/tests/unit/web/web_server_test.cc
+++ b/tests/unit/web/web_server_test.cc
@@ -369,6 +369,29 @@
   CHECK(third.Read().value().body == "/third");
 }
 
+// Guards against a connection that is admitted in place of a closed one and then refused by the library, which counts
+// the closed one for a moment longer.
+TEST_CASE("a connection that waits for a place is served when another one closes", "[web]") {
+  constexpr int kRounds = 300;
+  const int threads = GENERATE(1, 2, 4);
+  CAPTURE(threads);
+  TestServer server({.threads = threads, .max_connections = 1});
+  std::optional<RawClient> present(std::in_place, server.port());
+  present->Send(Request("/first"));
+  REQUIRE(present->Read().has_value());
+  int unserved = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    RawClient next(server.port());
+    const std::string path = "/" + std::to_string(round);
+    next.Send(Request(path));
+    present.reset();
+    const std::optional<RawResponse> response = next.Read();
+    if (!response || response->body != path) ++unserved;
+    present.emplace(std::move(next));
+  }
+  CHECK(unserved == 0);
+}
+
 // Guards against a planned stop that interrupts requests or goes on accepting work.
 TEST_CASE("shutdown finishes open requests and accepts no connection", "[web]") {
   TestServer server;
