Keep the traits of runs that reach an agent before its worker's announcement

Callers saw serving tasks over their target for 4 s, by filling tasks beside them (HARM), after agents were killed.

Cause: the owner sends the traits of the runs once to an agent that was started again. It arrives before the worker's announcement, and the agent took traits only for the life that it knew, so it dropped them: of runs that it had not started itself it knew neither image nor target, and paced nothing.

Change: traits are kept whatever life the agent knows; they belong to the tasks.

The new test failed before.

--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -82,7 +82,6 @@
   m_acknowledged = 0;
   m_last_end = 0;
   m_refused_calls = 0;
-  m_traits.clear();
   m_unsettled_starts.clear();
   m_pending_starts.clear();
   m_condition = WorkerCondition::kGone;
@@ -222,8 +221,9 @@
       ScheduleHold(absl::ZeroDuration());
     }
     for (const workflow::InterferenceEntry& entry : request.interference) m_interference.Set(entry);
-    for (const TaskTraits& traits : request.traits) m_traits[traits.task] = traits;
   }
+  // Sent once to a new agent, which may not know its worker yet; they belong to the tasks, whatever life they run in.
+  for (const TaskTraits& traits : request.traits) m_traits[traits.task] = traits;
   if (m_watch) FlushWatch();  // the owner gave the former one up
   m_watch = request;
   m_watch_reply = std::move(reply);
--- a/tests/unit/control/agent_node_test.cc
+++ b/tests/unit/control/agent_node_test.cc
@@ -30,8 +30,10 @@
   std::int64_t born = 1000;
   std::int64_t highest_epoch = 0;
   std::map<std::string, int> runs;
+  std::map<std::string, std::int64_t> measured;  ///< by task; 0 if absent
   std::vector<workflow::RunEnd> ends;
   int starts = 0;
+  int paces = 0;
   int holds = 0;
   bool lists_nothing = false;  ///< lists have no answer
   std::int64_t lease_end_ms = 0;
@@ -47,7 +49,9 @@
     lease_end_ms = std::max(lease_end_ms, call.lease_end_ms.value_or(0));
     std::erase_if(ends, [&](const workflow::RunEnd& end) { return end.number <= call.acknowledged; });
     HoldAnswer answer{.clock_ms = ++m_clock_ms, .born = born, .runs = {}, .ends = ends};
-    for (const auto& [task, run] : runs) answer.runs.push_back({.task = task, .run = run, .checkpoint = {}});
+    for (const auto& [task, run] : runs) {
+      answer.runs.push_back({.task = task, .run = run, .checkpoint = {}, .percent = 50, .measured = measured[task]});
+    }
     Answer<HoldAnswer>(std::move(callback), std::move(answer));
   }
 
@@ -76,6 +80,7 @@
   }
 
   void Pace(const PaceCall&, absl::Duration, absl::AnyInvocable<void(Result<void>)> callback) override {
+    ++paces;
     Answer<void>(std::move(callback), Result<void>());
   }
 
@@ -301,6 +306,20 @@
   CHECK(watch->report.life.worker.empty());  // a delayed announcement may be of a former life
 }
 
+// Guards against serving tasks that stay over their target after a restart of their agent: the owner sends the traits
+// of the runs once, and the new agent dropped them because it did not know its worker yet.
+TEST_CASE("an agent paces runs whose traits came before its worker's announcement", "[agent]") {
+  AgentWorld world;
+  world.worker().runs = {{"a.0.0.0", 1}, {"b.0.0.0", 1}};
+  world.worker().measured = {{"a.0.0.0", 4000}, {"b.0.0.0", 500}};
+  WatchRequest watch{.epoch = 5, .life = world.life()};
+  watch.traits = {{.task = "a.0.0.0", .fills_idle_cpu = true, .image = "batch", .demand_cpu = 4000},
+                  {.task = "b.0.0.0", .tail_target_ms = 100, .image = "web", .demand_cpu = 1000}};
+  REQUIRE(world.Watch(watch).has_value());
+  world.Announce();
+  CHECK(WaitUntil(world.loop(), absl::Seconds(5), [&] { return world.worker().paces > 0; }));
+}
+
 // Guards against a second run after a restart of the agent: the call of its former process may still be carried out, so
 // the refusal of the repeated one proves nothing (issue 16).
 TEST_CASE("a refusal of a start that a former agent may have sent is left to a stop", "[agent]") {
