Remove the submission of a finished job before its summary

Callers would see a finished job shown as queued, and run again (TWICE), after the loss of an owner at the end of the job's retention, or when the store refused the removal of its submission.

Cause: the owner removed the summary first and the submission in a later append to another partition. A submission without a summary and steps is the record of a job that has not run. Class of fault: a reader takes a missing record as proof.

Evidence: the new test "a finished job does not run again if its submission outlives its owner" failed before (two starts).

Change: the submission is removed first, and the summary once that is stored. A new owner removes a summary that has no submission any more.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -364,8 +364,12 @@
                                 for (const std::string& job : jobs) {
                                   m_submissions.Add(
                                       {{.key = job, .value = {}}, {.key = workflow::CancellationKey(job), .value = {}}},
-                                      [job](AppendOutcome outcome) {
-                                        if (outcome == AppendOutcome::kStored) return;
+                                      [this, alive = m_alive, job](AppendOutcome outcome) {
+                                        if (!*alive) return;
+                                        if (outcome == AppendOutcome::kStored) {
+                                          if (m_owner != nullptr) m_owner->OnSubmissionRemoved(job);
+                                          return;
+                                        }
                                         // It stays in the store until an owner starts anew and retires it again.
                                         LogEvent(LogLevel::kWarning, "job_not_removed", {{"job", job}});
                                       });
--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -58,6 +58,12 @@
   Kick();
 }
 
+void OwnerRole::OnSubmissionRemoved(const std::string& job) {
+  if (m_scheduler == nullptr) return;
+  m_scheduler->OnSubmissionRemoved(job);
+  Kick();
+}
+
 void OwnerRole::SetLimits(workflow::PlacementLimits limits) {
   m_limits = std::move(limits);
   if (m_scheduler == nullptr) return;
@@ -135,6 +141,8 @@
   if (m_scheduler != nullptr && !m_handing_over) {
     m_scheduler->Advance(now, UnixNow());
     SendStops(m_scheduler->TakeStops());
+    const std::vector<std::string> retired = m_scheduler->TakeRetiredJobs();
+    if (!retired.empty()) m_listener.on_retired(retired);
   }
   if (!m_writer->is_busy()) {
     const Batch* batch = m_scheduler != nullptr ? m_scheduler->TakeBatch(now) : nullptr;
@@ -186,7 +194,6 @@
   if (kind == WriteKind::kBatch) {
     Batch batch = m_scheduler->OnBatchDurable(m_loop.Now());
     SendStarts(std::move(batch.starts));
-    if (!batch.retired_jobs.empty()) m_listener.on_retired(batch.retired_jobs);
   }
   Kick();
 }
--- a/src/control/owner_role.h
+++ b/src/control/owner_role.h
@@ -38,6 +38,7 @@
     std::function<void()> on_deposed;
     /// These records of the progress partition are stored.
     std::function<void(const std::vector<KeyedRecord>& records, std::int64_t end)> on_stored;
+    /// The submissions of these jobs may be removed; `OnSubmissionRemoved` is expected for each that is.
     std::function<void(const std::vector<std::string>& jobs)> on_retired;
   };
 
@@ -51,6 +52,8 @@
 
   void OnSubmission(const std::string& job);
   void OnCancellation(const std::string& job);
+  /// The submission of a retired job is removed from the store.
+  void OnSubmissionRemoved(const std::string& job);
   void SetLimits(workflow::PlacementLimits limits);
   /// Where an agent listens; connects to it. Not to be called before `Begin`.
   void SetMember(const std::string& host, const MemberRecord& member);
--- a/src/workflow/orders.h
+++ b/src/workflow/orders.h
@@ -76,7 +76,6 @@
   std::vector<std::pair<std::string, std::string>> records;  ///< key and value; an empty value removes the key
   std::vector<StartOrder> starts;
   std::vector<EndAcknowledgement> acknowledgements;
-  std::vector<std::string> retired_jobs;  ///< their submissions may be removed from the store
 };
 
 }  // namespace berylgauge::workflow
--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -34,7 +34,12 @@
 
 void Scheduler::AddJob(const std::string& id, const JobIndex::Job& recorded, MonotonicTime now,
                        std::int64_t unix_now_ms) {
-  if (recorded.definition.empty() || m_jobs.contains(id) || m_retire_at.contains(id)) return;
+  if (m_jobs.contains(id) || m_retire_at.contains(id) || m_retiring.contains(id)) return;
+  if (recorded.definition.empty()) {
+    // A former owner was lost after it had retired the job and before it had removed the summary.
+    if (recorded.summary && IsFinal(*recorded.summary)) m_removed_keys.push_back(id);
+    return;
+  }
   const bool ended = recorded.cancelled || (recorded.summary && IsFinal(*recorded.summary));
   if (ended && recorded.steps.empty()) {
     m_retire_at.emplace(id, now + m_options.retention);
@@ -234,6 +239,8 @@
 
 void Scheduler::RetireJobs(MonotonicTime now) {
   if (now < m_next_retirement) return;
+  // The end of each retired job must be stored, because nothing else of the job remains.
+  if (m_batch || !m_final_records.empty()) return;
   m_next_retirement = now + kRetirementInterval;
   std::vector<std::string> retired;
   for (const auto& [id, at] : m_retire_at) {
@@ -241,11 +248,17 @@
   }
   for (std::string& id : retired) {
     m_retire_at.erase(id);
-    m_removed_keys.push_back(id);
+    m_retiring.insert(id);
     m_retired_jobs.push_back(std::move(id));
   }
 }
 
+std::vector<std::string> Scheduler::TakeRetiredJobs() { return std::exchange(m_retired_jobs, {}); }
+
+void Scheduler::OnSubmissionRemoved(const std::string& job) {
+  if (m_retiring.erase(job) > 0) m_removed_keys.push_back(job);
+}
+
 const Batch* Scheduler::TakeBatch(MonotonicTime now) {
   if (m_batch) return nullptr;
   Batch batch;
@@ -271,7 +284,6 @@
   // The summary stands before the removals, so that no reader sees a job that has neither.
   for (auto& record : std::exchange(m_final_records, {})) batch.records.push_back(std::move(record));
   for (std::string& key : std::exchange(m_removed_keys, {})) batch.records.emplace_back(std::move(key), "");
-  batch.retired_jobs = std::exchange(m_retired_jobs, {});
   for (StartOrder& start : std::exchange(m_new_starts, {})) {
     const std::string step = start.task.substr(0, start.task.rfind('.'));
     (deferred.contains(step) ? m_new_starts : batch.starts).push_back(std::move(start));
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -106,6 +106,10 @@
   Batch OnBatchDurable(MonotonicTime now);
   /// Stops that are due; each is returned once until its answer.
   std::vector<StopOrder> TakeStops();
+  /// Finished jobs whose retention is over: their submissions may be removed from the store. The summary of each is
+  /// removed after `OnSubmissionRemoved`, because a submission without a summary is a job that has not run.
+  std::vector<std::string> TakeRetiredJobs();
+  void OnSubmissionRemoved(const std::string& job);
 
   // Queries.
 
@@ -184,7 +188,8 @@
   std::vector<std::pair<std::string, std::string>> m_final_records;  ///< summaries of jobs that were forgotten
   std::vector<std::string> m_removed_keys;
   std::vector<std::string> m_retired_jobs;
-  std::vector<StartOrder> m_new_starts;  ///< of the next batch
+  absl::flat_hash_set<std::string> m_retiring;  ///< retired, with a submission that may still be in the store
+  std::vector<StartOrder> m_new_starts;         ///< of the next batch
   std::vector<StopOrder> m_stops;
   std::optional<Batch> m_batch;                                      ///< under way
   absl::flat_hash_map<std::string, std::vector<TaskRef>> m_orphans;  ///< placed by a former owner, by worker id
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 #include "scheduler_world.h"
 
@@ -394,5 +395,44 @@
   CHECK(tasks->at(0).run == 2);
 }
 
+// Guards against a finished job that runs again, or is shown as queued: its submission is removed by another append
+// than its progress, so an owner may be lost between the two.
+TEST_CASE("a finished job does not run again if its submission outlives its owner", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  world.Submit(SingleStepJob("a0", ShortStep(1)));
+  world.End("a0.0.0.0", RunEndKind::kDone);
+  world.Settle();
+  REQUIRE(world.PhaseOf("a0") == JobPhase::kDone);
+  world.Sleep(SchedulerOptions{}.retention + absl::Seconds(2));
+  world.Settle();
+  CHECK(world.PhaseOf("a0") == JobPhase::kDone);  // the submission is still there
+  world.Replace();
+  world.Settle();
+  CHECK(world.StartsOf("a0.0.0.0") == 1);
+}
+
+// Guards against records of finished jobs that stay in the store for good.
+TEST_CASE("the summary of a retired job is removed after its submission", "[scheduler]") {
+  const bool owner_is_lost = GENERATE(true, false);
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  world.Submit(SingleStepJob("a0", ShortStep(1)));
+  world.End("a0.0.0.0", RunEndKind::kDone);
+  world.Settle();
+  CHECK(world.scheduler().TakeRetiredJobs().empty());
+  world.Sleep(SchedulerOptions{}.retention + absl::Seconds(2));
+  world.Settle();
+  CHECK(world.scheduler().TakeRetiredJobs() == std::vector<std::string>{"a0"});
+  world.RemoveSubmission("a0");
+  if (owner_is_lost) {
+    world.Replace();
+  } else {
+    world.scheduler().OnSubmissionRemoved("a0");
+  }
+  world.Settle();
+  CHECK(world.index().size() == 0);
+}
+
 }  // namespace
 }  // namespace berylgauge::workflow
--- a/tests/unit/workflow/scheduler_world.h
+++ b/tests/unit/workflow/scheduler_world.h
@@ -45,6 +45,8 @@
   /// The same without a report of the named worker.
   void SubmitWithout(const std::string& silent, const JobDefinition& job);
   void Cancel(const std::string& job);
+  /// Removes the record of the submission from the store.
+  void RemoveSubmission(const std::string& job) { m_index.ApplySubmission(job, {}); }
   /// Reports of all workers, decisions, records, starts and stops, until nothing changes.
   void Settle();
   /// The same without a report of the named worker.
