Place waiting tasks when a zone is taken back

Callers would see a task wait beside free workers (LOST) after the evacuation of their zone was removed, until some other event caused a round of placement.

Cause: new limits were stored and no round of placement was made due.

Evidence: the new test "a zone that is taken back is used at once" failed before.

--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -32,6 +32,11 @@
       m_quarantine(options.quarantine),
       m_policy(m_interference, options.placement) {}
 
+void Scheduler::SetLimits(PlacementLimits limits) {
+  m_limits = std::move(limits);
+  m_placement_due = true;  // a zone may have been taken back
+}
+
 void Scheduler::AddJob(const std::string& id, const JobIndex::Job& recorded, MonotonicTime now,
                        std::int64_t unix_now_ms) {
   if (m_jobs.contains(id) || m_retire_at.contains(id) || m_retiring.contains(id)) return;
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -88,7 +88,7 @@
   /// `unix_now_ms` is the time of day.
   void AddJob(const std::string& id, const JobIndex::Job& recorded, MonotonicTime now, std::int64_t unix_now_ms);
   void CancelJob(std::string_view id, MonotonicTime now);
-  void SetLimits(PlacementLimits limits) { m_limits = std::move(limits); }
+  void SetLimits(PlacementLimits limits);
   void OnReport(const std::string& agent, const WorkerReport& report, MonotonicTime now);
   /// The agent was started again and has no list of the worker yet: nothing more is placed there until it has.
   void OnWorkerUnknown(const WorkerLife& life);
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -295,6 +295,18 @@
   CHECK(world.PhaseOf("a0") == JobPhase::kQueued);
 }
 
+// Guards against a task that waits beside free workers after its zone was taken back, until something else happens.
+TEST_CASE("a zone that is taken back is used at once", "[scheduler]") {
+  SchedulerWorld world;
+  PlayedWorker& worker = world.AddWorker("w1");
+  world.scheduler().SetLimits({.evacuated_zones = {worker.zone}});
+  world.Submit(SingleStepJob("a0", ShortStep(1)));
+  REQUIRE(world.RunningTasks() == 0);
+  world.scheduler().SetLimits({});
+  world.Settle();
+  CHECK(world.RunningTasks() == 1);
+}
+
 // Guards against a gang of which only some members run while others wait.
 TEST_CASE("a gang starts as a whole, restarts as a whole and ends together", "[scheduler]") {
   SchedulerWorld world;
