Bound the wait of each lasting task that fills idle processors

Callers would see a lasting task stay away for good (LOST, which holds for each task that lasts) while others of its job run.

Cause: the bound on the wait for a worker that is fast enough applied only to a job without any run. Class of fault: an estimate that should only rank workers is used as a condition without a bound.

Evidence: the new test "each lasting task that fills takes a slow worker after a while" failed before (4 of 6 tasks ran).

--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -90,8 +90,10 @@
 }
 
 MonotonicTime PlacementPolicy::AnySpeedFrom(const WorkflowStep& step) const {
-  // Further runs of the job may wait for a better worker, because the job makes progress.
-  if (!step.definition->fills_idle_cpu || step.job->placed > 0) return InfiniteFuture();
+  if (!step.definition->fills_idle_cpu) return InfiniteFuture();
+  // Further runs of the job may wait for a better worker, because the job makes progress. A task that lasts must run
+  // whatever the others do.
+  if (step.job->placed > 0 && !step.definition->long_running) return InfiniteFuture();
   return step.runtimes[step.LongestWaitingTask()].waiting_since + m_options.slow_worker_patience;
 }
 
--- a/src/workflow/placement_policy.h
+++ b/src/workflow/placement_policy.h
@@ -30,8 +30,8 @@
   double serving_use = 0.5;
   /// Least speed, as a share of full speed, at which a filling task is placed; it waits for a better worker otherwise.
   double lowest_filling_speed = 0.35;
-  /// A filling task of a job without any run takes a slower worker after it has waited this long; with the placement
-  /// itself it stays under the 3 s for which the platform accepts that a job has no run while there is room.
+  /// A filling task that lasts, or whose job has no run, takes a slower worker after it has waited this long; with the
+  /// placement itself it stays under the 3 s for which the platform accepts that a job has no run while there is room.
   absl::Duration slow_worker_patience = absl::Seconds(2);
   /// A slower worker is taken only if it has this many times the demand free, so that other work is not kept out.
   int slow_worker_room = 2;
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -132,6 +132,20 @@
   CHECK(world.RunningTasks() == 5);  // the others of the job would only make each other slower
 }
 
+// Guards against a lasting task that stays away for good because others of its job run: each must run wherever there is
+// room.
+TEST_CASE("each lasting task that fills takes a slow worker after a while", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  StepDefinition step = FillingStep(6);
+  step.long_running = true;
+  world.Submit(SingleStepJob("a0", step));
+  REQUIRE(world.RunningTasks() == 4);
+  world.Sleep(absl::Milliseconds(2500));
+  world.Settle();
+  CHECK(world.RunningTasks() == 6);
+}
+
 // Guards against slow filling tasks that take the memory that other work needs.
 TEST_CASE("a slow worker is taken only if it has the room twice over", "[scheduler]") {
   SchedulerWorld world;
