Take a worker for gone only if it leaves in its present life

Callers would see all tasks of a worker run twice (TWICE) when it was started again under its id and the message by which its former life left arrives late: the agent reported the present life as gone, and the owner gave its runs up.

Cause: the agent compared the id of the worker and not its life. Class of fault: stale knowledge is taken as proof.

Evidence: the new test "a worker is gone only if it leaves in its present life" failed with the comparison of ids.

Change: the message is read for the time of the worker's start.

--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -88,8 +88,8 @@
   ScheduleHold(absl::ZeroDuration());
 }
 
-void AgentNode::OnLeave(const std::string& worker) {
-  if (m_announcement && m_announcement->life.worker == worker) SetCondition(WorkerCondition::kGone, "leave");
+void AgentNode::OnLeave(const WorkerLife& life) {
+  if (m_announcement && m_announcement->life == life) SetCondition(WorkerCondition::kGone, "leave");
 }
 
 void AgentNode::SetCondition(WorkerCondition condition, const char* reason) {
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -58,7 +58,7 @@
 
   // Commands.
   void OnAnnouncement(const WorkerAnnouncement& announcement);
-  void OnLeave(const std::string& worker);
+  void OnLeave(const workflow::WorkerLife& life);
   void OnWatch(const WatchRequest& request, WatchReply reply);
   void OnOrders(const OrdersRequest& request, OrdersReply reply);
 
--- a/tests/unit/control/agent_node_test.cc
+++ b/tests/unit/control/agent_node_test.cc
@@ -390,6 +390,20 @@
   CHECK(answer->report.condition == WorkerCondition::kGone);
 }
 
+// Guards against a second run of each task on a worker that was started again under its id, when a message of its
+// former life arrives late.
+TEST_CASE("a worker is gone only if it leaves in its present life", "[agent]") {
+  const bool is_present = GENERATE(true, false);
+  AgentWorld world;
+  world.Announce();
+  workflow::WorkerLife life = world.life();
+  if (!is_present) --life.born;
+  world.loop().RunSync([&] { world.agent().OnLeave(life); });
+  const std::optional<WatchAnswer> answer = world.Watch({.epoch = 5, .life = {}});
+  REQUIRE(answer.has_value());
+  CHECK(answer->report.condition == (is_present ? WorkerCondition::kGone : WorkerCondition::kReady));
+}
+
 // Guards against ends that the worker forgets before their record is durable.
 TEST_CASE("ends are acknowledged to the worker only when the owner says so", "[agent]") {
   AgentWorld world;
--- a/tests/unit/platform/decode_test.cc
+++ b/tests/unit/platform/decode_test.cc
@@ -72,6 +72,16 @@
   if (announcement) CHECK(announcement->rack == (announcement->labels.size() > 1 ? "r1" : ""));
 }
 
+// Guards against a worker that is taken for gone on a message that does not name its life.
+TEST_CASE("a worker leaves in a named life", "[platform]") {
+  const HeartbeatRow row = GENERATE(HeartbeatRow{R"({"born":5})", true}, HeartbeatRow{R"({"born":"5"})", false},
+                                    HeartbeatRow{"{}", false}, HeartbeatRow{"[]", false}, HeartbeatRow{"", false});
+  INFO(row.body);
+  const auto life = DecodeLeave("w1", row.body);
+  REQUIRE(life.has_value() == row.valid);
+  if (life) CHECK(*life == workflow::WorkerLife{.worker = "w1", .born = 5});
+}
+
 TEST_CASE("records are framed as the store expects and read back", "[platform]") {
   const std::string body = EncodeLogRecords({{.key = "ab", .value = "xyz"}, {.key = "c", .value = ""}});
   CHECK(body == std::string("\0\0\0\6\2abxyz\0\0\0\2\1c", 16));
