Forget removed keys when an entry reads the newest records again

Cause: the newest records were applied on top of what the entry knew, and removed keys are not among them. Class of fault: stale knowledge is taken as proof.

Evidence: the new test "a job that was removed while the history was missed is forgotten" failed before.

--- a/src/workflow/job_index.cc
+++ b/src/workflow/job_index.cc
@@ -88,10 +88,24 @@
   for (const auto& [id, job] : m_jobs) visit(id, job);
 }
 
-void JobIndex::Clear() {
-  m_jobs.clear();
-  m_waiting.clear();
-  m_owner = {};
+void JobIndex::ClearSubmissions() {
+  for (auto& [id, job] : m_jobs) {
+    Count(job, -1);
+    job.definition.clear();
+    job.queue.clear();
+    job.cancelled = false;
+  }
+  absl::erase_if(m_jobs, [](const auto& entry) { return IsEmpty(entry.second); });
+}
+
+void JobIndex::ClearProgress() {
+  for (auto& [id, job] : m_jobs) {
+    Count(job, -1);
+    job.summary.reset();
+    job.steps.clear();
+    Count(job, 1);
+  }
+  absl::erase_if(m_jobs, [](const auto& entry) { return IsEmpty(entry.second); });
 }
 
 JobPhase JobIndex::PhaseOf(const Job& job) {
@@ -105,10 +119,13 @@
   if (!job.definition.empty() && PhaseOf(job) == JobPhase::kQueued) m_waiting[job.queue] += change;
 }
 
+bool JobIndex::IsEmpty(const Job& job) {
+  return job.definition.empty() && !job.cancelled && !job.summary && job.steps.empty();
+}
+
 void JobIndex::EraseIfEmpty(std::string_view id) {
   const auto found = m_jobs.find(ToAbsl(id));
-  const Job& job = found->second;
-  if (job.definition.empty() && !job.cancelled && !job.summary && job.steps.empty()) m_jobs.erase(found);
+  if (IsEmpty(found->second)) m_jobs.erase(found);
 }
 
 }  // namespace berylgauge::workflow
--- a/src/workflow/job_index.h
+++ b/src/workflow/job_index.h
@@ -48,12 +48,15 @@
   std::size_t size() const { return m_jobs.size(); }
   std::uint64_t corrupt_records() const { return m_corrupt_records; }
 
-  /// Forgets everything, before the newest records are read again.
-  void Clear();
+  /// Forget what one partition said, before its newest records are applied again: keys that were removed meanwhile are
+  /// not among them. The owner stays known, because its record is never removed.
+  void ClearSubmissions();
+  void ClearProgress();
 
  private:
   static JobPhase PhaseOf(const Job& job);
   void Count(const Job& job, int change);
+  static bool IsEmpty(const Job& job);
   void EraseIfEmpty(std::string_view id);
 
   absl::flat_hash_map<std::string, Job> m_jobs;
--- a/tests/unit/control/entry_node_test.cc
+++ b/tests/unit/control/entry_node_test.cc
@@ -73,6 +73,16 @@
     });
   }
 
+  /// Removes the submission of a job from the store, and all history, so that readers start anew.
+  void RemoveSubmission(const std::string& job) {
+    m_loop.RunSync([&] {
+      m_store.Append({.partition = MakePartition("keyed.work", 0),
+                      .records = {{.key = job, .value = {}}},
+                      .producer = {.name = "remover", .epoch = 1, .sequence = 0}});
+      m_store.DropHistory();
+    });
+  }
+
   EventLoop& loop() { return m_loop; }
   StoreFaults& FaultsOf(std::size_t index) { return m_logs[index]->faults; }
   EntryNode& entry(std::size_t index) { return *m_entries[index]; }
@@ -175,6 +185,23 @@
                   [&] { return first.index().PhaseOf("00000000000000aa") == workflow::JobPhase::kCancelled; }));
 }
 
+// Guards against a finished job that is shown for good, and run again by the next owner, at an entry whose way to the
+// store was cut while the job was removed (issue 16).
+TEST_CASE("a job that was removed while the history was missed is forgotten", "[entry]") {
+  EntryWorld world;
+  EntryNode& first = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return first.IsOwner(); }));
+  EntryNode& second = world.Add("e2");
+  const std::string job = "00000000000000aa";
+  world.loop().RunSync([&] { first.Submit(SmallJob(job), [](SubmitOutcome) {}); });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return second.index().PhaseOf(job).has_value(); }));
+  world.loop().RunSync([&] { world.FaultsOf(1).is_cut = true; });
+  absl::SleepFor(absl::Milliseconds(1500));  // longer than a read waits
+  world.RemoveSubmission(job);
+  world.loop().RunSync([&] { world.FaultsOf(1).is_cut = false; });
+  CHECK(WaitUntil(world.loop(), absl::Seconds(10), [&] { return !second.index().PhaseOf(job).has_value(); }));
+}
+
 // Guards against readiness of an entry that would refuse everything.
 TEST_CASE("an entry that the store does not serve is not ready without a ready peer", "[entry]") {
   EntryWorld world;
