Use a worker that was born earlier by its clock than its former life

Callers would see a worker, and so a part of the room, stay unused for good (LOST) when the time of day of its host was set back before the worker was started again.

Cause: the agent took each announcement with an earlier time of birth for a delayed one, also after the present life was known to be over, and the owner ignored such reports. Class of fault: a heuristic used as a condition that nothing ends.

Change: an earlier birth is accepted once the present life is over. The worker's lists still have to name that life before anything is reported or ordered.

--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -66,7 +66,9 @@
 void AgentNode::OnAnnouncement(const WorkerAnnouncement& announcement) {
   if (m_announcement) {
     const WorkerAnnouncement& present = *m_announcement;
-    if (announcement.life.born < present.life.born) return;
+    // A delayed message, unless the present life is over: then the time of day may have been set back before the
+    // worker was started again, and its lists tell whether it is in that life.
+    if (announcement.life.born < present.life.born && m_condition != WorkerCondition::kGone) return;
     if (announcement.life == present.life && announcement.sequence <= present.sequence) return;
   }
   if (!m_announcement || announcement.life != m_announcement->life) BeginLife(announcement);
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -24,11 +24,8 @@
 void Scheduler::OnReport(const std::string& agent, const WorkerReport& report, MonotonicTime now) {
   if (report.life.worker.empty()) return;
   PoolWorker& worker = m_workers.Add(agent);
-  if (worker.life != report.life) {
-    const bool is_older = worker.life.worker == report.life.worker && report.life.born < worker.life.born;
-    if (is_older) return;
-    StartLife(worker, report, now);
-  }
+  // The worker has given its lists in this life, so it is the newest one, whatever its time of birth.
+  if (worker.life != report.life) StartLife(worker, report, now);
   if (worker.agent_incarnation != report.agent_incarnation) {
     worker.agent_incarnation = report.agent_incarnation;
     worker.reconciled = false;
--- a/tests/unit/control/agent_node_test.cc
+++ b/tests/unit/control/agent_node_test.cc
@@ -404,6 +404,22 @@
   CHECK(answer->report.condition == (is_present ? WorkerCondition::kGone : WorkerCondition::kReady));
 }
 
+// Guards against a worker that stays unused because its host's time of day was set back before it was started again.
+TEST_CASE("a worker that was born earlier by its clock follows one that is gone", "[agent]") {
+  AgentWorld world;
+  world.Announce();
+  const workflow::WorkerLife next{.worker = "w1", .born = world.life().born - 100};
+  std::uint64_t sequence = 0;
+  world.loop().RunSync([&] { world.worker().born = next.born; });
+  const bool is_known = WaitUntil(world.loop(), absl::Seconds(5), [&] {
+    world.agent().OnAnnouncement({.life = next, .sequence = ++sequence, .service = "s"});
+    std::optional<WatchAnswer> answer;
+    world.agent().OnWatch({.epoch = 5, .life = {}}, [&](std::optional<WatchAnswer> given) { answer = given; });
+    return answer.has_value() && answer->report.life == next;
+  });
+  CHECK(is_known);
+}
+
 // Guards against ends that the worker forgets before their record is durable.
 TEST_CASE("ends are acknowledged to the worker only when the owner says so", "[agent]") {
   AgentWorld world;
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -290,6 +290,20 @@
   CHECK(world.PlaceOf("a0.0.0.0") == "w1");
 }
 
+// Guards against a worker that stays unused because its host's time of day was set back before it was started again.
+TEST_CASE("a worker's new life may be born earlier by its clock", "[scheduler]") {
+  SchedulerWorld world;
+  PlayedWorker& worker = world.AddWorker("w1");
+  world.Submit(SingleStepJob("a0", ShortStep(1)));
+  REQUIRE(world.RunningTasks() == 1);
+  const std::int64_t born = worker.life.born - 5000;
+  world.Restart("w1");
+  worker.life.born = born;
+  world.Settle();
+  CHECK(world.StartsOf("a0.0.0.0") == 2);
+  CHECK(world.RunningTasks() == 1);
+}
+
 TEST_CASE("nothing is placed in an evacuated zone or on a draining worker", "[scheduler]") {
   struct Row {
     const char* name;
