Order the stops of a worker's present life only

An owner that takes a worker's new life in between orders of stops for the former one and the new one sent only the first, and left the other runs as being stopped for good: never stopped, and never placed again.

Cause: of the stops for one agent all were dropped that differ in life from the first of them.

Evidence: by reading; no test shows it, and it needs stops of both lives in one turn of the loop.

--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -226,8 +226,9 @@
 void OwnerRole::SendStops(std::vector<StopOrder> stops) {
   absl::flat_hash_map<std::string, OrdersRequest> by_agent;
   for (StopOrder& stop : stops) {
+    const PoolWorker* worker = m_scheduler->FindWorker(stop.agent);
+    if (worker == nullptr || worker->life != stop.life) continue;  // a former life; nothing of it is left
     OrdersRequest& request = by_agent[stop.agent];
-    if (!request.stops.empty() && request.life != stop.life) continue;  // a former life; nothing of it is left
     request.life = stop.life;
     request.stops.push_back(std::move(stop));
   }
