Refuse job, step and owner records with values out of range

nlohmann's get() cuts integers down to the target's bits and converts floats beyond them with undefined behaviour, and nothing checked the amounts. A job record with a negative or huge number of tasks ended the owner with std::length_error, and so each successor that folded the store; a predecessor that does not exist was an index out of bounds; a record under another job's key gave its tasks to that job.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -235,7 +235,7 @@
 
 void EntryNode::OnSubmissionRecord(const KeyedRecord& record) {
   m_index.ApplySubmission(record.key, record.value);
-  if (m_owner == nullptr || record.value.empty()) return;
+  if (m_owner == nullptr || record.key.empty() || record.value.empty()) return;
   if (record.key.back() == workflow::kCancellationMark) {
     m_owner->OnCancellation(record.key.substr(0, record.key.size() - 1));
   } else {
--- a/src/workflow/job_definition.h
+++ b/src/workflow/job_definition.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -8,6 +10,12 @@
 
 namespace berylgauge::workflow {
 
+inline constexpr std::size_t kMaxSteps = 1000;
+/// The record of a step has some 60 bytes for each task, and the store takes records of 262,144 bytes.
+inline constexpr int kMaxTasksPerStep = 4000;
+/// Far above any objective, and low enough for times to stay finite.
+inline constexpr double kMaxStretch = 1e9;
+
 /// One step of a job: a number of equal tasks.
 struct StepDefinition {
   int task_count = 1;
@@ -56,7 +64,12 @@
   std::int64_t accepted_unix_ms = 0;   ///< by the clock of the entry that accepted it; 0 if not recorded
 
   bool IsScheduled() const { return occurrences > 0; }
-  std::int64_t DueUnixMs(std::int64_t occurrence) const { return first_due_unix_ms + occurrence * interval_ms; }
+  /// The latest time there is for an occurrence that would be due after it.
+  std::int64_t DueUnixMs(std::int64_t occurrence) const {
+    constexpr std::int64_t kLatest = std::numeric_limits<std::int64_t>::max();
+    if (interval_ms > 0 && occurrence > (kLatest - first_due_unix_ms) / interval_ms) return kLatest;
+    return first_due_unix_ms + occurrence * interval_ms;
+  }
   bool operator==(const JobDefinition&) const = default;
 };
 
--- a/src/workflow/owner_record.cc
+++ b/src/workflow/owner_record.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/cbor_document.h"
+#include "base/json_number.h"
 
 namespace berylgauge::workflow {
 namespace {
@@ -21,7 +22,8 @@
 
 Result<OwnerRecord> DecodeOwner(std::string_view bytes) {
   return ReadCbor<OwnerRecord>(bytes, "owner record", [](const nlohmann::json& document) {
-    return OwnerRecord{.epoch = document.at(0).get<std::int64_t>(), .holder = document.at(1).get<std::string>()};
+    return OwnerRecord{.epoch = ReadInteger<std::int64_t>(document.at(0), 0, kMaxExactInteger),
+                       .holder = document.at(1).get<std::string>()};
   });
 }
 
--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -55,6 +55,10 @@
     LogEvent(LogLevel::kError, "job_unreadable", {{"job", id}, {"reason", definition.error().message}});
     return;
   }
+  if (definition->id != id) {
+    LogEvent(LogLevel::kError, "job_unreadable", {{"job", id}, {"reason", "record is of job " + definition->id}});
+    return;
+  }
   auto owned = std::make_unique<WorkflowJob>();
   WorkflowJob& job = *owned;
   job.definition = std::move(*definition);
@@ -65,7 +69,8 @@
   if (job.definition.IsScheduled()) {
     for (const auto& [name, bytes] : recorded.steps) {
       const std::optional<StepName> parsed = StepName::Parse(name);
-      if (parsed && !job.occurrences.contains(parsed->occurrence)) {
+      const bool is_of_job = parsed && parsed->occurrence < job.definition.occurrences;
+      if (is_of_job && !job.occurrences.contains(parsed->occurrence)) {
         const absl::Duration age = AgeOf(job.definition.DueUnixMs(parsed->occurrence), unix_now_ms);
         AddOccurrence(job, parsed->occurrence, &recorded, now - age, now);
         job.next_occurrence = std::max(job.next_occurrence, parsed->occurrence + 1);
--- a/src/workflow/step_progress.cc
+++ b/src/workflow/step_progress.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/cbor_document.h"
+#include "base/json_number.h"
 
 namespace berylgauge::workflow {
 namespace {
@@ -17,6 +18,9 @@
 
 constexpr int kNoWorker = -1;
 
+/// Of the runs and failures of a task; half of what fits, so that the next number does too.
+constexpr int kMaxCount = 1 << 30;
+
 }  // namespace
 
 std::string EncodeStepProgress(const std::vector<TaskProgress>& tasks) {
@@ -51,20 +55,19 @@
     }
     const json& workers = document.at(2);
     for (const json& row : document.at(3)) {
-      const auto index = row.at(0).get<std::size_t>();
-      const int state = row.at(1).get<int>();
-      if (index >= tasks.size() || state < 0 || state > static_cast<int>(TaskState::kDone)) {
-        return NotRun(FailureCode::kCorrupt, "step record names a task or a state that does not exist");
+      const auto index = ReadInteger<std::size_t>(row.at(0), 0);
+      if (index >= tasks.size()) {
+        return NotRun(FailureCode::kCorrupt, "step record names a task that does not exist");
       }
       TaskProgress& task = tasks[index];
-      task.state = static_cast<TaskState>(state);
-      row.at(2).get_to(task.run);
-      row.at(3).get_to(task.failures);
-      const int number = row.at(4).get<int>();
+      task.state = static_cast<TaskState>(ReadInteger<int>(row.at(1), 0, static_cast<int>(TaskState::kDone)));
+      task.run = ReadInteger<int>(row.at(2), 0, kMaxCount);
+      task.failures = ReadInteger<int>(row.at(3), 0, kMaxCount);
+      const int number = ReadInteger<int>(row.at(4), kNoWorker);
       if (number != kNoWorker) {
         const json& worker = workers.at(static_cast<std::size_t>(number));
         worker.at(0).get_to(task.worker);
-        worker.at(1).get_to(task.worker_born);
+        task.worker_born = ReadInteger<std::int64_t>(worker.at(1), 0, kMaxExactInteger);
         worker.at(2).get_to(task.agent);
       }
       row.at(5).get_to(task.checkpoint);
--- a/tests/unit/control/entry_node_test.cc
+++ b/tests/unit/control/entry_node_test.cc
@@ -6,8 +6,10 @@
 #include <string>
 #include <vector>
 
+#include "control/member_record.h"
 #include "memory_keyed_log.h"
 #include "wait_until.h"
+#include "workflow/job_codec.h"
 
 namespace berylgauge::control {
 namespace {
@@ -83,6 +85,15 @@
     });
   }
 
+  /// A record of another writer, under any key and in any partition.
+  void Write(const LogPartition& partition, const std::string& key, const std::string& value) {
+    m_loop.RunSync([&] {
+      m_store.Append({.partition = partition,
+                      .records = {{.key = key, .value = value}},
+                      .producer = {.name = "other" + std::to_string(m_written++), .epoch = 1, .sequence = 0}});
+    });
+  }
+
   EventLoop& loop() { return m_loop; }
   StoreFaults& FaultsOf(std::size_t index) { return m_logs[index]->faults; }
   EntryNode& entry(std::size_t index) { return *m_entries[index]; }
@@ -94,6 +105,7 @@
   FixedOperators m_operators;
   MetricsRegistry m_metrics;
   int m_starts = 0;
+  int m_written = 0;
   std::vector<std::unique_ptr<MemoryKeyedLog>> m_logs;
   std::vector<std::unique_ptr<EntryNode>> m_entries;
 };
@@ -252,5 +264,54 @@
   while (submit("c") == SubmitOutcome::kRefused) REQUIRE(absl::Now() - back_at < absl::Seconds(1));
 }
 
+struct OddRecordRow {
+  const char* name;
+  const char* topic;
+  int partition;
+  std::string key;
+  std::string value;
+};
+
+// Guards against entries that end, or follow the store no longer, because of one record that another writer left; also
+// when they start with it.
+TEST_CASE("an odd record stops neither the reader nor a reader that starts later", "[entry]") {
+  workflow::JobDefinition odd_job = SmallJob("00000000000000bb");
+  odd_job.steps = {{.task_count = -1}, {.task_count = 1, .after = {1000}}};
+  const std::string nested(250'000, '\x81');
+  const std::string nested_text(250'000, '\x7f');
+  const OddRecordRow row =
+      GENERATE_COPY(OddRecordRow{"member, nested", "keyed.members", 0, "side-1", nested},
+                    OddRecordRow{"member, nested text", "keyed.members", 0, "side-1", nested_text},
+                    OddRecordRow{"member, port", "keyed.members", 0, "e9",
+                                 EncodeMember({.kind = MemberKind::kEntry, .address = "127.0.0.1", .port = 65536})},
+                    OddRecordRow{"agent, port", "keyed.members", 0, "side-1",
+                                 EncodeMember({.kind = MemberKind::kAgent, .address = "127.0.0.1", .port = -1})},
+                    OddRecordRow{"member, no key", "keyed.members", 0, "", "x"},
+                    OddRecordRow{"submission, no key", "keyed.work", 0, "", "x"},
+                    OddRecordRow{"submission, only the mark", "keyed.work", 0, "!", "x"},
+                    OddRecordRow{"submission, nested text", "keyed.work", 0, "00000000000000bb", nested_text},
+                    OddRecordRow{"submission, odd steps", "keyed.work", 0, "00000000000000bb", EncodeJob(odd_job)},
+                    OddRecordRow{"submission, another job's id", "keyed.work", 0, "00000000000000bb",
+                                 EncodeJob(SmallJob("00000000000000aa"))},
+                    OddRecordRow{"progress, nested text", "keyed.work", 1, "00000000000000bb.0.0", nested_text},
+                    OddRecordRow{"progress, no key", "keyed.work", 1, "", "x"},
+                    OddRecordRow{"owner, nested text", "keyed.work", 1, "owner", nested_text});
+  INFO(row.name);
+  EntryWorld world;
+  EntryNode& first = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return first.IsOwner(); }));
+  world.Write(MakePartition(row.topic, row.partition), row.key, row.value);
+  absl::SleepFor(absl::Milliseconds(100));
+  world.Kill(0);
+  EntryNode& second = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return second.IsOwner(); }));
+  std::optional<SubmitOutcome> submitted;
+  world.loop().RunSync([&] { second.Submit(SmallJob("00000000000000aa"), [&](SubmitOutcome o) { submitted = o; }); });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(2), [&] { return submitted.has_value(); }));
+  CHECK(submitted == SubmitOutcome::kAccepted);
+  CHECK(WaitUntil(world.loop(), absl::Seconds(2),
+                  [&] { return second.index().PhaseOf("00000000000000aa") == workflow::JobPhase::kQueued; }));
+}
+
 }  // namespace
 }  // namespace berylgauge::control
