Claim with a higher epoch after the store refused one as too low

While the owner's record was unreadable, a claimant counted from epoch 0 and claimed with the same epoch for ever, so that no entry became the owner after the recorded one had ended.

Failing before: control_test 'an odd record stops neither the reader nor a reader that starts later', row 'owner, nested text'.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -1,5 +1,6 @@
 #include "control/entry_node.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/event_log.h"
@@ -311,8 +312,8 @@
   m_claiming = true;
   m_progress_tail.Pause();
   const std::string holder = m_options.ProcessName();
-  const workflow::OwnerRecord record{.epoch = workflow::NextOwnerEpoch(m_index.owner().epoch, StableHash64(holder)),
-                                     .holder = holder};
+  const std::int64_t former = std::max(m_index.owner().epoch, m_fenced_epoch);
+  const workflow::OwnerRecord record{.epoch = workflow::NextOwnerEpoch(former, StableHash64(holder)), .holder = holder};
   LogEvent(LogLevel::kInfo, "owner_claim",
            {{"epoch", record.epoch},
             {"former", m_index.owner().holder},
@@ -339,6 +340,7 @@
     LogEvent(
         LogLevel::kInfo, "owner_claim_failed",
         {{"epoch", record.epoch}, {"outcome", kAppendOutcomeNames.NameOf(answer.outcome)}, {"reason", answer.detail}});
+    if (answer.outcome == AppendOutcome::kFenced) m_fenced_epoch = record.epoch;
     m_ownership.OnClaimFailed(m_loop.Now());
     m_progress_tail.Resume(m_progress_tail.position());
     // Freed after this call, which runs inside it.
--- a/src/control/entry_node.h
+++ b/src/control/entry_node.h
@@ -141,6 +141,9 @@
   LogWriter m_registration;
   EntryPeers m_peers;
   bool m_claiming = false;
+  /// Of the last claim that the store refused for its epoch. The recorded epoch may be lower than the one that the
+  /// store has seen, if the owner's record is unreadable.
+  std::int64_t m_fenced_epoch = 0;
   bool m_leaving = false;
   std::int64_t m_progress_end = 0;  ///< while owner: end of the progress partition
   std::unique_ptr<OwnerRole> m_owner;
