--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -80,7 +80,9 @@
 void OwnerRole::SetMember(const std::string& host, const MemberRecord& member) {
   if (m_scheduler == nullptr || member.kind != MemberKind::kAgent) return;
   std::unique_ptr<AgentLink>& link = m_links[host];
-  if (link != nullptr && link->options().address == member.address) return;
+  const bool is_linked =
+      link != nullptr && link->options().address == member.address && link->options().port == member.port;
+  if (is_linked) return;
   link = std::make_unique<AgentLink>(m_loop,
                                      AgentLinkOptions{.host = host, .address = member.address, .port = member.port},
                                      m_options.record.epoch, MakeLinkListener());
--- a/tests/unit/control/entry_node_test.cc
+++ b/tests/unit/control/entry_node_test.cc
@@ -1,5 +1,10 @@
 #include "control/entry_node.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <memory>
 #include <optional>
@@ -313,5 +318,69 @@
                   [&] { return second.index().PhaseOf("00000000000000aa") == workflow::JobPhase::kQueued; }));
 }
 
+/// A TCP port of this host on which nothing is answered.
+class SilentListener {
+ public:
+  SilentListener() : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    REQUIRE(bind(m_socket, reinterpret_cast<const sockaddr*>(&address), size) == 0);
+    REQUIRE(listen(m_socket, 8) == 0);
+    REQUIRE(getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+    m_port = ntohs(address.sin_port);
+  }
+  ~SilentListener() { close(m_socket); }
+  SilentListener(const SilentListener&) = delete;
+  SilentListener& operator=(const SilentListener&) = delete;
+
+  int port() const { return m_port; }
+  bool TakeConnection() {
+    const int connection = accept4(m_socket, nullptr, nullptr, SOCK_CLOEXEC);
+    if (connection >= 0) close(connection);
+    return connection >= 0;
+  }
+
+ private:
+  int m_socket;
+  int m_port = 0;
+};
+
+// Guards against an agent that the owner never calls again, because a record with its address and another port came
+// before its own.
+TEST_CASE("the owner calls an agent at the port of its newest record", "[entry]") {
+  SilentListener former;
+  SilentListener present;
+  EntryWorld world;
+  EntryNode& entry = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return entry.IsOwner(); }));
+  const auto write = [&](int port) {
+    world.Write(MakePartition("keyed.members", 0), "side-1",
+                EncodeMember({.kind = MemberKind::kAgent, .address = "127.0.0.1", .port = port}));
+  };
+  write(former.port());
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return former.TakeConnection(); }));
+  write(present.port());
+  CHECK(WaitUntil(world.loop(), absl::Seconds(5), [&] { return present.TakeConnection(); }));
+}
+
+// Guards against an agent that is no longer called because another writer left an odd record under its key.
+TEST_CASE("an odd record of a member leaves the member as it was", "[entry]") {
+  const int port = GENERATE(0, -1, 65536);
+  SilentListener agent;
+  EntryWorld world;
+  EntryNode& entry = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return entry.IsOwner(); }));
+  const MemberRecord member{.kind = MemberKind::kAgent, .address = "127.0.0.1", .port = agent.port()};
+  world.Write(MakePartition("keyed.members", 0), "side-1", EncodeMember(member));
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return agent.TakeConnection(); }));
+  MemberRecord odd = member;
+  odd.port = port;
+  world.Write(MakePartition("keyed.members", 0), "side-1", EncodeMember(odd));
+  // The silent connection is given up after its keepalive timeout, and the next one goes to the same port.
+  CHECK(WaitUntil(world.loop(), absl::Seconds(8), [&] { return agent.TakeConnection(); }));
+}
+
 }  // namespace
 }  // namespace berylgauge::control
