Refuse messages between owner and agent with numbers out of range

Numbers were cut down to 32 bits, and a capacity of an agent could be negative or come from an undefined conversion of 1e300.

--- a/src/control/agent_messages.cc
+++ b/src/control/agent_messages.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/cbor_document.h"
+#include "base/json_number.h"
 
 namespace berylgauge::control {
 namespace {
@@ -22,6 +23,9 @@
 /// Version of the messages; processes of different versions refuse each other's.
 constexpr int kFormat = 2;
 
+/// An hour of added latency; the model's estimates are far below.
+constexpr double kMaxMsPerCore = 3'600'000;
+
 std::string Encode(json body) { return ToCbor(json::array({kFormat, std::move(body)})); }
 
 /// Calls `read` with the body; any malformed content becomes a `kCorrupt` failure.
@@ -35,16 +39,19 @@
 
 template <typename E>
 E ReadEnum(const json& value, E last) {
-  const int number = value.get<int>();
-  if (number < 0 || number > static_cast<int>(last))
-    throw json::other_error::create(502, "unknown enum value", nullptr);
-  return static_cast<E>(number);
+  return static_cast<E>(ReadInteger<int>(value, 0, static_cast<int>(last)));
+}
+
+/// An amount, a number or a time, none of which is negative.
+template <typename T>
+T ReadCount(const json& value) {
+  return ReadInteger<T>(value, 0);
 }
 
 json LifeToJson(const WorkerLife& life) { return json::array({life.worker, life.born}); }
 
 WorkerLife LifeFromJson(const json& row) {
-  return {.worker = row.at(0).get<std::string>(), .born = row.at(1).get<std::int64_t>()};
+  return {.worker = row.at(0).get<std::string>(), .born = ReadCount<std::int64_t>(row.at(1))};
 }
 
 json ReportToJson(const WorkerReport& report) {
@@ -65,29 +72,29 @@
 
 WorkerReport ReportFromJson(const json& row) {
   WorkerReport report;
-  row.at(0).get_to(report.agent_incarnation);
+  report.agent_incarnation = ReadCount<Incarnation>(row.at(0));
   report.life = LifeFromJson(row.at(1));
   report.condition = ReadEnum(row.at(2), WorkerCondition::kGone);
   row.at(3).get_to(report.service);
   row.at(4).get_to(report.zone);
   row.at(5).get_to(report.labels);
-  row.at(6).at(0).get_to(report.capacity.cpu_millis);
-  row.at(6).at(1).get_to(report.capacity.memory_mb);
-  row.at(6).at(2).get_to(report.capacity.accelerators);
-  row.at(7).get_to(report.remaining_ms);
-  row.at(8).get_to(report.worker_clock_ms);
+  report.capacity.cpu_millis = ReadCount<std::int64_t>(row.at(6).at(0));
+  report.capacity.memory_mb = ReadCount<std::int64_t>(row.at(6).at(1));
+  report.capacity.accelerators = ReadCount<std::int64_t>(row.at(6).at(2));
+  report.remaining_ms = ReadCount<std::int64_t>(row.at(7));
+  report.worker_clock_ms = ReadCount<std::int64_t>(row.at(8));
   row.at(9).get_to(report.has_runs);
   for (const json& run : row.at(10)) {
     report.runs.push_back({.task = run.at(0).get<std::string>(),
-                           .run = run.at(1).get<int>(),
+                           .run = ReadCount<int>(run.at(1)),
                            .checkpoint = run.at(2).get<std::string>(),
-                           .percent = run.at(3).get<int>(),
-                           .measured = run.at(4).get<std::int64_t>()});
+                           .percent = ReadCount<int>(run.at(3)),
+                           .measured = ReadCount<std::int64_t>(run.at(4))});
   }
   for (const json& end : row.at(11)) {
-    report.ends.push_back({.number = end.at(0).get<std::int64_t>(),
+    report.ends.push_back({.number = ReadCount<std::int64_t>(end.at(0)),
                            .task = end.at(1).get<std::string>(),
-                           .run = end.at(2).get<int>(),
+                           .run = ReadCount<int>(end.at(2)),
                            .kind = ReadEnum(end.at(3), RunEndKind::kAlone),
                            .checkpoint = end.at(4).get<std::string>()});
   }
@@ -113,24 +120,24 @@
 Result<WatchRequest> DecodeWatchRequest(std::string_view bytes) {
   return Decode<WatchRequest>(bytes, [](const json& row) {
     WatchRequest message;
-    row.at(0).get_to(message.epoch);
-    row.at(1).get_to(message.known_version);
-    row.at(2).get_to(message.known_incarnation);
-    row.at(3).get_to(message.wait_ms);
+    message.epoch = ReadCount<std::int64_t>(row.at(0));
+    message.known_version = ReadCount<std::uint64_t>(row.at(1));
+    message.known_incarnation = ReadCount<Incarnation>(row.at(2));
+    message.wait_ms = ReadCount<int>(row.at(3));
     message.life = LifeFromJson(row.at(4));
-    row.at(5).get_to(message.lease_end_ms);
-    row.at(6).get_to(message.acknowledged);
+    message.lease_end_ms = ReadCount<std::int64_t>(row.at(5));
+    message.acknowledged = ReadCount<std::int64_t>(row.at(6));
     for (const json& t : row.at(7)) {
       message.traits.push_back({.task = t.at(0).get<std::string>(),
                                 .fills_idle_cpu = t.at(1).get<bool>(),
-                                .tail_target_ms = t.at(2).get<int>(),
+                                .tail_target_ms = ReadCount<int>(t.at(2)),
                                 .image = t.at(3).get<std::string>(),
-                                .demand_cpu = t.at(4).get<std::int64_t>()});
+                                .demand_cpu = ReadCount<std::int64_t>(t.at(4))});
     }
     for (const json& entry : row.at(8)) {
       message.interference.push_back({.serving_image = entry.at(0).get<std::string>(),
                                       .filling_image = entry.at(1).get<std::string>(),
-                                      .ms_per_core = entry.at(2).get<double>()});
+                                      .ms_per_core = ReadFinite(entry.at(2), -kMaxMsPerCore, kMaxMsPerCore)});
     }
     return message;
   });
@@ -142,7 +149,7 @@
 
 Result<WatchAnswer> DecodeWatchAnswer(std::string_view bytes) {
   return Decode<WatchAnswer>(bytes, [](const json& row) {
-    return WatchAnswer{.version = row.at(0).get<std::uint64_t>(), .report = ReportFromJson(row.at(1))};
+    return WatchAnswer{.version = ReadCount<std::uint64_t>(row.at(0)), .report = ReportFromJson(row.at(1))};
   });
 }
 
@@ -165,30 +172,32 @@
 Result<OrdersRequest> DecodeOrdersRequest(std::string_view bytes) {
   return Decode<OrdersRequest>(bytes, [](const json& row) {
     OrdersRequest message;
-    row.at(0).get_to(message.epoch);
+    message.epoch = ReadCount<std::int64_t>(row.at(0));
     message.life = LifeFromJson(row.at(1));
-    row.at(2).get_to(message.lease_end_ms);
+    message.lease_end_ms = ReadCount<std::int64_t>(row.at(2));
     for (const json& job : row.at(3)) {
       JobStarts starts{.payload = job.at(0).get<std::string>(), .starts = {}};
       for (const json& start : job.at(1)) {
         StartOrder order;
         order.life = message.life;
         start.at(0).get_to(order.task);
-        start.at(1).get_to(order.run);
+        order.run = ReadCount<int>(start.at(1));
         start.at(2).get_to(order.checkpoint);
         start.at(3).get_to(order.fills_idle_cpu);
-        start.at(4).get_to(order.tail_target_ms);
+        order.tail_target_ms = ReadCount<int>(start.at(4));
         start.at(5).get_to(order.ticket);
         start.at(6).get_to(order.image);
-        start.at(7).get_to(order.demand_cpu);
+        order.demand_cpu = ReadCount<std::int64_t>(start.at(7));
         start.at(8).get_to(order.was_sent);
         starts.starts.push_back(std::move(order));
       }
       message.jobs.push_back(std::move(starts));
     }
     for (const json& stop : row.at(4)) {
-      message.stops.push_back(
-          {.agent = {}, .life = message.life, .task = stop.at(0).get<std::string>(), .run = stop.at(1).get<int>()});
+      message.stops.push_back({.agent = {},
+                               .life = message.life,
+                               .task = stop.at(0).get<std::string>(),
+                               .run = ReadCount<int>(stop.at(1))});
     }
     return message;
   });
@@ -213,13 +222,14 @@
     row.at(0).get_to(message.is_worker_known);
     for (const json& start : row.at(1)) {
       message.starts.push_back({.task = start.at(0).get<std::string>(),
-                                .run = start.at(1).get<int>(),
+                                .run = ReadCount<int>(start.at(1)),
                                 .answer = {.refusal = ReadEnum(start.at(2), StartRefusal::kStaleOwner),
-                                           .clock_ms = start.at(3).get<std::int64_t>()}});
+                                           .clock_ms = ReadCount<std::int64_t>(start.at(3))}});
     }
     for (const json& stop : row.at(2)) {
-      message.stops.push_back(
-          {.task = stop.at(0).get<std::string>(), .run = stop.at(1).get<int>(), .end_listed = stop.at(2).get<bool>()});
+      message.stops.push_back({.task = stop.at(0).get<std::string>(),
+                               .run = ReadCount<int>(stop.at(1)),
+                               .end_listed = stop.at(2).get<bool>()});
     }
     return message;
   });
