End the loop of the entry tests before the store that its timers use

A timer of MemoryKeyedLog could fire after the store was destroyed; seen as std::bad_alloc once and as SIGSEGV once in five runs of control_test, since the rows of odd records make more worlds.

--- a/tests/unit/control/entry_node_test.cc
+++ b/tests/unit/control/entry_node_test.cc
@@ -104,7 +104,6 @@
   EntryNode& entry(std::size_t index) { return *m_entries[index]; }
 
  private:
-  EventLoop m_loop;
   MemoryStore m_store;
   SystemClock m_clock;
   FixedOperators m_operators;
@@ -112,6 +111,8 @@
   int m_starts = 0;
   int m_written = 0;
   std::vector<std::unique_ptr<MemoryKeyedLog>> m_logs;
+  /// Ends before the store and the ways to it, which its timers use.
+  EventLoop m_loop;
   std::vector<std::unique_ptr<EntryNode>> m_entries;
 };
 
