Forget an announcement that the worker disowns

A heartbeat of another writer with a later birth than the worker's made the agent take its own worker's heartbeats as late ones of a former life, until the worker's process was started anew: its orders were answered as unknown and its lease ran out.

Failing before: control_test 'an announcement that the worker disowns does not hide the worker's own', rows w1 and w2.

--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -162,17 +162,24 @@
   m_refused_calls = 0;
   if (answer->born != life.born) {
     // The worker was started again; its announcement follows.
-    SetCondition(WorkerCondition::kGone, "other-life");
+    OnOtherLife();
     return;
   }
   TakeLists(std::move(*answer));
   if (is_regular) ScheduleHold(HasUnacknowledgedEnds() ? m_options.pending_pause : absl::ZeroDuration());
 }
 
+void AgentNode::OnOtherLife() {
+  SetCondition(WorkerCondition::kGone, "other-life");
+  // An announcement that the worker has never confirmed may come from another writer. Kept, it would make the worker's
+  // own look like late ones of a former life.
+  if (!m_lists) m_announcement.reset();
+}
+
 void AgentNode::OnHoldFailure(const Failure& failure) {
   m_hold_failures.Add();
   if (failure.code == FailureCode::kExpired) {
-    SetCondition(WorkerCondition::kGone, "other-life");
+    OnOtherLife();
     return;
   }
   if (failure.code == FailureCode::kConnectionRefused && ++m_refused_calls >= m_options.refused_calls) {
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -82,6 +82,8 @@
   void SendHold(bool is_regular);
   void OnHold(Result<HoldAnswer> answer, const workflow::WorkerLife& life, bool is_regular);
   void OnHoldFailure(const Failure& failure);
+  /// The worker is not in the life that was announced.
+  void OnOtherLife();
   void TakeLists(HoldAnswer answer);
   bool HasUnacknowledgedEnds() const;
 
--- a/tests/unit/control/agent_node_test.cc
+++ b/tests/unit/control/agent_node_test.cc
@@ -420,6 +420,24 @@
   CHECK(is_known);
 }
 
+// Guards against an agent that ignores its worker's heartbeats for ever, as late ones of a former life, because another
+// writer sent one with a later birth.
+TEST_CASE("an announcement that the worker disowns does not hide the worker's own", "[agent]") {
+  const std::string odd_worker = GENERATE("w1", "w2");
+  AgentWorld world;
+  world.Announce();
+  world.loop().RunSync([&] {
+    world.agent().OnAnnouncement({.life = {.worker = odd_worker, .born = 2000}, .sequence = 1, .service = "odd"});
+  });
+  absl::SleepFor(absl::Milliseconds(50));
+  world.Announce();
+  const std::optional<OrdersAnswer> answer = world.StartTask(5);
+  REQUIRE(answer.has_value());
+  REQUIRE(answer->is_worker_known);
+  REQUIRE(answer->starts.size() == 1);
+  CHECK(answer->starts[0].answer.refusal == StartRefusal::kNone);
+}
+
 // Guards against ends that the worker forgets before their record is durable.
 TEST_CASE("ends are acknowledged to the worker only when the owner says so", "[agent]") {
   AgentWorld world;
