Send starts only while the owner's view of the submissions is young

Cause: starts were sent while the newest append of the owner was younger than 4.5 s, whatever the age of what it had read of the submissions partition. Cancellations that other entries accept reach the owner only through that partition.

The owner edge-limerick-yard-1, refused by the store since 16.45 s, went on placing tasks of the job. Its appends succeeded again at 23.673 s, and from 23.69 s its agents began 9 tasks of the job (unanswered=false for 7), a tenth at 25.377 s. Its first read of the submissions after the outage was answered at 25.67 s; job_cancelled follows at 25.672 s, all runs were stopped by 25.91 s.

Ruled out: a start carried out late by the worker (the broken starts have unanswered=false), another owner (no claim between -9.5 s and 35.6 s), a lost or unstored cancellation (it was applied once read), a stop that was not ordered.

Change: PartitionTail knows up to when its state is complete (when the newest read that reached the end was sent). The owner sends starts only while that is younger than 1.4 s: with the 1.5 s for which an agent may repeat a start and 0.1 s for the way this stays under the platform's 3 s. Others are held, not given up, and looked at again every 50 ms: a start whose job was cancelled meanwhile is dropped, one whose worker drains is given up as before. The owner's reads wait for 0.5 s instead of 1 s, so that a read without an answer holds starts up for little or no time. Log lines: starts_held, starts_resumed.

The new entry test plays an owner whose appends succeed and whose reads of the submissions have no answer.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -31,6 +31,9 @@
 /// Waits of the reads; a claim needs to see a silent progress partition soon after the owner's last sign.
 constexpr absl::Duration kProgressWait = absl::Milliseconds(500);
 constexpr absl::Duration kSubmissionWait = absl::Milliseconds(1000);
+/// The same for the owner, whose starts depend on how lately it has read the submissions: one read without an answer
+/// (this and 0.8 s) should not hold them up.
+constexpr absl::Duration kOwnerSubmissionWait = absl::Milliseconds(500);
 
 constexpr const char* kDecisionsMetric = "berylgauge_scheduler_decisions";
 constexpr const char* kDecisionsHelp = "Decisions since this entry became the owner";
@@ -352,8 +355,12 @@
   m_progress_end = answer.end;
   m_index.ApplyProgress(workflow::kOwnerKey, EncodeOwner(record));
   m_submission_tail.SetMinInterval(absl::ZeroDuration());
+  m_submission_tail.SetWait(kOwnerSubmissionWait);
   m_owner = std::make_unique<OwnerRole>(
-      m_loop, m_clock, std::move(writer), m_index, OwnerRoleOptions{.record = record, .scheduler = scheduler},
+      m_loop, m_clock, std::move(writer), m_index,
+      OwnerRoleOptions{.record = record,
+                       .submissions_known_until = [this] { return m_submission_tail.complete_as_of(); },
+                       .scheduler = scheduler},
       OwnerRole::Listener{.on_deposed = [this] { EndOwnership(); },
                           .on_stored =
                               [this](const std::vector<KeyedRecord>& records, std::int64_t end) {
@@ -400,6 +407,7 @@
   m_is_owner.Set(0);
   m_last_owner_sign = m_loop.Now();
   m_submission_tail.SetMinInterval(m_options.follower_interval);
+  m_submission_tail.SetWait(kSubmissionWait);
   m_progress_tail.Resume(m_progress_end);
   m_loop.Defer([owner = std::move(m_owner)] {});
 }
--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -13,6 +13,13 @@
 using workflow::StartOrder;
 using workflow::StopOrder;
 
+namespace {
+
+/// Pause before starts that may not be sent yet are looked at again.
+constexpr absl::Duration kHeldStartsPause = absl::Milliseconds(50);
+
+}  // namespace
+
 OwnerRole::OwnerRole(EventLoop& loop, const Clock& clock, std::unique_ptr<LogWriter> writer,
                      const workflow::JobIndex& index, OwnerRoleOptions options, Listener listener)
     : m_loop(loop),
@@ -204,6 +211,10 @@
   return !m_deposed && !m_handing_over && now - m_writer->proven_at() <= m_options.validity;
 }
 
+bool OwnerRole::HasOldSubmissions(MonotonicTime now) const {
+  return now - m_options.submissions_known_until() > m_options.submissions_age;
+}
+
 // ---- Orders
 
 void OwnerRole::SendStarts(std::vector<StartOrder> starts) {
@@ -247,10 +258,50 @@
                     {.code = FailureCode::kUnavailable, .message = "ownership is not proven", .field = {}});
     return;
   }
+  if (!request.jobs.empty() && HasOldSubmissions(m_loop.Now())) {
+    HoldStarts(agent, std::move(request));
+    return;
+  }
+  if (!request.jobs.empty() && m_holding_starts) {
+    m_holding_starts = false;
+    LogEvent(LogLevel::kInfo, "starts_resumed", {{"epoch", m_options.record.epoch}, {"host", agent}});
+  }
   request.lease_end_ms = request.jobs.empty() ? 0 : m_scheduler->LeaseEndFor(*worker);
   link->second->SendOrders(std::move(request));
 }
 
+void OwnerRole::HoldStarts(const std::string& agent, OrdersRequest request) {
+  if (!m_holding_starts) {
+    m_holding_starts = true;
+    LogEvent(LogLevel::kWarning, "starts_held",
+             {{"epoch", m_options.record.epoch},
+              {"host", agent},
+              {"submissions_age_ms", absl::ToInt64Milliseconds(m_loop.Now() - m_options.submissions_known_until())}});
+  }
+  m_loop.AddTimer(m_loop.Now() + kHeldStartsPause, [this, agent, request = std::move(request), alive = m_alive] {
+    if (*alive) SendHeldStarts(agent, request);
+  });
+}
+
+void OwnerRole::SendHeldStarts(const std::string& agent, const OrdersRequest& request) {
+  OrdersRequest wanted{.life = request.life, .jobs = {}, .stops = {}};
+  for (const JobStarts& job : request.jobs) {
+    JobStarts starts{.payload = job.payload, .starts = {}};
+    for (const StartOrder& start : job.starts) {
+      if (!m_scheduler->IsStarting(start)) continue;
+      if (!start.was_sent && !m_scheduler->MaySend(start)) {
+        m_scheduler->OnStartAnswer(start.task, start.run, request.life, {.refusal = workflow::StartRefusal::kLate},
+                                   m_loop.Now());
+        continue;
+      }
+      starts.starts.push_back(start);
+    }
+    if (!starts.starts.empty()) wanted.jobs.push_back(std::move(starts));
+  }
+  Kick();
+  if (!wanted.jobs.empty()) SendTo(agent, std::move(wanted));
+}
+
 void OwnerRole::OnOrdersAnswer(const std::string& agent, const OrdersRequest& request, const OrdersAnswer& answer) {
   const MonotonicTime now = m_loop.Now();
   if (!answer.is_worker_known) {
--- a/src/control/owner_role.h
+++ b/src/control/owner_role.h
@@ -27,6 +27,12 @@
   absl::Duration sign_interval = absl::Milliseconds(400);
   /// Leases are granted and starts sent only while the newest successful append is younger than this.
   absl::Duration validity = absl::Milliseconds(4500);
+  /// Up to when all submissions and cancellations are known.
+  std::function<MonotonicTime()> submissions_known_until;
+  /// Starts are sent only while that is younger than this. The platform expects that nothing of a job starts later than
+  /// 3 s after its cancellation was acknowledged; the agent may repeat a start for 1.5 s, and 0.1 s is left for the
+  /// way.
+  absl::Duration submissions_age = absl::Milliseconds(1400);
   workflow::SchedulerOptions scheduler;
 };
 
@@ -77,9 +83,14 @@
   void Write(std::vector<KeyedRecord> records, WriteKind kind);
   void OnWritten(const AppendAnswer& answer, WriteKind kind);
   bool IsValid(MonotonicTime now) const;
+  /// Whether a cancellation that was acknowledged long ago may be unknown here.
+  bool HasOldSubmissions(MonotonicTime now) const;
   void SendStarts(std::vector<workflow::StartOrder> starts);
   void SendStops(std::vector<workflow::StopOrder> stops);
   void SendTo(const std::string& agent, OrdersRequest request);
+  /// Sends the starts again after a pause, without those that are no longer wanted.
+  void HoldStarts(const std::string& agent, OrdersRequest request);
+  void SendHeldStarts(const std::string& agent, const OrdersRequest& request);
   void OnOrdersAnswer(const std::string& agent, const OrdersRequest& request, const OrdersAnswer& answer);
   void OnOrdersFailure(const std::string& agent, const OrdersRequest& request, const Failure& failure);
   AgentLink::Listener MakeLinkListener();
@@ -98,6 +109,7 @@
   bool m_run_deferred = false;
   bool m_deposed = false;
   bool m_handing_over = false;
+  bool m_holding_starts = false;
   std::function<void()> m_handed_over;
   EventLoop::TimerId m_timer;
   std::shared_ptr<bool> m_alive;
--- a/src/control/partition_tail.cc
+++ b/src/control/partition_tail.cc
@@ -48,6 +48,7 @@
 void PartitionTail::LoadPage(const std::string& after) {
   if (after.empty()) {
     m_pages.clear();
+    m_read_begun = m_loop.Now();
   }
   const int factor = std::min(1 + m_failures, kMaxTimeoutFactor);
   m_log.ReadNewest(
@@ -89,6 +90,7 @@
   m_loaded = true;
   if (is_snapshot) {
     m_at_end = true;
+    m_complete_as_of = std::max(m_complete_as_of, m_read_begun);
     m_listener.on_end();
   }
   ScheduleRead(absl::ZeroDuration());
@@ -135,11 +137,11 @@
     LoadPage({});
     return;
   }
-  Apply(*answer);
+  Apply(*answer, m_read_begun);
   ScheduleRead(absl::ZeroDuration());
 }
 
-void PartitionTail::Apply(const LogReadAnswer& answer) {
+void PartitionTail::Apply(const LogReadAnswer& answer, MonotonicTime sent) {
   for (const KeyedRecord& record : answer.records) {
     if (record.offset < m_position) continue;
     m_position = record.offset + 1;
@@ -150,6 +152,7 @@
   if (m_position >= m_last_page_end) m_loaded_offsets.clear();
   m_at_end = m_position >= answer.end;
   if (m_at_end) {
+    m_complete_as_of = std::max(m_complete_as_of, sent);
     m_listener.on_end();
   }
 }
@@ -173,7 +176,8 @@
     return;
   }
   m_log.Read(m_options.partition, m_position, absl::ZeroDuration(), timeout,
-             [this, alive = m_alive, callback = std::move(callback)](Result<LogReadAnswer> answer) mutable {
+             [this, sent = m_loop.Now(), alive = m_alive,
+              callback = std::move(callback)](Result<LogReadAnswer> answer) mutable {
                if (!*alive) return;
                if (!answer || answer->expired) {
                  callback(false);
@@ -181,7 +185,7 @@
                }
                m_answered_at = m_loop.Now();
                // The regular read may have passed this one's start, so records are skipped that were applied meanwhile.
-               Apply(*answer);
+               Apply(*answer, sent);
                callback(m_position >= answer->end);
              });
 }
--- a/src/control/partition_tail.h
+++ b/src/control/partition_tail.h
@@ -56,6 +56,7 @@
   void ReadToEnd(absl::Duration timeout, absl::AnyInvocable<void(bool)> callback);
 
   void SetMinInterval(absl::Duration interval) { m_options.min_interval = interval; }
+  void SetWait(absl::Duration wait) { m_options.wait = wait; }
 
   bool is_loaded() const { return m_loaded; }
   /// Reads that failed since the last answer.
@@ -64,6 +65,9 @@
   bool is_at_end() const { return m_at_end; }
   /// Offset of the next record to read.
   std::int64_t position() const { return m_position; }
+  /// The state contains everything that was stored before this time: when the newest read that reached the end was
+  /// sent.
+  MonotonicTime complete_as_of() const { return m_complete_as_of; }
   /// When the store answered last.
   MonotonicTime answered_at() const { return m_answered_at; }
 
@@ -73,7 +77,7 @@
   void ScheduleRead(absl::Duration delay);
   void Read();
   void OnRead(Result<LogReadAnswer> answer);
-  void Apply(const LogReadAnswer& answer);
+  void Apply(const LogReadAnswer& answer, MonotonicTime sent);
   void RetryLater(const Failure& failure);
 
   EventLoop& m_loop;
@@ -86,6 +90,7 @@
   std::int64_t m_position = 0;
   MonotonicTime m_answered_at = InfinitePast();
   MonotonicTime m_read_begun = InfinitePast();
+  MonotonicTime m_complete_as_of = InfinitePast();
   int m_failures = 0;              ///< since the last answer
   std::uint64_t m_generation = 0;  ///< of the chain of reads; a paused chain is abandoned
   EventLoop::TimerId m_timer;
--- a/tests/unit/control/entry_node_test.cc
+++ b/tests/unit/control/entry_node_test.cc
@@ -13,6 +13,7 @@
 
 #include "control/member_record.h"
 #include "memory_keyed_log.h"
+#include "played_agent.h"
 #include "wait_until.h"
 #include "workflow/job_codec.h"
 
@@ -99,6 +100,16 @@
     });
   }
 
+  /// Enters the address of an agent in the store.
+  void AddAgent(const std::string& host, int port) {
+    m_loop.RunSync([&] {
+      const MemberRecord member{.address = "127.0.0.1", .port = port};
+      m_store.Append({.partition = MakePartition("keyed.members", 0),
+                      .records = {{.key = host, .value = EncodeMember(member)}},
+                      .producer = {.name = host, .epoch = 1, .sequence = 0}});
+    });
+  }
+
   EventLoop& loop() { return m_loop; }
   StoreFaults& FaultsOf(std::size_t index) { return m_logs[index]->faults; }
   EntryNode& entry(std::size_t index) { return *m_entries[index]; }
@@ -220,6 +231,46 @@
   CHECK(WaitUntil(world.loop(), absl::Seconds(10), [&] { return !second.index().PhaseOf(job).has_value(); }));
 }
 
+// Guards against starts for a job whose cancellation another entry has acknowledged, by an owner whose appends succeed
+// while its reads of the submissions have no answer (UNASKED).
+TEST_CASE("an owner starts nothing while it may not know of a cancellation", "[entry]") {
+  const bool is_cancelled = GENERATE(true, false);
+  INFO("cancelled: " << is_cancelled);
+  const std::string id = "00000000000000aa";
+  const std::string first_task = id + ".0.0.0";
+  const std::string second_task = id + ".0.1.0";
+  EntryWorld world;
+  PlayedAgent agent(world.loop());
+  EntryNode& owner = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return owner.IsOwner(); }));
+  EntryNode& other = world.Add("e2");
+  world.AddAgent("a1", agent.port());
+  workflow::JobDefinition job = SmallJob(id);
+  job.steps.push_back({.task_count = 1, .after = {0}});
+  world.loop().RunSync([&] { owner.Submit(job, [](SubmitOutcome) {}); });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return agent.HasStarted(first_task); }));
+
+  world.loop().RunSync([&] { world.FaultsOf(0).silent_reads = MakePartition("keyed.work", 0); });
+  absl::SleepFor(absl::Seconds(1));  // the read that is under way is answered
+  if (is_cancelled) {
+    std::optional<CancelOutcome> cancelled;
+    world.loop().RunSync([&] { other.Cancel(id, [&](CancelOutcome outcome) { cancelled = outcome; }); });
+    REQUIRE(WaitUntil(world.loop(), absl::Seconds(2), [&] { return cancelled == CancelOutcome::kCancelled; }));
+  }
+  absl::SleepFor(absl::Milliseconds(1400));
+  world.loop().RunSync([&] { agent.EndDone(first_task); });
+  CHECK(!WaitUntil(world.loop(), absl::Milliseconds(500), [&] { return agent.HasStarted(second_task); }));
+
+  world.loop().RunSync([&] { world.FaultsOf(0).silent_reads.reset(); });
+  const bool starts =
+      WaitUntil(world.loop(), absl::Seconds(is_cancelled ? 4 : 6), [&] { return agent.HasStarted(second_task); });
+  CHECK(starts != is_cancelled);
+  CHECK(WaitUntil(world.loop(), absl::Seconds(2), [&] {
+    const std::optional<workflow::JobPhase> phase = owner.index().PhaseOf(id);
+    return phase == (is_cancelled ? workflow::JobPhase::kCancelled : workflow::JobPhase::kRunning);
+  }));
+}
+
 // Guards against readiness of an entry that would refuse everything.
 TEST_CASE("an entry that the store does not serve is not ready without a ready peer", "[entry]") {
   EntryWorld world;
--- a/tests/unit/control/memory_keyed_log.cc
+++ b/tests/unit/control/memory_keyed_log.cc
@@ -32,8 +32,9 @@
 
 void MemoryKeyedLog::Read(const LogPartition& partition, std::int64_t from, absl::Duration wait, absl::Duration timeout,
                           ReadCallback callback) {
-  if (faults.is_cut || faults.refuses) {
-    const absl::Duration delay = faults.is_cut ? timeout : kLatency;
+  const bool is_silent = faults.is_cut || faults.silent_reads == partition;
+  if (is_silent || faults.refuses) {
+    const absl::Duration delay = is_silent ? timeout : kLatency;
     m_loop.AddTimer(m_loop.Now() + delay, [callback = std::move(callback)]() mutable {
       callback(NotRun(FailureCode::kUnavailable, "the store does not answer"));
     });
--- a/tests/unit/control/memory_keyed_log.h
+++ b/tests/unit/control/memory_keyed_log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "control/keyed_log.h"
@@ -11,9 +12,10 @@
 
 /// How the store behaves towards one process.
 struct StoreFaults {
-  bool refuses = false;  ///< answers that it has done nothing
-  int lost_answers = 0;  ///< so many appends are carried out and not answered
-  bool is_cut = false;   ///< no call arrives, and none is answered
+  bool refuses = false;                      ///< answers that it has done nothing
+  int lost_answers = 0;                      ///< so many appends are carried out and not answered
+  bool is_cut = false;                       ///< no call arrives, and none is answered
+  std::optional<LogPartition> silent_reads;  ///< reads of this partition are not answered
 };
 
 /// One process's way to the store. Used on the loop's thread.
--- /dev/null
+++ b/tests/unit/control/played_agent.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "control/agent_messages.h"
+#include "transport/event_loop.h"
+#include "transport/stream_server.h"
+
+namespace berylgauge::control {
+
+/// An agent with a worker that starts whatever it is told to. Used on the loop's thread, but for the constructor and
+/// the destructor.
+class PlayedAgent {
+ public:
+  explicit PlayedAgent(EventLoop& loop);
+  ~PlayedAgent();
+
+  int port() const { return m_port; }
+  /// Whether the task has ever been started.
+  bool HasStarted(const std::string& task) const { return m_starts.contains(task); }
+  /// Ends the task's run as done.
+  void EndDone(const std::string& task);
+
+ private:
+  void Handle(const StreamRequest& request, const StreamServer::Responder& respond);
+  WatchAnswer MakeWatchAnswer(const WatchRequest& request);
+  OrdersAnswer CarryOut(const OrdersRequest& request);
+
+  EventLoop& m_loop;
+  const workflow::WorkerLife m_life{.worker = "w1", .born = 1};
+  std::int64_t m_clock_ms = 1;
+  std::map<std::string, int> m_starts;  ///< run by task
+  std::map<std::string, int> m_runs;    ///< of these, what runs now
+  std::vector<workflow::RunEnd> m_ends;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+  std::unique_ptr<StreamServer> m_server;
+  int m_port = 0;
+};
+
+}  // namespace berylgauge::control
