Repeat an unanswered read in time after the store refused others

Callers saw cancellations, new jobs and configurations take effect up to 4 s after the store was back.

Cause: the time allowed for a read's answer grew with all failures in a row, refusals (503) included, up to the wait and 3.2 s, and a connection that was silent during an outage stays silent. The next read came only after that timeout. The header of PartitionTail demands less than 3 s.

Change: only timeouts in a row extend the time for the answer, up to 2.4 s, and the wait is shortened so that both together stay within 2.7 s.

--- a/src/control/partition_tail.cc
+++ b/src/control/partition_tail.cc
@@ -14,7 +14,12 @@
 constexpr absl::Duration kLongestRetryPause = absl::Milliseconds(400);
 
 /// Longest factor by which repeated timeouts extend the timeout of a read.
-constexpr int kMaxTimeoutFactor = 4;
+constexpr int kMaxTimeoutFactor = 3;
+
+/// Longest time until a read without an answer is repeated, its wait included. A connection that lost an answer stays
+/// silent after the store is back, and the platform expects an entry to work again 3 s after that. Where the time for
+/// the answer is extended, the wait is shorter.
+constexpr absl::Duration kLongestRead = absl::Milliseconds(2700);
 
 }  // namespace
 
@@ -50,9 +55,8 @@
     m_pages.clear();
     m_read_begun = m_loop.Now();
   }
-  const int factor = std::min(1 + m_failures, kMaxTimeoutFactor);
   m_log.ReadNewest(
-      m_options.partition, after, m_options.answer_timeout * factor,
+      m_options.partition, after, AnswerTimeout(),
       [this, is_first = after.empty(), generation = m_generation, alive = m_alive](Result<LogNewestPage> page) {
         if (*alive && generation == m_generation) OnPage(std::move(page), is_first);
       });
@@ -64,6 +68,7 @@
     return;
   }
   m_failures = 0;
+  m_timeouts = 0;
   m_answered_at = m_loop.Now();
   if (is_first) m_first_page_end = page->end;
   m_last_page_end = page->end;
@@ -96,6 +101,10 @@
   ScheduleRead(absl::ZeroDuration());
 }
 
+absl::Duration PartitionTail::AnswerTimeout() const {
+  return m_options.answer_timeout * std::min(1 + m_timeouts, kMaxTimeoutFactor);
+}
+
 void PartitionTail::ScheduleRead(absl::Duration delay) {
   if (m_paused) return;
   const MonotonicTime earliest = m_read_begun + m_options.min_interval;
@@ -115,8 +124,8 @@
     return;
   }
   m_read_begun = m_loop.Now();
-  const int factor = std::min(1 + m_failures, kMaxTimeoutFactor);
-  m_log.Read(m_options.partition, m_position, m_options.wait, m_options.wait + m_options.answer_timeout * factor,
+  const absl::Duration wait = std::clamp(kLongestRead - AnswerTimeout(), absl::ZeroDuration(), m_options.wait);
+  m_log.Read(m_options.partition, m_position, wait, wait + AnswerTimeout(),
              [this, generation = m_generation, alive = m_alive](Result<LogReadAnswer> answer) {
                if (*alive && generation == m_generation) OnRead(std::move(answer));
              });
@@ -128,6 +137,7 @@
     return;
   }
   m_failures = 0;
+  m_timeouts = 0;
   m_answered_at = m_loop.Now();
   if (answer->expired) {
     LogEvent(
@@ -159,6 +169,8 @@
 
 void PartitionTail::RetryLater(const Failure& failure) {
   ++m_failures;
+  // A refusal is no sign that the store needs longer for its answers.
+  m_timeouts = failure.code == FailureCode::kDeadlineExceeded ? m_timeouts + 1 : 0;
   if (m_failures == 2) {
     LogEvent(
         LogLevel::kWarning, "store_read_failing",
--- a/src/control/partition_tail.h
+++ b/src/control/partition_tail.h
@@ -74,6 +74,8 @@
  private:
   void LoadPage(const std::string& after);
   void OnPage(Result<LogNewestPage> page, bool is_first);
+  /// Time allowed for an answer beyond the wait; repeated timeouts extend it.
+  absl::Duration AnswerTimeout() const;
   void ScheduleRead(absl::Duration delay);
   void Read();
   void OnRead(Result<LogReadAnswer> answer);
@@ -92,6 +94,7 @@
   MonotonicTime m_read_begun = InfinitePast();
   MonotonicTime m_complete_as_of = InfinitePast();
   int m_failures = 0;              ///< since the last answer
+  int m_timeouts = 0;              ///< in a row
   std::uint64_t m_generation = 0;  ///< of the chain of reads; a paused chain is abandoned
   EventLoop::TimerId m_timer;
 
--- a/tests/unit/control/memory_keyed_log.cc
+++ b/tests/unit/control/memory_keyed_log.cc
@@ -1,5 +1,6 @@
 #include "memory_keyed_log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace berylgauge::control {
@@ -32,11 +33,13 @@
 
 void MemoryKeyedLog::Read(const LogPartition& partition, std::int64_t from, absl::Duration wait, absl::Duration timeout,
                           ReadCallback callback) {
+  longest_read_timeout = std::max(longest_read_timeout, timeout);
   const bool is_silent = faults.is_cut || faults.silent_reads == partition;
   if (is_silent || faults.refuses) {
     const absl::Duration delay = is_silent ? timeout : kLatency;
-    m_loop.AddTimer(m_loop.Now() + delay, [callback = std::move(callback)]() mutable {
-      callback(NotRun(FailureCode::kUnavailable, "the store does not answer"));
+    const FailureCode code = is_silent ? FailureCode::kDeadlineExceeded : FailureCode::kOverloaded;
+    m_loop.AddTimer(m_loop.Now() + delay, [code, callback = std::move(callback)]() mutable {
+      callback(NotRun(code, "the store does not answer"));
     });
     return;
   }
--- a/tests/unit/control/memory_keyed_log.h
+++ b/tests/unit/control/memory_keyed_log.h
@@ -24,7 +24,8 @@
   MemoryKeyedLog(EventLoop& loop, MemoryStore& store) : m_loop(loop), m_store(store) {}
 
   StoreFaults faults;
-  int appends = 0;  ///< calls made
+  int appends = 0;                                             ///< calls made
+  absl::Duration longest_read_timeout = absl::ZeroDuration();  ///< of all calls of `Read`
 
   void Append(const AppendCall& call, absl::Duration timeout, AppendCallback callback) override;
   void Read(const LogPartition& partition, std::int64_t from, absl::Duration wait, absl::Duration timeout,
