Count the wait of a read in vain towards what a tail knows

Starts could be held although the store answers, slowly: on a partition without new records a read is answered only after its wait, and the tail counted its state as complete only up to the sending of that read, so the age went up to twice the wait and the store's latency (1.4 s of the bound with a store that needs 0.4 s).

An answer without records shows that nothing was stored until the wait was over.

--- a/src/control/partition_tail.cc
+++ b/src/control/partition_tail.cc
@@ -125,6 +125,7 @@
   }
   m_read_begun = m_loop.Now();
   const absl::Duration wait = std::clamp(kLongestRead - AnswerTimeout(), absl::ZeroDuration(), m_options.wait);
+  m_read_wait = wait;
   m_log.Read(m_options.partition, m_position, wait, wait + AnswerTimeout(),
              [this, generation = m_generation, alive = m_alive](Result<LogReadAnswer> answer) {
                if (*alive && generation == m_generation) OnRead(std::move(answer));
@@ -147,11 +148,13 @@
     LoadPage({});
     return;
   }
-  Apply(*answer, m_read_begun);
+  // A read that waited in vain shows that nothing was stored while it waited.
+  const bool waited = answer->records.empty();
+  Apply(*answer, waited ? std::min(m_read_begun + m_read_wait, m_loop.Now()) : m_read_begun);
   ScheduleRead(absl::ZeroDuration());
 }
 
-void PartitionTail::Apply(const LogReadAnswer& answer, MonotonicTime sent) {
+void PartitionTail::Apply(const LogReadAnswer& answer, MonotonicTime complete_as_of) {
   for (const KeyedRecord& record : answer.records) {
     if (record.offset < m_position) continue;
     m_position = record.offset + 1;
@@ -162,7 +165,7 @@
   if (m_position >= m_last_page_end) m_loaded_offsets.clear();
   m_at_end = m_position >= answer.end;
   if (m_at_end) {
-    m_complete_as_of = std::max(m_complete_as_of, sent);
+    m_complete_as_of = std::max(m_complete_as_of, complete_as_of);
     m_listener.on_end();
   }
 }
--- a/src/control/partition_tail.h
+++ b/src/control/partition_tail.h
@@ -66,7 +66,7 @@
   /// Offset of the next record to read.
   std::int64_t position() const { return m_position; }
   /// The state contains everything that was stored before this time: when the newest read that reached the end was
-  /// sent.
+  /// sent, or when its wait for records was over.
   MonotonicTime complete_as_of() const { return m_complete_as_of; }
   /// When the store answered last.
   MonotonicTime answered_at() const { return m_answered_at; }
@@ -79,7 +79,7 @@
   void ScheduleRead(absl::Duration delay);
   void Read();
   void OnRead(Result<LogReadAnswer> answer);
-  void Apply(const LogReadAnswer& answer, MonotonicTime sent);
+  void Apply(const LogReadAnswer& answer, MonotonicTime complete_as_of);
   void RetryLater(const Failure& failure);
 
   EventLoop& m_loop;
@@ -92,6 +92,7 @@
   std::int64_t m_position = 0;
   MonotonicTime m_answered_at = InfinitePast();
   MonotonicTime m_read_begun = InfinitePast();
+  absl::Duration m_read_wait = absl::ZeroDuration();  ///< of the newest read
   MonotonicTime m_complete_as_of = InfinitePast();
   int m_failures = 0;              ///< since the last answer
   int m_timeouts = 0;              ///< in a row
--- a/tests/unit/control/partition_tail_test.cc
+++ b/tests/unit/control/partition_tail_test.cc
@@ -51,5 +51,18 @@
   CHECK(WaitUntil(world.loop, absl::Seconds(3), [&] { return world.tail->failures() == 0; }));
 }
 
+// Guards against starts that are sent although nothing has been read for a while, and against starts that wait although
+// the store answers: on a partition without new records each read is answered only after its wait.
+TEST_CASE("a tail knows up to when its state is complete", "[tail]") {
+  TailWorld world;
+  REQUIRE(WaitUntil(world.loop, absl::Seconds(2), [&] { return world.tail->is_at_end(); }));
+  const auto age = [&] { return world.loop.Now() - world.tail->complete_as_of(); };
+  CHECK(WaitUntil(world.loop, absl::Seconds(1), [&] { return age() < kWait / 2; }));
+  world.loop.RunSync([&] { world.log->faults.is_cut = true; });
+  CHECK(WaitUntil(world.loop, absl::Seconds(3), [&] { return age() > 4 * kWait; }));
+  world.loop.RunSync([&] { world.log->faults.is_cut = false; });
+  CHECK(WaitUntil(world.loop, absl::Seconds(3), [&] { return age() < kWait / 2; }));
+}
+
 }  // namespace
 }  // namespace berylgauge::control
