Take a message of leaving without a time of birth from a worker that drains

Change: such a message counts if the worker has announced in its present life that it drains, which it does before each planned end. A delayed one of a former life still gives up no run.

--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -91,7 +91,11 @@
 }
 
 void AgentNode::OnLeave(const WorkerLife& life) {
-  if (m_announcement && m_announcement->life == life) SetCondition(WorkerCondition::kGone, "leave");
+  if (!m_announcement || m_announcement->life.worker != life.worker) return;
+  // A message that does not say when its life began may be a delayed one of a former life. A worker announces that it
+  // drains before it leaves, so such a message counts if the present life has done so.
+  const bool is_present = life.born == 0 ? m_announcement->draining : m_announcement->life.born == life.born;
+  if (is_present) SetCondition(WorkerCondition::kGone, "leave");
 }
 
 void AgentNode::SetCondition(WorkerCondition condition, const char* reason) {
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -58,6 +58,7 @@
 
   // Commands.
   void OnAnnouncement(const WorkerAnnouncement& announcement);
+  /// `life.born` is 0 if the worker did not say when its life began.
   void OnLeave(const workflow::WorkerLife& life);
   void OnWatch(const WatchRequest& request, WatchReply reply);
   void OnOrders(const OrdersRequest& request, OrdersReply reply);
