--- a/tests/unit/platform/decode_test.cc
+++ b/tests/unit/platform/decode_test.cc
@@ -75,7 +75,8 @@
 // Guards against a worker that is taken for gone on a message that does not name its life.
 TEST_CASE("a worker leaves in a named life", "[platform]") {
   const HeartbeatRow row = GENERATE(HeartbeatRow{R"({"born":5})", true}, HeartbeatRow{R"({"born":"5"})", false},
-                                    HeartbeatRow{"{}", false}, HeartbeatRow{"[]", false}, HeartbeatRow{"", false});
+                                    HeartbeatRow{R"({"born":1e300})", false}, HeartbeatRow{"{}", false},
+                                    HeartbeatRow{"[]", false}, HeartbeatRow{"", false});
   INFO(row.body);
   const auto life = DecodeLeave("w1", row.body);
   REQUIRE(life.has_value() == row.valid);
