--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -166,6 +166,7 @@
   m_refused_calls = 0;
   if (answer->born != life.born) {
     // The worker was started again; its announcement follows.
+    LogOtherLife(life, *answer);
     OnOtherLife();
     return;
   }
@@ -173,6 +174,19 @@
   if (is_regular) ScheduleHold(HasUnacknowledgedEnds() ? m_options.pending_pause : absl::ZeroDuration());
 }
 
+void AgentNode::LogOtherLife(const WorkerLife& expected, const HoldAnswer& answer) const {
+  LogEvent(LogLevel::kWarning, "worker_other_life",
+           {{"worker", expected.worker},
+            {"born", answer.born},
+            {"expected", expected.born},
+            {"acknowledged", m_acknowledged},
+            {"lease_end_ms", m_lease_end_ms},
+            {"clock_ms", answer.clock_ms},
+            {"runs", answer.runs.size()},
+            {"ends", answer.ends.size()},
+            {"first_end", answer.ends.empty() ? 0 : answer.ends.front().number}});
+}
+
 void AgentNode::OnOtherLife() {
   SetCondition(WorkerCondition::kGone, "other-life");
   // An announcement that the worker has never confirmed may come from another writer. Kept, it would make the worker's
@@ -196,6 +210,7 @@
 void AgentNode::TakeLists(HoldAnswer answer) {
   if (m_lists && answer.clock_ms < m_lists->clock_ms) return;  // overtaken by a newer answer
   const bool is_first = !m_lists;
+  LogSkippedEnds(answer);
   std::int64_t last_end = m_last_end;
   for (const RunEnd& end : answer.ends) last_end = std::max(last_end, end.number);
   m_lists = std::move(answer);
@@ -206,6 +221,19 @@
   Pace();
 }
 
+void AgentNode::LogSkippedEnds(const HoldAnswer& answer) const {
+  if (answer.ends.empty()) return;
+  const std::int64_t known = std::max(m_last_end, m_acknowledged);
+  const auto first = std::min_element(answer.ends.begin(), answer.ends.end(),
+                                      [](const RunEnd& a, const RunEnd& b) { return a.number < b.number; });
+  if (first->number <= known + 1) return;
+  LogEvent(LogLevel::kWarning, "ends_skipped",
+           {{"worker", m_announcement->life.worker},
+            {"born", m_announcement->life.born},
+            {"known", known},
+            {"first_end", first->number}});
+}
+
 bool AgentNode::HasUnacknowledgedEnds() const {
   return m_lists && !m_lists->ends.empty() && m_last_end > m_acknowledged;
 }
@@ -384,6 +412,7 @@
 }
 
 void AgentNode::OnStart(std::shared_ptr<StartAttempt> attempt, Result<StartAnswer> answer) {
+  if (!IsPresent(attempt->call.life)) LogStartForFormerLife(*attempt, answer);
   if (answer) {
     // After a call without an answer a refusal is not final: that call may still be carried out. The owner orders a
     // stop, which settles it.
@@ -406,6 +435,16 @@
   });
 }
 
+void AgentNode::LogStartForFormerLife(const StartAttempt& attempt, const Result<StartAnswer>& answer) const {
+  LogEvent(LogLevel::kWarning, "start_for_former_life",
+           {{"task", attempt.call.task},
+            {"run", attempt.call.run},
+            {"worker", attempt.call.life.worker},
+            {"born", attempt.call.life.born},
+            {"outcome", answer ? workflow::kStartRefusalNames.NameOf(answer->refusal)
+                               : kVerdictNames.NameOf(answer.error().verdict)}});
+}
+
 void AgentNode::AbandonStart(const RunKey& run) {
   const auto found = m_pending_starts.find(run);
   if (found == m_pending_starts.end()) return;
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -86,6 +86,9 @@
   /// The worker is not in the life that was announced.
   void OnOtherLife();
   void TakeLists(HoldAnswer answer);
+  void LogOtherLife(const workflow::WorkerLife& expected, const HoldAnswer& answer) const;
+  /// Ends that the worker forgot before this process has read them, told by their numbers.
+  void LogSkippedEnds(const HoldAnswer& answer) const;
   bool HasUnacknowledgedEnds() const;
 
   void FlushWatch();
@@ -103,6 +106,7 @@
   void TryStart(std::shared_ptr<StartAttempt> attempt);
   void OnStart(std::shared_ptr<StartAttempt> attempt, Result<workflow::StartAnswer> answer);
   void FinishStart(StartAttempt& attempt, workflow::StartAnswer answer);
+  void LogStartForFormerLife(const StartAttempt& attempt, const Result<workflow::StartAnswer>& answer) const;
   /// Ends the repeats of a start that is under way.
   void AbandonStart(const RunKey& run);
   void TryStop(std::shared_ptr<StopAttempt> attempt);
