--- a/tests/unit/control/agent_node_test.cc
+++ b/tests/unit/control/agent_node_test.cc
@@ -36,6 +36,7 @@
   int paces = 0;
   int holds = 0;
   bool lists_nothing = false;  ///< lists have no answer
+  bool keeps_answers = false;  ///< lists are read now and answered by `AnswerKept`
   std::int64_t lease_end_ms = 0;
 
   void Hold(const HoldCall& call, absl::Duration, absl::AnyInvocable<void(Result<HoldAnswer>)> callback) override {
@@ -52,9 +53,30 @@
     for (const auto& [task, run] : runs) {
       answer.runs.push_back({.task = task, .run = run, .checkpoint = {}, .percent = 50, .measured = measured[task]});
     }
+    if (keeps_answers) {
+      m_kept.emplace_back(std::move(callback), std::move(answer));
+      return;
+    }
     Answer<HoldAnswer>(std::move(callback), std::move(answer));
   }
 
+  void AnswerKept() {
+    for (auto& [callback, answer] : std::exchange(m_kept, {}))
+      Answer<HoldAnswer>(std::move(callback), std::move(answer));
+  }
+  std::size_t kept_answers() const { return m_kept.size(); }
+
+  /// Starts again under its id: nothing runs, and clock and numbers of ends start anew.
+  void Restart(std::int64_t next_born) {
+    born = next_born;
+    runs.clear();
+    ends.clear();
+    highest_epoch = 0;
+    lease_end_ms = 0;
+    m_last_end = 0;
+    m_clock_ms = 0;
+  }
+
   void Start(const StartCall& call, absl::Duration, absl::AnyInvocable<void(Result<StartAnswer>)> callback) override {
     ++starts;
     if (vanished_starts > 0) {
@@ -101,6 +123,7 @@
   EventLoop& m_loop;
   std::int64_t m_clock_ms = 0;
   std::int64_t m_last_end = 0;
+  std::vector<std::pair<absl::AnyInvocable<void(Result<HoldAnswer>)>, HoldAnswer>> m_kept;
 };
 
 class AgentWorld {
@@ -469,6 +492,72 @@
   world.loop().RunSync([&] { CHECK(world.worker().runs.empty()); });
 }
 
+// Guards against a second run of a task: the lists of a worker's former life, answered late, counted as those of the
+// next life, whose ends up to the former numbers were then acknowledged unread (issue 22).
+TEST_CASE("lists of a former life are not taken for those of the next one", "[.][known-red]") {
+  const std::string next_worker = GENERATE("w1", "w2");
+  AgentWorld world;
+  world.Announce();
+  REQUIRE(world.StartTask(5).has_value());
+  std::optional<OrdersAnswer> stop;
+  world.loop().RunSync([&] {
+    world.worker().keeps_answers = true;
+    world.agent().OnOrders({.epoch = 5,
+                            .life = world.life(),
+                            .jobs = {},
+                            .stops = {{.agent = {}, .life = world.life(), .task = "a.0.0.0", .run = 1}}},
+                           [&](std::optional<OrdersAnswer> given) { stop = std::move(given); });
+  });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return world.worker().runs.empty(); }));
+  absl::SleepFor(absl::Milliseconds(50));  // the stop has been answered, and the list after it is under way
+  const workflow::WorkerLife next{.worker = next_worker, .born = 2000};
+  world.loop().RunSync([&] {
+    world.worker().Restart(next.born);
+    world.worker().keeps_answers = false;
+    world.worker().lists_nothing = true;
+    world.agent().OnAnnouncement({.life = next, .sequence = 1, .service = "s"});
+    world.worker().AnswerKept();
+  });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return stop.has_value(); }));
+  const std::optional<WatchAnswer> watch = world.Watch({.epoch = 5, .life = {}});
+  REQUIRE(watch.has_value());
+  CHECK(watch->report.life != next);
+  CHECK(watch->report.ends.empty());
+}
+
+struct NextLifeRow {
+  const char* name;
+  bool is_stop;
+};
+
+// Guards against a second run of a task whose start or stop had no answer when the worker was started again: the next
+// life may carry the start out, so neither "another life" nor "absent" is known (issue 22).
+TEST_CASE("an order without answer is not decided by the worker's next life", "[.][known-red]") {
+  const NextLifeRow row = GENERATE(NextLifeRow{"start", false}, NextLifeRow{"stop", true});
+  INFO(row.name);
+  AgentWorld world;
+  world.Announce();
+  std::optional<OrdersAnswer> answer;
+  world.loop().RunSync([&] {
+    world.worker().vanished_starts = 1;
+    world.worker().lists_nothing = true;
+    OrdersRequest request = AgentWorld::StartRequest();
+    if (row.is_stop) {
+      request.jobs.clear();
+      request.stops = {{.agent = {}, .life = world.life(), .task = "a.0.0.0", .run = 1}};
+    }
+    request.epoch = 5;
+    request.life = world.life();
+    world.agent().OnOrders(request, [&](std::optional<OrdersAnswer> given) { answer = std::move(given); });
+    world.worker().Restart(2000);
+    world.agent().OnAnnouncement({.life = {.worker = "w1", .born = 2000}, .sequence = 1, .service = "s"});
+  });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return answer.has_value(); }));
+  REQUIRE(answer->is_worker_known);
+  for (const OrdersAnswer::Started& start : answer->starts) CHECK(start.answer.refusal == StartRefusal::kEnded);
+  for (const OrdersAnswer::Stopped& stop : answer->stops) CHECK(stop.end_listed);
+}
+
 // Guards against ends that the worker forgets before their record is durable.
 TEST_CASE("ends are acknowledged to the worker only when the owner says so", "[agent]") {
   AgentWorld world;
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -290,6 +290,66 @@
   CHECK(world.PlaceOf("a0.0.0.0") == "w1");
 }
 
+struct NextLifeRow {
+  const char* name;
+  bool has_ended;
+  bool is_replaced;
+};
+
+// Guards against a second run of a task whose start was carried out by the next life of its worker: a worker that is
+// started again keeps its id, so it accepts calls that were meant for its former life (issue 22).
+TEST_CASE("a run that the next life of its worker carried out counts", "[.][known-red]") {
+  const NextLifeRow row = GENERATE(NextLifeRow{"goes on", false, false}, NextLifeRow{"has ended as done", true, false},
+                                   NextLifeRow{"goes on, with a successor of the owner", false, true},
+                                   NextLifeRow{"has ended as done, with a successor of the owner", true, true});
+  INFO(row.name);
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  world.Submit(SingleStepJob("a0", ShortStep(1)));
+  REQUIRE(world.PlaceOf("a0.0.0.0") == "w1");
+  world.AddWorker("w2");
+  world.Restart("w1");
+  world.worker("w1").runs["a0.0.0.0"] = 1;
+  if (row.has_ended) world.End("a0.0.0.0", RunEndKind::kDone);
+  if (row.is_replaced) world.Replace();
+  world.Settle();
+  CHECK(world.StartsOf("a0.0.0.0") == 1);
+  CHECK(world.violations().empty());
+  CHECK(world.PlaceOf("a0.0.0.0") == (row.has_ended ? "" : "w1"));
+  world.End("a0.0.0.0", RunEndKind::kDone);
+  world.Settle();
+  CHECK(world.PhaseOf("a0") == JobPhase::kDone);
+  CHECK(world.StartsOf("a0.0.0.0") == 1);
+}
+
+// Guards against a second run of a task whose start had no answer when its worker ended: the next life may still carry
+// that start out (issue 22).
+TEST_CASE("a start without answer at a worker that is gone is repeated only after its lease", "[.][known-red]") {
+  const bool is_carried_out = GENERATE(true, false);
+  SchedulerWorld world;
+  PlayedWorker& worker = world.AddWorker("w1");
+  worker.answers_starts = false;
+  world.Submit(SingleStepJob("a0", ShortStep(1)));
+  worker.condition = WorkerCondition::kGone;
+  world.AddWorker("w2");
+  world.Settle();
+  world.Sleep(absl::Seconds(4));
+  world.Settle();
+  REQUIRE(world.RunningTasks() == 0);
+  if (is_carried_out) {
+    world.Restart("w1");
+    worker.condition = WorkerCondition::kReady;
+    worker.runs["a0.0.0.0"] = 1;
+    world.Settle();
+    CHECK(world.PlaceOf("a0.0.0.0") == "w1");
+    CHECK(world.StartsOf("a0.0.0.0") == 0);
+  } else {
+    world.Sleep(absl::Seconds(1));
+    world.SettleWithout("w1");
+    CHECK(world.PlaceOf("a0.0.0.0") == "w2");
+  }
+}
+
 // Guards against a worker that stays unused because its host's time of day was set back before it was started again.
 TEST_CASE("a worker's new life may be born earlier by its clock", "[scheduler]") {
   SchedulerWorld world;
