--- a/src/control/agent_messages.cc
+++ b/src/control/agent_messages.cc
@@ -21,7 +21,7 @@
 using workflow::WorkerReport;
 
 /// Version of the messages; processes of different versions refuse each other's.
-constexpr int kFormat = 2;
+constexpr int kFormat = 3;
 
 /// An hour of added latency; the model's estimates are far below.
 constexpr double kMaxMsPerCore = 3'600'000;
@@ -64,10 +64,11 @@
     ends.push_back(json::array({end.number, end.task, end.run, static_cast<int>(end.kind), end.checkpoint}));
   }
   const Resources& capacity = report.capacity;
-  return json::array(
-      {report.agent_incarnation, LifeToJson(report.life), static_cast<int>(report.condition), report.service,
-       report.zone, report.labels, json::array({capacity.cpu_millis, capacity.memory_mb, capacity.accelerators}),
-       report.remaining_ms, report.worker_clock_ms, report.has_runs, std::move(runs), std::move(ends), report.rack});
+  return json::array({report.agent_incarnation, LifeToJson(report.life), static_cast<int>(report.condition),
+                      report.service, report.zone, report.labels,
+                      json::array({capacity.cpu_millis, capacity.memory_mb, capacity.accelerators}),
+                      report.remaining_ms, report.worker_clock_ms, report.has_runs, std::move(runs), std::move(ends),
+                      report.rack, LifeToJson(report.announced)});
 }
 
 WorkerReport ReportFromJson(const json& row) {
@@ -99,6 +100,7 @@
                            .checkpoint = end.at(4).get<std::string>()});
   }
   row.at(12).get_to(report.rack);
+  report.announced = LifeFromJson(row.at(13));
   return report;
 }
 
@@ -114,7 +116,7 @@
   }
   return Encode(json::array({message.epoch, message.known_version, message.known_incarnation, message.wait_ms,
                              LifeToJson(message.life), message.lease_end_ms, message.acknowledged, std::move(traits),
-                             std::move(interference)}));
+                             std::move(interference), LifeToJson(message.fence.life), message.fence.token}));
 }
 
 Result<WatchRequest> DecodeWatchRequest(std::string_view bytes) {
@@ -139,6 +141,7 @@
                                       .filling_image = entry.at(1).get<std::string>(),
                                       .ms_per_core = ReadFinite(entry.at(2), -kMaxMsPerCore, kMaxMsPerCore)});
     }
+    message.fence = {.life = LifeFromJson(row.at(9)), .token = ReadCount<std::int64_t>(row.at(10))};
     return message;
   });
 }
@@ -206,8 +209,8 @@
 std::string EncodeOrdersAnswer(const OrdersAnswer& message) {
   json starts = json::array();
   for (const OrdersAnswer::Started& start : message.starts) {
-    starts.push_back(
-        json::array({start.task, start.run, static_cast<int>(start.answer.refusal), start.answer.clock_ms}));
+    starts.push_back(json::array({start.task, start.run, static_cast<int>(start.answer.refusal), start.answer.clock_ms,
+                                  start.answer.is_settled}));
   }
   json stops = json::array();
   for (const OrdersAnswer::Stopped& stop : message.stops) {
@@ -224,7 +227,8 @@
       message.starts.push_back({.task = start.at(0).get<std::string>(),
                                 .run = ReadCount<int>(start.at(1)),
                                 .answer = {.refusal = ReadEnum(start.at(2), StartRefusal::kStaleOwner),
-                                           .clock_ms = ReadCount<std::int64_t>(start.at(3))}});
+                                           .clock_ms = ReadCount<std::int64_t>(start.at(3)),
+                                           .is_settled = start.at(4).get<bool>()}});
     }
     for (const json& stop : row.at(2)) {
       message.stops.push_back({.task = stop.at(0).get<std::string>(),
--- a/src/control/agent_messages.h
+++ b/src/control/agent_messages.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/failure.h"
+#include "control/fence_tokens.h"
 #include "workflow/interference_table.h"
 #include "workflow/orders.h"
 #include "workflow/worker_report.h"
@@ -34,6 +35,7 @@
   std::uint64_t known_version = 0;  ///< of the last answer; 0 asks for an answer at once
   Incarnation known_incarnation = 0;
   int wait_ms = 0;
+  FenceTokens::Grant fence;
   workflow::WorkerLife life;                              ///< to which the following refer; may be empty
   std::int64_t lease_end_ms = 0;                          ///< on the worker's clock; 0 grants nothing
   std::int64_t acknowledged = 0;                          ///< number of the last end that is durable
@@ -69,7 +71,9 @@
   struct Stopped {
     std::string task;
     int run = 0;
-    bool end_listed = false;  ///< else the run is not there and never will be
+    /// Whether the worker's lists, or those of its next life, tell what became of the run; else it is not there and
+    /// never will be.
+    bool end_listed = false;
   };
   /// Whether the agent has had an answer of the worker since it was started. Otherwise nothing was done, and nothing is
   /// known of what its former process did.
--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -33,8 +33,10 @@
 struct AgentNode::StartAttempt {
   std::vector<std::shared_ptr<OrderBatch>> batches;  ///< more than one if the owner repeated the order meanwhile
   StartCall call;
+  std::int64_t epoch = 0;
   MonotonicTime begun;
-  bool abandoned = false;  ///< a stop was ordered, so no further call is made
+  bool is_unanswered = false;  ///< a call had no answer
+  bool abandoned = false;      ///< a stop was ordered, so no further call is made
 
   RunKey key() const { return {call.task, call.run}; }
 };
@@ -42,6 +44,7 @@
 struct AgentNode::StopAttempt {
   std::shared_ptr<OrderBatch> batch;
   StopCall call;
+  std::int64_t epoch = 0;
 };
 
 AgentNode::AgentNode(EventLoop& loop, WorkerPort& worker, MetricsRegistry& metrics, const AgentNodeOptions& options)
@@ -80,14 +83,16 @@
   LogEvent(LogLevel::kInfo, "worker_life",
            {{"worker", announcement.life.worker}, {"born", announcement.life.born}, {"zone", announcement.zone}});
   m_lists.reset();
+  m_fence_token = 0;
+  m_is_confirmed = false;
   m_lease_end_ms = 0;
   m_acknowledged = 0;
   m_last_end = 0;
   m_refused_calls = 0;
-  m_unsettled_starts.clear();
   m_pending_starts.clear();
   m_condition = WorkerCondition::kGone;
-  ScheduleHold(absl::ZeroDuration());
+  m_hold_sent = false;  // a call to the former life may be without an answer for long
+  ++m_hold_number;
 }
 
 void AgentNode::OnLeave(const WorkerLife& life) {
@@ -138,57 +143,106 @@
   });
 }
 
-void AgentNode::SendHold(bool is_regular) {
-  if (!m_announcement || m_condition == WorkerCondition::kGone) return;
-  HoldCall call{.life = m_announcement->life, .epoch = m_epoch, .acknowledged = m_acknowledged, .lease_end_ms = {}};
+HoldCall AgentNode::MakeHoldCall() const {
+  HoldCall call{.life = m_announcement->life, .fence_token = m_fence_token, .lease_end_ms = {}};
+  // Until the life has answered, it may be another one than the one that the numbers are about. An acknowledgement is
+  // not repeated once it has had its effect, because the call may be carried out by the next life.
+  if (!m_is_confirmed) return call;
+  const bool has_effect = m_lists && std::any_of(m_lists->ends.begin(), m_lists->ends.end(),
+                                                 [&](const RunEnd& end) { return end.number <= m_acknowledged; });
+  if (has_effect) call.acknowledged = m_acknowledged;
   if (m_lease_end_ms > 0) call.lease_end_ms = m_lease_end_ms;
+  return call;
+}
+
+void AgentNode::SendHold(bool is_regular) {
+  if (!m_announcement || m_condition == WorkerCondition::kGone || m_fence_token == 0) return;
+  HoldCall call = MakeHoldCall();
   if (is_regular) {
     m_hold_sent = true;
-    if (!HasUnacknowledgedEnds() && m_lists) call.wait = IsPacing() ? m_options.paced_hold_wait : m_options.hold_wait;
+    ++m_hold_number;
+    if (!HasUnacknowledgedEnds() && m_is_confirmed && m_lists) {
+      call.wait = IsPacing() ? m_options.paced_hold_wait : m_options.hold_wait;
+    }
   }
   m_worker.Hold(call, call.wait + m_options.call_timeout,
-                [this, life = call.life, is_regular, alive = m_alive](Result<HoldAnswer> answer) {
-                  if (*alive) OnHold(std::move(answer), life, is_regular);
+                [this, life = call.life, token = call.fence_token, number = is_regular ? m_hold_number : 0,
+                 alive = m_alive](Result<HoldAnswer> answer) {
+                  if (*alive) OnHold(std::move(answer), life, token, number);
                 });
 }
 
-void AgentNode::OnHold(Result<HoldAnswer> answer, const WorkerLife& life, bool is_regular) {
-  if (is_regular) m_hold_sent = false;
+void AgentNode::OnHold(Result<HoldAnswer> answer, const WorkerLife& life, std::int64_t token, std::uint64_t number) {
+  const bool is_regular = number != 0;
+  if (is_regular && number == m_hold_number) m_hold_sent = false;
   const bool is_present = m_announcement && m_announcement->life == life;
-  if (!is_present) {
-    ScheduleHold(absl::ZeroDuration());
-    return;
-  }
+  if (!is_present) return;
   if (!answer) {
     OnHoldFailure(answer.error());
     return;
   }
   m_refused_calls = 0;
   if (answer->born != life.born) {
-    // The worker was started again; its announcement follows.
-    LogOtherLife(life, *answer);
-    OnOtherLife();
+    OnOtherLife(*answer);
     return;
   }
   TakeLists(std::move(*answer));
+  if (token == m_fence_token) ConfirmLife();
   if (is_regular) ScheduleHold(HasUnacknowledgedEnds() ? m_options.pending_pause : absl::ZeroDuration());
 }
 
-void AgentNode::LogOtherLife(const WorkerLife& expected, const HoldAnswer& answer) const {
+void AgentNode::SetFence(const FenceTokens::Grant& fence) {
+  const bool is_new = m_announcement && fence.life == m_announcement->life && fence.token > m_fence_token;
+  if (!is_new) return;
+  m_fence_token = fence.token;
+  m_is_confirmed = false;
+  if (m_hold_sent) {
+    SendHold(false);
+  } else {
+    ScheduleHold(absl::ZeroDuration());
+  }
+}
+
+void AgentNode::ConfirmLife() {
+  if (m_is_confirmed) return;
+  m_is_confirmed = true;
+  const WorkerLife& life = m_announcement->life;
+  LogEvent(LogLevel::kInfo, "worker_confirmed",
+           {{"worker", life.worker},
+            {"born", life.born},
+            {"token", m_fence_token},
+            {"runs", m_lists->runs.size()},
+            {"ends", m_lists->ends.size()}});
+  if (m_confirmed_life != life) m_unsettled_starts.clear();
+  m_confirmed_life = life;
+  m_runs_sent_at = InfinitePast();  // the owner compares the whole list with its records
+  NoteChange();
+}
+
+void AgentNode::OnOtherLife(const HoldAnswer& answer) {
+  // The worker was started again; its announcement follows. What it carried out of the calls for its former life is not
+  // known before it has answered with a token of its own.
   LogEvent(LogLevel::kWarning, "worker_other_life",
-           {{"worker", expected.worker},
+           {{"worker", m_announcement->life.worker},
             {"born", answer.born},
-            {"expected", expected.born},
+            {"expected", m_announcement->life.born},
             {"acknowledged", m_acknowledged},
             {"lease_end_ms", m_lease_end_ms},
             {"clock_ms", answer.clock_ms},
             {"runs", answer.runs.size()},
             {"ends", answer.ends.size()},
             {"first_end", answer.ends.empty() ? 0 : answer.ends.front().number}});
+  m_is_confirmed = false;
+  SetCondition(WorkerCondition::kGone, "other-life");
+  ForgetUnconfirmedAnnouncement();
 }
 
-void AgentNode::OnOtherLife() {
-  SetCondition(WorkerCondition::kGone, "other-life");
+void AgentNode::OnOtherWorker() {
+  SetCondition(WorkerCondition::kGone, "other-worker");
+  ForgetUnconfirmedAnnouncement();
+}
+
+void AgentNode::ForgetUnconfirmedAnnouncement() {
   // An announcement that the worker has never confirmed may come from another writer. Kept, it would make the worker's
   // own look like late ones of a former life.
   if (!m_lists) m_announcement.reset();
@@ -197,7 +251,7 @@
 void AgentNode::OnHoldFailure(const Failure& failure) {
   m_hold_failures.Add();
   if (failure.code == FailureCode::kExpired) {
-    OnOtherLife();
+    OnOtherWorker();
     return;
   }
   if (failure.code == FailureCode::kConnectionRefused && ++m_refused_calls >= m_options.refused_calls) {
@@ -245,7 +299,7 @@
   if (epoch == m_epoch) return true;
   LogEvent(LogLevel::kInfo, "owner_adopted", {{"epoch", epoch}, {"former", m_epoch}});
   m_epoch = epoch;
-  SendHold(false);  // so that the worker refuses what the former owner still sends
+  m_is_confirmed = false;  // the lists must show everything that the former owner's calls did
   return true;
 }
 
@@ -255,6 +309,7 @@
     return;
   }
   m_watched_at = m_loop.Now();
+  SetFence(request.fence);
   if (m_announcement && request.life == m_announcement->life) {
     m_lease_end_ms = std::max(m_lease_end_ms, request.lease_end_ms);
     if (request.acknowledged > m_acknowledged) {
@@ -288,6 +343,7 @@
   WatchAnswer answer{.version = m_version, .report = {}};
   workflow::WorkerReport& report = answer.report;
   report.agent_incarnation = m_options.incarnation;
+  if (m_announcement) report.announced = m_announcement->life;
   if (!IsWorkerKnown()) return answer;
   report.life = m_announcement->life;
   report.condition = m_condition;
@@ -330,9 +386,10 @@
     for (const workflow::StartOrder& order : job.starts) {
       auto attempt = std::make_shared<StartAttempt>();
       attempt->batches.push_back(batch);
+      attempt->epoch = request.epoch;
       attempt->begun = m_loop.Now();
       attempt->call = {.life = request.life,
-                       .epoch = request.epoch,
+                       .fence_token = m_fence_token,
                        .task = order.task,
                        .run = order.run,
                        .payload = job.payload,
@@ -352,12 +409,11 @@
   batch->pending = starts.size() + request.stops.size() + 1;
   for (std::shared_ptr<StartAttempt>& attempt : starts) {
     if (!is_present) {
-      FinishStart(*attempt, {.refusal = StartRefusal::kOtherLife});
+      FinishStart(*attempt, {.refusal = IsUnsettled(*attempt) ? StartRefusal::kEnded : StartRefusal::kOtherLife});
     } else if (const std::shared_ptr<StartAttempt> pending = m_pending_starts[attempt->key()].lock()) {
       pending->batches.push_back(batch);
     } else if (m_condition != WorkerCondition::kReady) {
-      const bool is_settled = !m_unsettled_starts.contains(attempt->key());
-      FinishStart(*attempt, {.refusal = is_settled ? StartRefusal::kDraining : StartRefusal::kEnded});
+      FinishStart(*attempt, {.refusal = IsUnsettled(*attempt) ? StartRefusal::kEnded : StartRefusal::kDraining});
     } else {
       m_pending_starts[attempt->key()] = attempt;
       TryStart(std::move(attempt));
@@ -366,13 +422,14 @@
   for (const workflow::StopOrder& order : request.stops) {
     auto attempt = std::make_shared<StopAttempt>();
     attempt->batch = batch;
-    attempt->call = {.life = request.life, .epoch = request.epoch, .task = order.task, .run = order.run};
+    attempt->epoch = request.epoch;
+    attempt->call = {.life = request.life, .fence_token = m_fence_token, .task = order.task, .run = order.run};
     if (is_present) {
       AbandonStart({order.task, order.run});
       TryStop(std::move(attempt));
     } else {
-      // Nothing of that life runs any more.
-      batch->answer.stops.push_back({.task = order.task, .run = order.run, .end_listed = false});
+      // Whether the next life carries the run's start out is shown by its lists.
+      batch->answer.stops.push_back({.task = order.task, .run = order.run, .end_listed = true});
       FinishOne(*batch);
     }
   }
@@ -394,9 +451,13 @@
   return !IsPresent(life) || epoch < m_epoch;
 }
 
+bool AgentNode::IsUnsettled(const StartAttempt& attempt) const {
+  return attempt.is_unanswered || m_unsettled_starts.contains(attempt.key());
+}
+
 bool AgentNode::IsGivenUp(const StartAttempt& attempt) const {
   // A start of a former owner is not repeated; its successor settles the run.
-  if (attempt.abandoned || attempt.call.epoch < m_epoch) return true;
+  if (attempt.abandoned || IsOver(attempt.call.life, attempt.epoch)) return true;
   return m_loop.Now() - attempt.begun > m_options.start_limit;
 }
 
@@ -417,15 +478,18 @@
     // After a call without an answer a refusal is not final: that call may still be carried out. The owner orders a
     // stop, which settles it.
     const bool is_refusal = answer->refusal != StartRefusal::kNone;
-    if (is_refusal && m_unsettled_starts.contains(attempt->key())) answer->refusal = StartRefusal::kEnded;
+    if (is_refusal && IsUnsettled(*attempt)) answer->refusal = StartRefusal::kEnded;
     FinishStart(*attempt, *answer);
     return;
   }
-  if (answer.error().code == FailureCode::kExpired || !IsPresent(attempt->call.life)) {
+  if (answer.error().verdict == Verdict::kMayHaveRun) {
+    attempt->is_unanswered = true;
+    if (m_confirmed_life == attempt->call.life) m_unsettled_starts.insert(attempt->key());
+  }
+  if (!IsPresent(attempt->call.life) && !IsUnsettled(*attempt)) {
     FinishStart(*attempt, {.refusal = StartRefusal::kOtherLife});
     return;
   }
-  if (answer.error().verdict == Verdict::kMayHaveRun) m_unsettled_starts.insert(attempt->key());
   if (IsGivenUp(*attempt)) {
     FinishStart(*attempt, {.refusal = StartRefusal::kEnded});
     return;
@@ -453,7 +517,8 @@
 
 void AgentNode::FinishStart(StartAttempt& attempt, StartAnswer answer) {
   const bool accepted = answer.refusal == StartRefusal::kNone;
-  const bool unanswered = m_unsettled_starts.contains(attempt.key());
+  const bool unanswered = IsUnsettled(attempt);
+  answer.is_settled = accepted && !unanswered;
   m_pending_starts.erase(attempt.key());
   if (accepted) {
     m_unsettled_starts.erase(attempt.key());
@@ -463,7 +528,7 @@
   LogEvent(accepted ? LogLevel::kInfo : LogLevel::kWarning, "start",
            {{"task", attempt.call.task},
             {"run", attempt.call.run},
-            {"epoch", attempt.call.epoch},
+            {"epoch", attempt.epoch},
             {"refusal", workflow::kStartRefusalNames.NameOf(answer.refusal)},
             {"unanswered", unanswered},
             {"ms", absl::ToInt64Milliseconds(m_loop.Now() - attempt.begun)}});
@@ -478,7 +543,7 @@
     if (!*alive) return;
     // A call of a stopped run that is carried out later is rejected.
     if (answer) m_unsettled_starts.erase({attempt->call.task, attempt->call.run});
-    if (answer || IsOver(attempt->call.life, attempt->call.epoch)) {
+    if (answer || IsOver(attempt->call.life, attempt->epoch)) {
       ResolveStop(attempt);
       return;
     }
@@ -489,35 +554,45 @@
 }
 
 void AgentNode::ResolveStop(std::shared_ptr<StopAttempt> attempt) {
-  const StopCall& call = attempt->call;
-  const HoldCall hold{.life = call.life, .epoch = m_epoch, .acknowledged = m_acknowledged, .lease_end_ms = {}};
-  m_worker.Hold(hold, m_options.call_timeout, [this, attempt, alive = m_alive](Result<HoldAnswer> answer) {
+  if (IsOver(attempt->call.life, attempt->epoch)) {
+    FinishStop(*attempt, true);  // the lists of the next life, or those that its next owner gets, show the run
+    return;
+  }
+  m_worker.Hold(MakeHoldCall(), m_options.call_timeout, [this, attempt, alive = m_alive](Result<HoldAnswer> answer) {
     if (!*alive) return;
     const StopCall& call = attempt->call;
-    const bool is_over = IsOver(call.life, call.epoch);
+    if (answer && answer->born != call.life.born && IsPresent(call.life)) OnOtherLife(*answer);
+    if (IsOver(call.life, attempt->epoch)) {
+      FinishStop(*attempt, true);
+      return;
+    }
     bool is_running = false;
     bool end_listed = false;
-    if (answer && answer->born == call.life.born) {
+    if (answer) {
       is_running = std::any_of(answer->runs.begin(), answer->runs.end(),
                                [&](const ActiveRun& run) { return run.task == call.task && run.run == call.run; });
       end_listed = std::any_of(answer->ends.begin(), answer->ends.end(),
                                [&](const RunEnd& end) { return end.task == call.task && end.run == call.run; });
       TakeLists(std::move(*answer));
     }
-    if (!is_over && (!answer || is_running)) {
+    if (!answer || is_running) {
       m_loop.AddTimer(m_loop.Now() + m_options.retry_pause, [this, attempt, alive] {
         if (*alive) ResolveStop(attempt);
       });
       return;
     }
-    LogEvent(LogLevel::kInfo, "stop",
-             {{"task", call.task}, {"run", call.run}, {"epoch", call.epoch}, {"end_listed", end_listed}});
-    attempt->batch->answer.stops.push_back(
-        {.task = call.task, .run = call.run, .end_listed = end_listed || is_running});
-    FinishOne(*attempt->batch);
+    FinishStop(*attempt, end_listed);
   });
 }
 
+void AgentNode::FinishStop(StopAttempt& attempt, bool end_listed) {
+  const StopCall& call = attempt.call;
+  LogEvent(LogLevel::kInfo, "stop",
+           {{"task", call.task}, {"run", call.run}, {"epoch", attempt.epoch}, {"end_listed", end_listed}});
+  attempt.batch->answer.stops.push_back({.task = call.task, .run = call.run, .end_listed = end_listed});
+  FinishOne(*attempt.batch);
+}
+
 // ---- Pace
 
 bool AgentNode::IsPacing() const {
@@ -561,7 +636,7 @@
 
 void AgentNode::PaceStarted(const StartCall& call) {
   const auto traits = m_traits.find(call.task);
-  if (traits == m_traits.end() || !traits->second.fills_idle_cpu || !m_lists) return;
+  if (traits == m_traits.end() || !traits->second.fills_idle_cpu || !m_lists || !IsPresent(call.life)) return;
   const workflow::MeasuredRun filler{.task = call.task,
                                      .run = call.run,
                                      .image = traits->second.image,
@@ -575,7 +650,7 @@
   m_pace_changes.Add();
   LogEvent(LogLevel::kInfo, "pace", {{"task", change.task}, {"run", change.run}, {"percent", change.percent}});
   const PaceCall call{.life = m_announcement->life,
-                      .epoch = m_epoch,
+                      .fence_token = m_fence_token,
                       .task = change.task,
                       .run = change.run,
                       .percent = change.percent};
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -81,12 +81,20 @@
 
   void ScheduleHold(absl::Duration delay);
   void SendHold(bool is_regular);
-  void OnHold(Result<HoldAnswer> answer, const workflow::WorkerLife& life, bool is_regular);
+  /// Answer to a call for that life with that token. `number` is that of a regular call, else 0.
+  void OnHold(Result<HoldAnswer> answer, const workflow::WorkerLife& life, std::int64_t token, std::uint64_t number);
   void OnHoldFailure(const Failure& failure);
-  /// The worker is not in the life that was announced.
-  void OnOtherLife();
+  /// The worker answered in another life than the announced one.
+  void OnOtherLife(const HoldAnswer& answer);
+  /// The worker at the address has another id.
+  void OnOtherWorker();
+  void ForgetUnconfirmedAnnouncement();
+  void SetFence(const FenceTokens::Grant& fence);
+  /// The announced life has answered a call with its fence token: nothing that was meant for a former life has an
+  /// effect any more, and what such calls did before is in its lists.
+  void ConfirmLife();
   void TakeLists(HoldAnswer answer);
-  void LogOtherLife(const workflow::WorkerLife& expected, const HoldAnswer& answer) const;
+  HoldCall MakeHoldCall() const;
   /// Ends that the worker forgot before this process has read them, told by their numbers.
   void LogSkippedEnds(const HoldAnswer& answer) const;
   bool HasUnacknowledgedEnds() const;
@@ -94,11 +102,14 @@
   void FlushWatch();
   WatchAnswer MakeWatchAnswer(const WatchRequest& request);
 
-  /// Whether the worker has given its lists in the life that it announced. Until then this process knows nothing of
-  /// what runs there, and the announcement may be a delayed one of a former life.
-  bool IsWorkerKnown() const { return m_announcement && m_lists; }
-  /// Whether the worker is in that life and has not gone.
+  /// Whether the worker has given its lists in the life that it announced, to a call with the present owner's token.
+  /// Until then this process knows nothing of what runs there, and the announcement may be a delayed one of a former
+  /// life.
+  bool IsWorkerKnown() const { return m_announcement && m_lists && m_is_confirmed; }
+  /// Whether the worker is in that life and has not gone, as far as is known.
   bool IsPresent(const workflow::WorkerLife& life) const;
+  /// Whether a call of the start had no answer and may be carried out yet, by this life or the next one.
+  bool IsUnsettled(const StartAttempt& attempt) const;
   /// Whether nothing depends any more on what a call for that life, ordered in that epoch, achieves.
   bool IsOver(const workflow::WorkerLife& life, std::int64_t epoch) const;
   bool IsGivenUp(const StartAttempt& attempt) const;
@@ -111,6 +122,7 @@
   void AbandonStart(const RunKey& run);
   void TryStop(std::shared_ptr<StopAttempt> attempt);
   void ResolveStop(std::shared_ptr<StopAttempt> attempt);
+  void FinishStop(StopAttempt& attempt, bool end_listed);
   void FinishOne(OrderBatch& batch);
 
   std::vector<workflow::MeasuredRun> MeasuredRuns() const;
@@ -127,16 +139,20 @@
   MonotonicTime m_watched_at = InfinitePast();
   std::optional<WorkerAnnouncement> m_announcement;  ///< newest of the present life
   workflow::WorkerCondition m_condition = workflow::WorkerCondition::kGone;
+  std::int64_t m_fence_token = 0;  ///< for calls to the announced life; 0 while no owner has given one
+  bool m_is_confirmed = false;     ///< see `ConfirmLife`
+  workflow::WorkerLife m_confirmed_life;
   std::int64_t m_lease_end_ms = 0;  ///< granted, on the worker's clock
   std::int64_t m_acknowledged = 0;
   std::optional<HoldAnswer> m_lists;  ///< newest of the present life
   std::int64_t m_last_end = 0;        ///< highest number listed in the present life
-  /// Starts of the present life that had no answer and are not settled by a later answer or a stop.
+  /// Starts of the confirmed life that had no answer and are not settled by a later answer or a stop.
   absl::flat_hash_set<RunKey> m_unsettled_starts;
   absl::flat_hash_map<RunKey, std::weak_ptr<StartAttempt>> m_pending_starts;
   int m_refused_calls = 0;
 
   bool m_hold_sent = false;
+  std::uint64_t m_hold_number = 0;  ///< of the newest regular call for lists
   EventLoop::TimerId m_hold_timer;
   MonotonicTime m_hold_at;
 
--- a/src/workflow/orders.h
+++ b/src/workflow/orders.h
@@ -63,6 +63,8 @@
 struct StartAnswer {
   StartRefusal refusal = StartRefusal::kNone;
   std::int64_t clock_ms = 0;  ///< worker's clock at the answer; 0 if unknown
+  /// Whether every call of this start was answered, so that the worker's next life cannot carry one out.
+  bool is_settled = false;
 };
 
 /// Ends of a worker that may be acknowledged to it once the batch is durable.
--- a/src/workflow/owner_record.cc
+++ b/src/workflow/owner_record.cc
@@ -1,5 +1,6 @@
 #include "workflow/owner_record.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "base/cbor_document.h"
@@ -18,6 +19,11 @@
   return (((former >> kSaltBits) + 1) << kSaltBits) | static_cast<std::int64_t>(salt & mask);
 }
 
+std::int64_t FenceTokenOf(std::int64_t epoch, std::int64_t life_number) {
+  static_assert(kMaxLifeNumber < std::int64_t{1} << kSaltBits);
+  return ((epoch >> kSaltBits) << kSaltBits) | std::min(life_number, kMaxLifeNumber);
+}
+
 std::string EncodeOwner(const OwnerRecord& owner) { return ToCbor(nlohmann::json::array({owner.epoch, owner.holder})); }
 
 Result<OwnerRecord> DecodeOwner(std::string_view bytes) {
--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -327,6 +327,7 @@
     }
     TaskRuntime& runtime = ref->step->runtimes[static_cast<std::size_t>(ref->index)];
     runtime.stage = RunStage::kStarting;
+    runtime.is_start_settled = false;
     runtime.started_at = now;  // until the answer tells better
     if (PoolWorker* worker = m_workers.FindLife(order.life)) worker->starting[*ref] = now;
     allowed.push_back(std::move(order));
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -30,6 +30,9 @@
   /// Length of the lease that is granted from each reading of a worker's clock. Shorter than the platform's longest
   /// lease (6 s at the smaller sites) and than the time after which a lasting task must run again (6 s).
   absl::Duration lease = absl::Milliseconds(4500);
+  /// Length to which the platform shortens longer leases. A call for a worker's former life may give the next one a
+  /// lease of that length, because it names a time on the former clock.
+  absl::Duration longest_lease = absl::Seconds(10);
   /// Factor for worker clocks that are slow: the platform allows 2%, and 1% is added for rounding.
   double clock_tolerance = 1.03;
   /// Longest time for which a former owner may have gone on granting leases after this owner's claim.
@@ -153,8 +156,14 @@
   void ForgetIfIdle(WorkflowJob& job, MonotonicTime now);
 
   void StartLife(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
+  /// A run of the worker's former life, until the lists of the present one tell whether that carried its start out.
+  void CarryOver(PoolWorker& worker, TaskRef task, MonotonicTime now);
   void LoseOrphansOfHost(const std::string& agent, const std::string& present_worker, MonotonicTime now);
   void LoseAllRuns(PoolWorker& worker, RunLoss reason, MonotonicTime now);
+  void LoseRuns(PoolWorker& worker, const std::vector<TaskRef>& tasks, RunLoss reason, MonotonicTime now);
+  /// Gives up what ended with the worker's process. Starts with a call without an answer stay: the next life may carry
+  /// that call out.
+  void LoseSettledRuns(PoolWorker& worker, MonotonicTime now);
   void CompareRuns(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
   void MoveLastingTasks(PoolWorker& worker);
   void NoteProgress(PoolWorker& worker, const WorkerReport& report);
--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -14,6 +14,7 @@
   TaskRuntime& runtime = ref->step->runtimes[static_cast<std::size_t>(ref->index)];
   switch (answer.refusal) {
     case StartRefusal::kNone:
+      runtime.is_start_settled = answer.is_settled;
       if (runtime.stage == RunStage::kStarting) {
         runtime.stage = RunStage::kRunning;
         runtime.started_at = now;
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -22,7 +22,11 @@
 }  // namespace
 
 void Scheduler::OnReport(const std::string& agent, const WorkerReport& report, MonotonicTime now) {
-  if (report.life.worker.empty()) return;
+  if (report.life.worker.empty()) {
+    // The agent waits for the first lists of a life, so orders for a former one would have no effect.
+    if (PoolWorker* known = m_workers.Find(agent)) known->reconciled = false;
+    return;
+  }
   PoolWorker& worker = m_workers.Add(agent);
   // The worker has given its lists in this life, so it is the newest one, whatever its time of birth.
   if (worker.life != report.life) StartLife(worker, report, now);
@@ -54,7 +58,7 @@
     ApplyEnd(report.life, end, now);
   }
   if (report.condition == WorkerCondition::kGone) {
-    LoseAllRuns(worker, RunLoss::kWorkerGone, now);
+    LoseSettledRuns(worker, now);
     worker.reconciled = false;
     return;
   }
@@ -74,8 +78,15 @@
 }
 
 void Scheduler::StartLife(PoolWorker& worker, const WorkerReport& report, MonotonicTime now) {
-  LoseAllRuns(worker, RunLoss::kOtherLife, now);
+  const bool is_same_worker = worker.life.worker == report.life.worker;
+  // A worker with another id refuses the calls for the former one.
+  if (!is_same_worker) LoseAllRuns(worker, RunLoss::kOtherLife, now);
+  const absl::Duration former_lease = m_options.longest_lease * m_options.clock_tolerance;
+  worker.former_lease_until = is_same_worker ? now + former_lease : InfinitePast();
   m_workers.Reindex(worker, report.life);
+  std::vector<TaskRef> former_runs;
+  for (const auto& [task, held] : worker.runs) former_runs.push_back(task);
+  for (const TaskRef task : former_runs) CarryOver(worker, task, now);
   m_quarantine.Forget(WorkerId(report.life.worker));
   worker.condition = WorkerCondition::kReady;
   worker.service = report.service;
@@ -95,14 +106,27 @@
   const std::vector<TaskRef> tasks = std::move(orphans->second);
   m_orphans.erase(orphans);
   for (const TaskRef task : tasks) {
-    if (task.step->tasks[static_cast<std::size_t>(task.index)].worker_born == report.life.born) {
-      m_workers.Attach(worker, task);
-    } else {
-      LoseRun(task, RunLoss::kOtherLife, now);
-    }
+    m_workers.Attach(worker, task);
+    if (task.step->tasks[static_cast<std::size_t>(task.index)].worker_born == report.life.born) continue;
+    worker.former_lease_until = now + former_lease;
+    CarryOver(worker, task, now);
   }
 }
 
+void Scheduler::CarryOver(PoolWorker& worker, TaskRef task, MonotonicTime now) {
+  TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
+  task.step->tasks[static_cast<std::size_t>(task.index)].worker_born = worker.life.born;
+  if (runtime.stage == RunStage::kRecording) {
+    LoseRun(task, RunLoss::kOtherLife, now);  // nothing was sent
+    return;
+  }
+  runtime.stage = RunStage::kCarriedOver;
+  runtime.is_start_settled = false;
+  runtime.percent = 0;
+  worker.starting.erase(task);
+  MarkChanged(*task.step);
+}
+
 void Scheduler::LoseOrphansOfHost(const std::string& agent, const std::string& present_worker, MonotonicTime now) {
   std::vector<TaskRef> lost;
   for (const auto& [worker, tasks] : m_orphans) {
@@ -121,11 +145,25 @@
 void Scheduler::LoseAllRuns(PoolWorker& worker, RunLoss reason, MonotonicTime now) {
   std::vector<TaskRef> tasks;
   for (const auto& [task, held] : worker.runs) tasks.push_back(task);
+  LoseRuns(worker, tasks, reason, now);
+}
+
+void Scheduler::LoseSettledRuns(PoolWorker& worker, MonotonicTime now) {
+  std::vector<TaskRef> tasks;
+  for (const auto& [task, held] : worker.runs) {
+    const TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
+    if (runtime.is_start_settled || runtime.stage == RunStage::kRecording) tasks.push_back(task);
+  }
+  LoseRuns(worker, tasks, RunLoss::kWorkerGone, now);
+}
+
+void Scheduler::LoseRuns(PoolWorker& worker, const std::vector<TaskRef>& tasks, RunLoss reason, MonotonicTime now) {
   if (!tasks.empty()) {
     LogEvent(LogLevel::kInfo, "worker_runs_lost",
              {{"worker", worker.life.worker},
               {"born", worker.life.born},
               {"runs", tasks.size()},
+              {"kept", worker.runs.size() - tasks.size()},
               {"clock_age_ms", absl::ToInt64Milliseconds(now - worker.clock_read_at)}});
   }
   for (const TaskRef task : tasks) LoseRun(task, reason, now);
@@ -134,16 +172,22 @@
 void Scheduler::CompareRuns(PoolWorker& worker, const WorkerReport& report, MonotonicTime now) {
   absl::flat_hash_set<std::string> expected;
   std::vector<TaskRef> to_stop;
+  std::vector<TaskRef> not_begun;
   for (const auto& [task, held] : worker.runs) {
     const TaskProgress& progress = task.step->tasks[static_cast<std::size_t>(task.index)];
     TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
     const std::string name = task.step->TaskNameOf(task.index);
     const auto listed = std::find_if(report.runs.begin(), report.runs.end(),
                                      [&](const ActiveRun& run) { return run.task == name && run.run == progress.run; });
+    if (runtime.stage == RunStage::kStopping) {
+      // While an agent does not know its worker's life, it answers stops without a result.
+      runtime.stage = RunStage::kUnknown;
+      to_stop.push_back(task);
+    }
     if (listed != report.runs.end()) {
       expected.insert(name);
       NoteBegun(&worker, task);
-      if (runtime.stage == RunStage::kUnknown) {
+      if (runtime.stage == RunStage::kUnknown || runtime.stage == RunStage::kCarriedOver) {
         runtime.stage = RunStage::kRunning;
         runtime.started_at = now;
         runtime.started_clock_ms = report.worker_clock_ms;
@@ -153,12 +197,18 @@
       if (!task.step->job->TakesRuns()) to_stop.push_back(task);
       continue;
     }
+    if (runtime.stage == RunStage::kCarriedOver) {
+      // The fence token of the present life keeps every call for the former one from having an effect any more.
+      not_begun.push_back(task);
+      continue;
+    }
     const bool must_be_listed =
         runtime.stage == RunStage::kUnknown ||
         (runtime.stage == RunStage::kRunning && runtime.started_clock_ms < report.worker_clock_ms);
     if (must_be_listed) to_stop.push_back(task);
   }
   for (const TaskRef task : to_stop) OrderStop(task);
+  LoseRuns(worker, not_begun, RunLoss::kOtherLife, now);
   for (const ActiveRun& run : report.runs) {
     if (expected.contains(run.task)) continue;
     LogEvent(LogLevel::kWarning, "unknown_run", {{"task", run.task}, {"run", run.run}, {"worker", worker.life.worker}});
@@ -296,7 +346,7 @@
 void Scheduler::LapseLeases(MonotonicTime now) {
   const absl::Duration limit = m_options.lease * m_options.clock_tolerance;
   for (PoolWorker* worker : m_workers.workers()) {
-    if (now - worker->clock_read_at <= limit) continue;
+    if (now - worker->clock_read_at <= limit || now <= worker->former_lease_until) continue;
     LoseAllRuns(*worker, RunLoss::kLeaseLapsed, now);
     worker->reconciled = false;
   }
--- a/src/workflow/worker_report.h
+++ b/src/workflow/worker_report.h
@@ -24,7 +24,8 @@
     {WorkerCondition::kGone, "gone"},
 });
 
-/// One life of a worker: the platform may use an id again, and then everything of the former life is gone.
+/// One life of a worker. The platform may use an id again: then nothing of the former life is left, but calls that were
+/// meant for it are accepted by the next one until that has seen a higher fence token.
 struct WorkerLife {
   std::string worker;     ///< id; empty if unknown
   std::int64_t born = 0;  ///< Unix milliseconds of its start
@@ -35,7 +36,8 @@
 /// What an agent says of the worker beside it.
 struct WorkerReport {
   Incarnation agent_incarnation = 0;
-  WorkerLife life;
+  WorkerLife announced;  ///< newest life that the agent has heard of; it may not have answered any call yet
+  WorkerLife life;  ///< the same once it has answered with the owner's fence token; else empty, as all that follows
   WorkerCondition condition = WorkerCondition::kReady;
   std::string service;
   std::string zone;
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -20,13 +20,15 @@
   kRecording,  ///< its placement is not durable; nothing was sent
   kStarting,   ///< the start was sent and is not answered
   kRunning,
-  kUnknown,   ///< placed by a former owner and not seen yet
-  kStopping,  ///< a stop was ordered; its end or its absence will be reported
+  kUnknown,      ///< placed by a former owner and not seen yet
+  kCarriedOver,  ///< placed in the worker's former life; the first lists of the present one tell whether it is there
+  kStopping,     ///< a stop was ordered; its end or its absence will be reported
 };
 
 /// What the owner knows of a task beyond its record.
 struct TaskRuntime {
   RunStage stage = RunStage::kNone;
+  bool is_start_settled = false;      ///< every call of the start was answered; see `StartAnswer`
   MonotonicTime started_at;           ///< when the start was answered
   std::int64_t started_clock_ms = 0;  ///< worker's clock at that time
   MonotonicTime waiting_since;
--- a/tests/unit/control/agent_node_test.cc
+++ b/tests/unit/control/agent_node_test.cc
@@ -28,11 +28,13 @@
   StartRefusal refusal = StartRefusal::kNone;
   bool refuses_connections = false;
   std::int64_t born = 1000;
-  std::int64_t highest_epoch = 0;
+  std::int64_t highest_token = 0;
   std::map<std::string, int> runs;
   std::map<std::string, std::int64_t> measured;  ///< by task; 0 if absent
   std::vector<workflow::RunEnd> ends;
   int starts = 0;
+  StartCall newest_start;
+  HoldCall newest_hold;
   int paces = 0;
   int holds = 0;
   bool lists_nothing = false;  ///< lists have no answer
@@ -45,8 +47,9 @@
       return Answer<HoldAnswer>(std::move(callback), MayHaveRun(FailureCode::kDeadlineExceeded, "no answer"));
     }
     ++holds;
-    if (call.epoch < highest_epoch) return Answer<HoldAnswer>(std::move(callback), Stale());
-    highest_epoch = call.epoch;
+    newest_hold = call;
+    if (call.fence_token < highest_token) return Answer<HoldAnswer>(std::move(callback), Stale());
+    highest_token = call.fence_token;
     lease_end_ms = std::max(lease_end_ms, call.lease_end_ms.value_or(0));
     std::erase_if(ends, [&](const workflow::RunEnd& end) { return end.number <= call.acknowledged; });
     HoldAnswer answer{.clock_ms = ++m_clock_ms, .born = born, .runs = {}, .ends = ends};
@@ -71,7 +74,7 @@
     born = next_born;
     runs.clear();
     ends.clear();
-    highest_epoch = 0;
+    highest_token = 0;
     lease_end_ms = 0;
     m_last_end = 0;
     m_clock_ms = 0;
@@ -79,6 +82,7 @@
 
   void Start(const StartCall& call, absl::Duration, absl::AnyInvocable<void(Result<StartAnswer>)> callback) override {
     ++starts;
+    newest_start = call;
     if (vanished_starts > 0) {
       --vanished_starts;
       return Answer<StartAnswer>(std::move(callback), MayHaveRun(FailureCode::kDeadlineExceeded, "no answer"));
@@ -141,11 +145,24 @@
     m_loop.RunSync([&] { m_agent.reset(); });
   }
 
-  /// The worker announces itself; returns once the agent has its first list.
+  /// The worker announces itself; returns once the owner of epoch 5 has given a token and the agent has its first list.
   void Announce(bool draining = false) {
     BeginAnnounce(draining);
-    REQUIRE(WaitUntil(m_loop, absl::Seconds(5), [&] { return m_worker.holds > 0; }));
-    absl::SleepFor(absl::Milliseconds(20));  // the answer takes 2 ms
+    Fence(life(), 51);
+    REQUIRE(IsKnownSoon(life()));
+  }
+  /// The owner of epoch 5 gives a token for that life.
+  void Fence(const workflow::WorkerLife& life, std::int64_t token) {
+    REQUIRE(Watch({.epoch = 5, .fence = {.life = life, .token = token}, .life = {}}).has_value());
+  }
+  /// Whether the agent soon reports the worker in that life.
+  bool IsKnownSoon(const workflow::WorkerLife& life) {
+    return WaitUntil(m_loop, absl::Seconds(5), [&] {
+      bool is_known = false;
+      m_agent->OnWatch({.epoch = 5, .life = {}},
+                       [&](std::optional<WatchAnswer> answer) { is_known = answer && answer->report.life == life; });
+      return is_known;
+    });
   }
   void BeginAnnounce(bool draining = false) {
     m_loop.RunSync([&] {
@@ -374,7 +391,8 @@
   CHECK(!world.StartTask(8).has_value());
   CHECK(!world.Watch({.epoch = 8, .life = {}}).has_value());
   CHECK(world.worker().starts == 0);
-  CHECK(WaitUntil(world.loop(), absl::Seconds(2), [&] { return world.worker().highest_epoch == 9; }));
+  REQUIRE(world.Watch({.epoch = 9, .fence = {.life = world.life(), .token = 91}, .life = {}}).has_value());
+  CHECK(WaitUntil(world.loop(), absl::Seconds(2), [&] { return world.worker().highest_token == 91; }));
 }
 
 // Guards against a task that starts on a worker after its draining was acknowledged.
@@ -445,7 +463,8 @@
   const bool is_known = WaitUntil(world.loop(), absl::Seconds(5), [&] {
     world.agent().OnAnnouncement({.life = next, .sequence = ++sequence, .service = "s"});
     std::optional<WatchAnswer> answer;
-    world.agent().OnWatch({.epoch = 5, .life = {}}, [&](std::optional<WatchAnswer> given) { answer = given; });
+    world.agent().OnWatch({.epoch = 5, .fence = {.life = next, .token = 52}, .life = {}},
+                          [&](std::optional<WatchAnswer> given) { answer = given; });
     return answer.has_value() && answer->report.life == next;
   });
   CHECK(is_known);
@@ -460,8 +479,11 @@
   world.loop().RunSync([&] {
     world.agent().OnAnnouncement({.life = {.worker = odd_worker, .born = 2000}, .sequence = 1, .service = "odd"});
   });
+  world.Fence({.worker = odd_worker, .born = 2000}, 52);
   absl::SleepFor(absl::Milliseconds(50));
-  world.Announce();
+  world.BeginAnnounce();
+  world.Fence(world.life(), 53);
+  REQUIRE(world.IsKnownSoon(world.life()));
   const std::optional<OrdersAnswer> answer = world.StartTask(5);
   REQUIRE(answer.has_value());
   REQUIRE(answer->is_worker_known);
@@ -470,13 +492,13 @@
 }
 
 // Guards against a run that the owner gives up with its worker's former life and that goes on in the next one: the
-// worker keeps its id, so it accepts the start.
-TEST_CASE("no start for a worker's former life goes on in its next one", "[.][known-red]") {
+// worker keeps its id, so it accepts the start (issue 22).
+TEST_CASE("a start for a worker's former life is reported by the life that carried it out", "[agent]") {
   AgentWorld world;
   world.Announce();
   std::optional<OrdersAnswer> answer;
   world.loop().RunSync([&] {
-    world.worker().born = 2000;  // started again; neither the agent nor the owner knows
+    world.worker().Restart(2000);  // neither the agent nor the owner knows
     OrdersRequest request = AgentWorld::StartRequest();
     request.epoch = 5;
     request.life = world.life();
@@ -484,17 +506,109 @@
   });
   REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return answer.has_value(); }));
   std::optional<WatchAnswer> watch = world.Watch({.epoch = 5, .life = {}});
-  for (int i = 0; i < 20 && watch->report.condition != WorkerCondition::kGone; ++i) {
+  for (int i = 0; i < 20 && !watch->report.life.worker.empty(); ++i) {
+    CHECK(watch->report.condition != WorkerCondition::kGone);
     watch =
         world.Watch({.epoch = 5, .known_version = watch->version, .known_incarnation = 7, .wait_ms = 100, .life = {}});
   }
-  REQUIRE(watch->report.condition == WorkerCondition::kGone);
-  world.loop().RunSync([&] { CHECK(world.worker().runs.empty()); });
+  REQUIRE(watch->report.life.worker.empty());
+  const workflow::WorkerLife next{.worker = "w1", .born = 2000};
+  world.loop().RunSync([&] { world.agent().OnAnnouncement({.life = next, .sequence = 1, .service = "s"}); });
+  CHECK(world.Watch({.epoch = 5, .life = {}})->report.announced == next);
+  world.Fence(next, 52);
+  REQUIRE(world.IsKnownSoon(next));
+  watch = world.Watch({.epoch = 5, .life = {}});
+  REQUIRE(watch->report.life == next);
+  REQUIRE(watch->report.has_runs);
+  REQUIRE(watch->report.runs.size() == 1);
+  CHECK(watch->report.runs.at(0).task == "a.0.0.0");
+}
+
+// Guards against ends that a worker's next life forgets unread, and leases that it keeps for long, because its first
+// call carries the acknowledgement and the lease of the former life (issue 22).
+TEST_CASE("the first call to a life carries a new token and nothing of the former life", "[agent]") {
+  AgentWorld world;
+  world.Announce();
+  world.Watch({.epoch = 5, .life = world.life(), .lease_end_ms = 4500, .acknowledged = 57});
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(2), [&] { return world.worker().lease_end_ms == 4500; }));
+  const workflow::WorkerLife next{.worker = "w1", .born = 2000};
+  int holds = 0;
+  world.loop().RunSync([&] {
+    world.worker().Restart(next.born);
+    world.agent().OnAnnouncement({.life = next, .sequence = 1, .service = "s"});
+    holds = world.worker().holds;
+  });
+  absl::SleepFor(absl::Milliseconds(100));
+  world.loop().RunSync([&] {
+    CHECK(world.worker().holds == holds);  // no token yet
+    world.worker().ends = {{.number = 1, .task = "a.0.0.0", .run = 1, .kind = RunEndKind::kDone}};
+    world.worker().lists_nothing = true;
+  });
+  world.Fence(next, 52);
+  world.loop().RunSync([&] { world.worker().lists_nothing = false; });
+  REQUIRE(world.IsKnownSoon(next));
+  world.loop().RunSync([&] {
+    CHECK(world.worker().newest_hold.fence_token == 52);
+    CHECK(world.worker().lease_end_ms == 0);
+  });
+  const std::optional<WatchAnswer> watch = world.Watch({.epoch = 5, .life = {}});
+  REQUIRE(watch->report.ends.size() == 1);
+  CHECK(watch->report.ends.at(0).number == 1);
+}
+
+// Guards against an acknowledgement that is repeated for long and then carried out by the worker's next life, which
+// numbers its ends anew (issue 22).
+TEST_CASE("an acknowledgement is not repeated once the worker has forgotten the ends", "[agent]") {
+  AgentWorld world;
+  world.Announce();
+  world.loop().RunSync(
+      [&] { world.worker().ends = {{.number = 1, .task = "a.0.0.0", .run = 1, .kind = RunEndKind::kDone}}; });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(2), [&] {
+    std::size_t ends = 0;
+    world.agent().OnWatch({.epoch = 5, .life = {}},
+                          [&](std::optional<WatchAnswer> answer) { ends = answer ? answer->report.ends.size() : 0; });
+    return ends == 1;
+  }));
+  world.Watch({.epoch = 5, .life = world.life(), .acknowledged = 1});
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(2), [&] { return world.worker().ends.empty(); }));
+  CHECK(WaitUntil(world.loop(), absl::Seconds(2), [&] { return world.worker().newest_hold.acknowledged == 0; }));
+}
+
+// Guards against a second run of a task whose start had no answer: an announcement of another writer made the agent
+// forget that, although the worker's life went on (issue 22).
+TEST_CASE("an announcement that the worker disowns does not settle a start without answer", "[agent]") {
+  AgentWorld world;
+  LeaveStartUnsettled(world);
+  const workflow::WorkerLife odd{.worker = "w1", .born = 2000};
+  world.loop().RunSync([&] { world.agent().OnAnnouncement({.life = odd, .sequence = 1, .service = "odd"}); });
+  world.Fence(odd, 52);
+  absl::SleepFor(absl::Milliseconds(50));
+  world.BeginAnnounce();
+  world.Fence(world.life(), 53);
+  REQUIRE(world.IsKnownSoon(world.life()));
+  const std::optional<OrdersAnswer> repeated = world.StartTask(5);
+  REQUIRE(repeated.has_value());
+  REQUIRE(repeated->starts.size() == 1);
+  CHECK(repeated->starts.at(0).answer.refusal == StartRefusal::kEnded);
+}
+
+// Guards against a run that counts as ended with its worker although an earlier call of its start may be carried out by
+// the worker's next life (issue 22).
+TEST_CASE("an accepted start is settled only if every call of it was answered", "[agent]") {
+  const int unanswered = GENERATE(0, 1);
+  AgentWorld world;
+  world.Announce();
+  world.worker().unanswered_starts = unanswered;
+  const std::optional<OrdersAnswer> answer = world.StartTask(5);
+  REQUIRE(answer.has_value());
+  REQUIRE(answer->starts.at(0).answer.refusal == StartRefusal::kNone);
+  CHECK(answer->starts.at(0).answer.is_settled == (unanswered == 0));
+  CHECK(world.worker().newest_start.fence_token == 51);
 }
 
 // Guards against a second run of a task: the lists of a worker's former life, answered late, counted as those of the
 // next life, whose ends up to the former numbers were then acknowledged unread (issue 22).
-TEST_CASE("lists of a former life are not taken for those of the next one", "[.][known-red]") {
+TEST_CASE("lists of a former life are not taken for those of the next one", "[agent]") {
   const std::string next_worker = GENERATE("w1", "w2");
   AgentWorld world;
   world.Announce();
@@ -532,7 +646,7 @@
 
 // Guards against a second run of a task whose start or stop had no answer when the worker was started again: the next
 // life may carry the start out, so neither "another life" nor "absent" is known (issue 22).
-TEST_CASE("an order without answer is not decided by the worker's next life", "[.][known-red]") {
+TEST_CASE("an order without answer is not decided by the worker's next life", "[agent]") {
   const NextLifeRow row = GENERATE(NextLifeRow{"start", false}, NextLifeRow{"stop", true});
   INFO(row.name);
   AgentWorld world;
@@ -576,11 +690,24 @@
       .epoch = 3, .known_version = 4, .wait_ms = 5, .life = {.worker = "w", .born = 6}, .lease_end_ms = 7};
   watch.traits = {{.task = "t", .fills_idle_cpu = true, .tail_target_ms = 50, .image = "i", .demand_cpu = 9}};
   watch.interference = {{.serving_image = "s", .filling_image = "f", .ms_per_core = 1.5}};
+  watch.fence = {.life = {.worker = "w", .born = 9}, .token = 77};
   const Result<WatchRequest> read = DecodeWatchRequest(EncodeWatchRequest(watch));
   REQUIRE(read.has_value());
   CHECK(read->life == watch.life);
   CHECK(read->traits.at(0).image == "i");
   CHECK(read->interference == watch.interference);
+  CHECK(read->fence.life == watch.fence.life);
+  CHECK(read->fence.token == 77);
+  WatchAnswer report{.version = 1, .report = {}};
+  report.report.announced = {.worker = "w", .born = 9};
+  const Result<WatchAnswer> read_report = DecodeWatchAnswer(EncodeWatchAnswer(report));
+  REQUIRE(read_report.has_value());
+  CHECK(read_report->report.announced == report.report.announced);
+  OrdersAnswer started;
+  started.starts = {{.task = "t", .run = 1, .answer = {.is_settled = true}}};
+  const Result<OrdersAnswer> read_started = DecodeOrdersAnswer(EncodeOrdersAnswer(started));
+  REQUIRE(read_started.has_value());
+  CHECK(read_started->starts.at(0).answer.is_settled);
   OrdersRequest orders{.epoch = 3, .life = {.worker = "w", .born = 6}, .lease_end_ms = 8};
   orders.jobs = {{.payload = "p", .starts = {{.task = "t", .run = 2, .checkpoint = "c", .image = "i"}}}};
   const Result<OrdersRequest> read_orders = DecodeOrdersRequest(EncodeOrdersRequest(orders));
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -298,7 +298,7 @@
 
 // Guards against a second run of a task whose start was carried out by the next life of its worker: a worker that is
 // started again keeps its id, so it accepts calls that were meant for its former life (issue 22).
-TEST_CASE("a run that the next life of its worker carried out counts", "[.][known-red]") {
+TEST_CASE("a run that the next life of its worker carried out counts", "[scheduler]") {
   const NextLifeRow row = GENERATE(NextLifeRow{"goes on", false, false}, NextLifeRow{"has ended as done", true, false},
                                    NextLifeRow{"goes on, with a successor of the owner", false, true},
                                    NextLifeRow{"has ended as done, with a successor of the owner", true, true});
@@ -324,7 +324,7 @@
 
 // Guards against a second run of a task whose start had no answer when its worker ended: the next life may still carry
 // that start out (issue 22).
-TEST_CASE("a start without answer at a worker that is gone is repeated only after its lease", "[.][known-red]") {
+TEST_CASE("a start without answer at a worker that is gone is repeated only after its lease", "[scheduler]") {
   const bool is_carried_out = GENERATE(true, false);
   SchedulerWorld world;
   PlayedWorker& worker = world.AddWorker("w1");
@@ -334,7 +334,7 @@
   world.AddWorker("w2");
   world.Settle();
   world.Sleep(absl::Seconds(4));
-  world.Settle();
+  world.SettleWithout("w1");
   REQUIRE(world.RunningTasks() == 0);
   if (is_carried_out) {
     world.Restart("w1");
@@ -350,6 +350,39 @@
   }
 }
 
+// Guards against runs that wait for a lease although their worker's process is known to have ended.
+TEST_CASE("an answered start at a worker that is gone is repeated at once", "[scheduler]") {
+  SchedulerWorld world;
+  PlayedWorker& worker = world.AddWorker("w1");
+  world.Submit(SingleStepJob("a0", ShortStep(1)));
+  worker.runs.clear();
+  worker.condition = WorkerCondition::kGone;
+  world.AddWorker("w2");
+  world.Settle();
+  CHECK(world.PlaceOf("a0.0.0.0") == "w2");
+}
+
+// Guards against a second run beside one that a silent worker keeps by the lease of its former life: that names a time
+// on the former clock, so the next life holds it for the longest lease that the platform allows (issue 22).
+TEST_CASE("a run of a silent worker that was started again is repeated only after the longest lease", "[scheduler]") {
+  const bool is_replaced = GENERATE(false, true);
+  SchedulerWorld world({.longest_lease = absl::Seconds(10)});
+  world.AddWorker("w1");
+  world.Submit(SingleStepJob("a0", ShortStep(1)));
+  world.Restart("w1");
+  world.worker("w1").runs["a0.0.0.0"] = 1;
+  if (is_replaced) world.Replace({.longest_lease = absl::Seconds(10)});
+  world.Settle();
+  REQUIRE(world.PlaceOf("a0.0.0.0") == "w1");
+  world.AddWorker("w2");
+  world.Sleep(absl::Seconds(10));
+  world.SettleWithout("w1");
+  CHECK(world.StartsOf("a0.0.0.0") == 1);
+  world.Sleep(absl::Milliseconds(400));
+  world.SettleWithout("w1");
+  CHECK(world.StartsOf("a0.0.0.0") == 2);
+}
+
 // Guards against a worker that stays unused because its host's time of day was set back before it was started again.
 TEST_CASE("a worker's new life may be born earlier by its clock", "[scheduler]") {
   SchedulerWorld world;
--- a/tests/unit/workflow/scheduler_world.cc
+++ b/tests/unit/workflow/scheduler_world.cc
@@ -98,7 +98,7 @@
 void SchedulerWorld::Deliver(const StartOrder& order) {
   PlayedWorker& worker = m_workers.at(order.life.worker);
   if (!worker.answers_starts) return;
-  StartAnswer answer{.clock_ms = absl::ToInt64Milliseconds(m_now.SinceBoot())};
+  StartAnswer answer{.clock_ms = absl::ToInt64Milliseconds(m_now.SinceBoot()), .is_settled = true};
   if (worker.life != order.life) {
     answer.refusal = StartRefusal::kOtherLife;
   } else {
