Send the traits of runs until a request has named the worker

Serving tasks could stay over their target, with nothing that paces what fills beside them (HARM): a new owner sent the traits of the runs to a new agent with its second request, when it knew no worker of that host yet, and not again. Since the owner hears of a worker only after it has given a token, every new owner is in that state for two requests.

The flag is cleared only by the answer to a request that named the worker. "the traits of runs are sent with the first request that names the worker" failed before (with_traits.at(0) was false) and passes. Found by reading, not seen in a play.

--- a/src/control/agent_link.cc
+++ b/src/control/agent_link.cc
@@ -53,14 +53,15 @@
                        .life = {},
                        .traits = {}};
   m_listener.on_prepare(m_options.host, m_send_traits, request);
+  const bool names_worker = !request.life.worker.empty();
   m_client->Send({.path = std::string(kWatchPath), .headers = {}, .body = EncodeWatchRequest(request)},
                  m_options.watch_wait + m_options.answer_timeout,
-                 [this, alive = m_alive](Result<StreamResponse> response) {
-                   if (*alive) OnWatch(std::move(response));
+                 [this, names_worker, alive = m_alive](Result<StreamResponse> response) {
+                   if (*alive) OnWatch(std::move(response), names_worker);
                  });
 }
 
-void AgentLink::OnWatch(Result<StreamResponse> response) {
+void AgentLink::OnWatch(Result<StreamResponse> response, bool named_worker) {
   if (!response) {
     if (m_reachable) {
       LogEvent(LogLevel::kWarning, "agent_unreachable",
@@ -89,7 +90,9 @@
              {{"host", m_options.host}, {"worker", answer->report.life.worker}, {"epoch", m_epoch}});
   }
   m_reachable = true;
-  m_send_traits = answer->report.agent_incarnation != m_known_incarnation;
+  // Before a request names the worker, the owner does not know which runs are there.
+  if (named_worker) m_send_traits = false;
+  if (answer->report.agent_incarnation != m_known_incarnation) m_send_traits = true;
   m_known_version = answer->version;
   m_known_incarnation = answer->report.agent_incarnation;
   m_listener.on_report(m_options.host, answer->report);
--- a/src/control/agent_link.h
+++ b/src/control/agent_link.h
@@ -52,7 +52,8 @@
 
  private:
   void Watch();
-  void OnWatch(Result<StreamResponse> response);
+  /// `named_worker`: the request was about a worker that the owner knows.
+  void OnWatch(Result<StreamResponse> response, bool named_worker);
   void WatchLater();
 
   EventLoop& m_loop;
