Send the pace of a run that another process may have set

A filling task could stand still for good: an agent that was started again took every run for one at full pace, and sent nothing when it decided on full pace, though its former process had paused the run. A pace outlived the process that knew it. The same held for a repeated start of a run that was already there.

A run that this process has not paced has an unknown pace, so the first decision is sent. After a start with a call without an answer the pace is sent too. "the pace of a run that another process may have set is sent" failed before (no change was sent) and passes.

--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -522,7 +522,7 @@
   m_pending_starts.erase(attempt.key());
   if (accepted) {
     m_unsettled_starts.erase(attempt.key());
-    PaceStarted(attempt.call);
+    PaceStarted(attempt.call, answer.is_settled);
   }
   (accepted ? m_starts : m_refused_starts).Add();
   LogEvent(accepted ? LogLevel::kInfo : LogLevel::kWarning, "start",
@@ -634,7 +634,7 @@
   }
 }
 
-void AgentNode::PaceStarted(const StartCall& call) {
+void AgentNode::PaceStarted(const StartCall& call, bool is_settled) {
   const auto traits = m_traits.find(call.task);
   if (traits == m_traits.end() || !traits->second.fills_idle_cpu || !m_lists || !IsPresent(call.life)) return;
   const workflow::MeasuredRun filler{.task = call.task,
@@ -643,7 +643,8 @@
                                      .fills_idle_cpu = true,
                                      .demand_cpu = traits->second.demand_cpu};
   const workflow::PaceChange change = m_pace.DecideStart(filler, MeasuredRuns(), m_interference);
-  if (change.percent < 100) SendPace(change);
+  // A run that was there before may have another pace than a new one.
+  if (change.percent < 100 || !is_settled) SendPace(change);
 }
 
 void AgentNode::SendPace(const workflow::PaceChange& change) {
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -127,7 +127,7 @@
 
   std::vector<workflow::MeasuredRun> MeasuredRuns() const;
   void Pace();
-  void PaceStarted(const StartCall& call);
+  void PaceStarted(const StartCall& call, bool is_settled);
   void SendPace(const workflow::PaceChange& change);
   bool IsPacing() const;
 
--- a/src/workflow/pace_controller.cc
+++ b/src/workflow/pace_controller.cc
@@ -32,7 +32,7 @@
     State& state = m_states[filler.run->task];
     state.share = filler.share;
     const int percent = PercentOf(filler.share);
-    const bool is_end = percent == 0 || percent == 100;
+    const bool is_end = percent == 0 || percent == 100 || state.sent_percent == kUnknownPercent;
     if (percent == state.sent_percent) continue;
     if (!is_end && std::abs(percent - state.sent_percent) < m_options.step_percent) continue;
     state.sent_percent = percent;
--- a/src/workflow/pace_controller.h
+++ b/src/workflow/pace_controller.h
@@ -76,6 +76,9 @@
   void ForgetChange(const std::string& task);
 
  private:
+  /// Pace of a run that this controller has not set: a former process may have, and the worker does not tell it.
+  static constexpr int kUnknownPercent = -1;
+
   struct Filler {
     const MeasuredRun* run = nullptr;
     double share = 1;       ///< pace, 0 to 1
@@ -84,7 +87,7 @@
   struct State {
     int run = 0;
     double share = 1;
-    int sent_percent = 100;
+    int sent_percent = kUnknownPercent;
     double full_cores = 0;
   };
   /// Of a serving task.
--- a/tests/unit/workflow/pace_controller_test.cc
+++ b/tests/unit/workflow/pace_controller_test.cc
@@ -173,5 +173,16 @@
   CHECK(controller.DecideStart(Filling("heavy"), {}, table).percent == 100);
 }
 
+// Guards against a filling task that stands still for good: its agent was started again and took it for one at full
+// pace (issue 22).
+TEST_CASE("the pace of a run that another process may have set is sent", "[pace]") {
+  PaceController controller;
+  MeasuredRun filler = Filling("heavy");
+  filler.measured = 0;
+  const std::vector<PaceChange> changes = controller.Decide({filler}, Table({}), MonotonicTime(absl::Hours(1)));
+  CHECK(changes == std::vector<PaceChange>{{.task = filler.task, .run = 1, .percent = 100}});
+  CHECK(controller.Decide({filler}, Table({}), MonotonicTime(absl::Hours(2))).empty());
+}
+
 }  // namespace
 }  // namespace berylgauge::workflow
