--- a/tests/process/platform_cluster.cc
+++ b/tests/process/platform_cluster.cc
@@ -3,13 +3,13 @@
 #include <absl/time/clock.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <filesystem>
 #include <fstream>
-#include <map>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "process/run_truth.h"
+
 namespace berylgauge {
 namespace {
 
@@ -25,8 +25,9 @@
 
 }  // namespace
 
-PlatformCluster::PlatformCluster(int entries, int workers)
-    : m_folder(std::filesystem::temp_directory_path() / ("berylgauge-platform-" + std::to_string(getpid()))) {
+PlatformCluster::PlatformCluster(int entries, int workers, const PlatformClusterOptions& options)
+    : m_options(options),
+      m_folder(std::filesystem::temp_directory_path() / ("berylgauge-platform-" + std::to_string(getpid()))) {
   std::filesystem::create_directories(m_folder);
   m_store = std::make_unique<Standin>("standin_keyed_log", std::vector<std::string>{"--address=" + AddressOf(0, 1)});
   m_store->Control("put", {{"topic", "keyed.op"}, {"key", "config"}, {"value", kConfig}});
@@ -39,7 +40,10 @@
     m_workers.push_back(std::make_unique<Standin>(
         "standin_leased_worker",
         std::vector<std::string>{"--id=w" + std::to_string(i), "--agent=" + agent + ":" + kHeartbeatPort,
-                                 "--address=" + agent, "--port=" + std::to_string(kWorkerPort)}));
+                                 "--address=" + agent, "--port=" + std::to_string(kWorkerPort),
+                                 "--work-ms=" + std::to_string(m_options.work_ms),
+                                 "--hold-max-ms=" + std::to_string(m_options.hold_max_ms),
+                                 "--clock-ms=" + std::to_string(m_options.worker_clock_ms)}));
   }
   const absl::Time limit = absl::Now() + absl::Seconds(20);
   for (int i = 0; i < entries; ++i) {
@@ -77,7 +81,7 @@
                              {"serves", {is_agent ? "side" : "edge"}},
                              {"port_range", {7720, 7735}},
                              {"platform", {{"addr", m_store->Address()}}},
-                             {"bounds", {{"grace_s", 6}, {"hold_max_ms", 6000}}}};
+                             {"bounds", {{"grace_s", 6}, {"hold_max_ms", m_options.hold_max_ms}}}};
   if (is_agent) {
     settings["listen"] = {{"control", address + ":" + kHeartbeatPort}};
     settings["app"] = address + ":" + std::to_string(kWorkerPort);
@@ -132,28 +136,9 @@
 }
 
 std::string PlatformCluster::Violation() {
-  std::vector<nlohmann::json> events;
-  for (const std::unique_ptr<Standin>& worker : m_workers) {
-    for (nlohmann::json& event : worker->Events()) events.push_back(std::move(event));
-  }
-  std::stable_sort(events.begin(), events.end(), [](const nlohmann::json& a, const nlohmann::json& b) {
-    return a.at("time_ms").get<std::int64_t>() < b.at("time_ms").get<std::int64_t>();
-  });
-  std::map<std::string, int> running;
-  std::map<std::string, bool> done;
-  for (const nlohmann::json& event : events) {
-    const std::string kind = event.at("kind");
-    if (kind != "run-start" && kind != "run-end") continue;
-    const std::string task = event.at("task");
-    if (kind == "run-start") {
-      if (++running[task] > 1) return task + " runs twice";
-      if (done[task]) return task + " is started after it was done";
-    } else {
-      --running[task];
-      done[task] = done[task] || event.at("how") == "done";
-    }
-  }
-  return "";
+  std::vector<std::vector<nlohmann::json>> records;
+  for (const std::unique_ptr<Standin>& worker : m_workers) records.push_back(worker->Events());
+  return FindDoubleRun(records);
 }
 
 int PlatformCluster::DoneRuns() {
--- a/tests/process/platform_cluster.h
+++ b/tests/process/platform_cluster.h
@@ -12,11 +12,17 @@
 
 namespace berylgauge {
 
+struct PlatformClusterOptions {
+  int work_ms = 300;        ///< run time of each task
+  int hold_max_ms = 6000;   ///< longest lease of a worker
+  int worker_clock_ms = 0;  ///< clocks of the workers at their start
+};
+
 /// Entries and agents as on the shared platform, with stand-ins for its store and workers, on an address range of their
 /// own in 127.0.0.0/8.
 class PlatformCluster {
  public:
-  PlatformCluster(int entries, int workers);
+  PlatformCluster(int entries, int workers, const PlatformClusterOptions& options = {});
   ~PlatformCluster();
 
   void StartEntry(int i);
@@ -32,6 +38,8 @@
   bool WaitForState(int entry, const std::string& job, const std::string& state, absl::Duration limit);
 
   /// Tasks that ran twice at the same time or after an end as done, from what the workers recorded; empty if none.
+  ///
+  /// Where workers died, an end as done counts if it was noted.
   std::string Violation();
   /// Runs that ended as done.
   int DoneRuns();
@@ -40,6 +48,7 @@
   std::string AddressOf(int group, int i) const;
   std::string WriteSettings(const std::string& host, bool is_agent, int i);
 
+  const PlatformClusterOptions m_options;
   HttpClient m_http;
   std::string m_folder;
   std::unique_ptr<Standin> m_store;
--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -1,6 +1,9 @@
 #include <absl/time/clock.h>
 
 #include <catch2/catch.hpp>
+#include <set>
+#include <string>
+#include <vector>
 
 #include "process/platform_cluster.h"
 
@@ -91,5 +94,188 @@
   CHECK(cluster.worker(0).Events("run-start").size() == starts);
 }
 
+constexpr const char* kFourTasks = R"({"spec":"s","steps":[{"count":4,"cpu":500,"mem_mb":100,"est_ms":300}]})";
+constexpr std::size_t kFour = 4;
+constexpr const char* kEarlierJob = "00000000000000b2";
+constexpr absl::Duration kLimit = absl::Seconds(30);
+
+/// Events of one kind that all workers have recorded.
+std::vector<nlohmann::json> EventsOf(PlatformCluster& cluster, int workers, const std::string& kind) {
+  std::vector<nlohmann::json> events;
+  for (int i = 0; i < workers; ++i) {
+    for (nlohmann::json& event : cluster.worker(i).Events(kind)) events.push_back(std::move(event));
+  }
+  return events;
+}
+
+std::size_t TasksOf(const std::vector<nlohmann::json>& events) {
+  std::set<std::string> tasks;
+  for (const nlohmann::json& event : events) tasks.insert(event.at("task").get<std::string>());
+  return tasks.size();
+}
+
+/// Submits a job of four tasks whose starts are kept by one of two workers, and starts at the other as usual.
+/// Returns the first worker, which keeps stops as well, so that its runs are not given up in its present life.
+int SubmitWithKeptStarts(PlatformCluster& cluster) {
+  for (int i = 0; i < 2; ++i) cluster.worker(i).SetFaults({{"keep", {"start", "stop"}}});
+  REQUIRE(cluster.Call(0, "POST", "/q/" + std::string(kJob), kFourTasks).status == 200);
+  const absl::Time limit = absl::Now() + kLimit;
+  while (TasksOf(EventsOf(cluster, 2, "kept")) < kFour) {
+    REQUIRE(absl::Now() < limit);
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  const int keeper = cluster.worker(0).Events("kept").empty() ? 1 : 0;
+  Standin& other = cluster.worker(1 - keeper);
+  other.SetFaults({{"keep", nlohmann::json::array()}});
+  other.Control("play-kept", {{"kinds", {"start", "stop"}}});
+  return keeper;
+}
+
+struct Rebirth {
+  const char* name;
+  int workers;
+  PlatformClusterOptions options;
+  int done_runs;
+  void (*strike)(PlatformCluster&);  ///< submits the job and lets a worker be born again
+};
+
+/// The kept calls that a worker carried out after its new life had become known are refused.
+void CheckPlayedAreFenced(Standin& worker) {
+  for (const nlohmann::json& played : worker.Events("played")) {
+    INFO(played.dump());
+    CHECK(played.at("reason") == "fence");
+  }
+}
+
+// Guards against a run that is given up with the former life and carried out by the next one.
+void PlayStartsAtTheBirth(PlatformCluster& cluster) {
+  Standin& worker = cluster.worker(SubmitWithKeptStarts(cluster));
+  const std::size_t tasks = TasksOf(worker.Events("kept"));
+  worker.SetFaults({{"quiet", true}});
+  worker.Control("rebirth", {{"down_ms", 100}, {"play_kept", {"start"}}});
+  worker.WaitForEvents("run-end", tasks, kLimit);
+  worker.SetFaults({{"quiet", false}});
+}
+
+// Guards against a start that the agent repeats after the birth, before it knows of it.
+void RepeatStartsAfterTheBirth(PlatformCluster& cluster) {
+  Standin& worker = cluster.worker(SubmitWithKeptStarts(cluster));
+  const std::size_t tasks = TasksOf(worker.Events("kept"));
+  worker.SetFaults({{"quiet", true}, {"mute", {"hold"}}});
+  worker.Control("rebirth", {{"down_ms", 0}});
+  worker.WaitForEvents("run-start", tasks, kLimit);
+  worker.SetFaults({{"mute", nlohmann::json::array()}});
+  worker.WaitForEvents("run-end", tasks, kLimit);
+  worker.SetFaults({{"quiet", false}});
+}
+
+// Guards against the same by a new owner, which finds the former life in the records.
+void PlayStartsAtTheBirthWithoutOwner(PlatformCluster& cluster) {
+  Standin& worker = cluster.worker(SubmitWithKeptStarts(cluster));
+  const std::size_t tasks = TasksOf(worker.Events("kept"));
+  worker.SetFaults({{"quiet", true}});
+  cluster.entry(0).Kill();
+  worker.Control("rebirth", {{"down_ms", 100}, {"play_kept", {"start"}}});
+  cluster.StartEntry(0);
+  worker.WaitForEvents("run-end", tasks, kLimit);
+  worker.SetFaults({{"quiet", false}});
+}
+
+// Guards against a start of the former life that the next one accepts although its task was done elsewhere.
+void PlayStartsAfterTheTaskIsDone(PlatformCluster& cluster) {
+  Standin& worker = cluster.worker(SubmitWithKeptStarts(cluster));
+  worker.SetFaults({{"quiet", true}, {"draining", true}});  // in its next life, so that its tasks run elsewhere
+  worker.Control("rebirth", {{"down_ms", 100}});
+  worker.SetFaults({{"quiet", false}});
+  REQUIRE(cluster.WaitForState(0, kJob, "done", kLimit));
+  absl::SleepFor(absl::Milliseconds(1200));  // a start counts as wrong a second after the end was noted
+  worker.Control("play-kept", {{"kinds", {"start"}}});
+  CHECK(!worker.Events("played").empty());
+  CheckPlayedAreFenced(worker);
+}
+
+// Guards against ends of the next life that an acknowledgement of the former one removes before they are read.
+void PlayAcknowledgementsBeforeEndsAreRead(PlatformCluster& cluster) {
+  Standin& worker = cluster.worker(0);
+  REQUIRE(cluster.Call(0, "POST", "/q/" + std::string(kEarlierJob), kFourTasks).status == 200);
+  worker.WaitForEvents("noted", kFour, kLimit);
+  worker.SetFaults({{"keep", {"hold"}}});
+  worker.WaitForEvents("kept", 1, kLimit);
+  worker.Control("rebirth", {{"down_ms", 100}});
+  worker.WaitForEvents("leased", 2, kLimit);  // the owner knows the next life
+  REQUIRE(cluster.Call(0, "POST", "/q/" + std::string(kJob), kFourTasks).status == 200);
+  worker.WaitForEvents("run-start", 2 * kFour, kLimit);
+  worker.SetFaults({{"mute", {"hold"}}});
+  worker.WaitForEvents("run-end", 2 * kFour, kLimit);
+  worker.Control("play-kept", {{"kinds", {"hold"}}});
+  worker.SetFaults({{"mute", nlohmann::json::array()}});
+  CHECK(!worker.Events("played").empty());
+  CheckPlayedAreFenced(worker);
+}
+
+// Guards against a lease of the former life, on its clock, that lets runs of the next one outlive their own lease.
+void PlayLeasesBeforeContactIsLost(PlatformCluster& cluster) {
+  for (int i = 0; i < 2; ++i) {
+    cluster.worker(i).WaitForEvents("leased", 1, kLimit);
+    cluster.worker(i).SetFaults({{"keep", {"hold"}}});
+  }
+  for (int i = 0; i < 2; ++i) cluster.worker(i).WaitForEvents("kept", 1, kLimit);
+  for (int i = 0; i < 2; ++i) cluster.worker(i).Control("rebirth", {{"down_ms", 0}});
+  for (int i = 0; i < 2; ++i) cluster.worker(i).WaitForEvents("leased", 2, kLimit);  // the owner knows the next life
+  REQUIRE(cluster.Call(0, "POST", "/q/" + std::string(kJob), kFourTasks).status == 200);
+  const absl::Time limit = absl::Now() + kLimit;
+  while (EventsOf(cluster, 2, "run-start").size() < kFour) {
+    REQUIRE(absl::Now() < limit);
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  const int holder = cluster.worker(0).Events("run-start").empty() ? 1 : 0;
+  cluster.agent(holder).Pause();
+  cluster.worker(holder).Control("play-kept", {{"kinds", {"hold"}}});
+  CHECK(!cluster.worker(holder).Events("played").empty());
+  CheckPlayedAreFenced(cluster.worker(holder));
+}
+
+// Guards against calls of a worker's former life that are carried out by its next one under the same id.
+TEST_CASE("a job is done once although a worker is born again") {
+  // The clock of the former life is far ahead, so that no kept call is late in the next one.
+  const Rebirth rebirth =
+      GENERATE(Rebirth{"a kept start is carried out right after the birth",
+                       2,
+                       {.work_ms = 1500, .worker_clock_ms = 60'000},
+                       kFour,
+                       &PlayStartsAtTheBirth},
+               Rebirth{"a kept start is carried out right after the birth, before there is a new owner",
+                       2,
+                       {.work_ms = 6000, .hold_max_ms = 20'000, .worker_clock_ms = 60'000},
+                       kFour,
+                       &PlayStartsAtTheBirthWithoutOwner},
+               Rebirth{"a start is repeated right after the birth",
+                       2,
+                       {.work_ms = 1500, .worker_clock_ms = 60'000},
+                       kFour,
+                       &RepeatStartsAfterTheBirth},
+               Rebirth{"a kept start is carried out after its task ran elsewhere",
+                       2,
+                       {.worker_clock_ms = 60'000},
+                       kFour,
+                       &PlayStartsAfterTheTaskIsDone},
+               Rebirth{"a kept acknowledgement of the former life reaches the next one",
+                       1,
+                       {.work_ms = 1500, .worker_clock_ms = 60'000},
+                       2 * kFour,
+                       &PlayAcknowledgementsBeforeEndsAreRead},
+               Rebirth{"a kept lease of the former life reaches the next one",
+                       2,
+                       {.work_ms = 8000, .hold_max_ms = 20'000, .worker_clock_ms = 60'000},
+                       kFour,
+                       &PlayLeasesBeforeContactIsLost});
+  INFO(rebirth.name);
+  PlatformCluster cluster(1, rebirth.workers, rebirth.options);
+  rebirth.strike(cluster);
+  CHECK(cluster.WaitForState(0, kJob, "done", kLimit));
+  CHECK(cluster.Violation() == "");
+  CHECK(cluster.DoneRuns() == rebirth.done_runs);
+}
+
 }  // namespace
 }  // namespace berylgauge
--- a/tests/standins/leased_worker_service.cc
+++ b/tests/standins/leased_worker_service.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 namespace berylgauge {
@@ -13,18 +14,68 @@
 
 constexpr auto kTick = std::chrono::milliseconds(10);
 constexpr auto kHeartbeatInterval = std::chrono::milliseconds(200);
+/// Less than the time for which a control call is waited for.
+constexpr std::int64_t kMaxDownMs = 10'000;
+
+std::optional<WorkerCall> CallAt(const std::string& path) {
+  if (path == "/v1/run-start") return WorkerCall::kStart;
+  if (path == "/v1/run-stop") return WorkerCall::kStop;
+  if (path == "/v1/hold") return WorkerCall::kHold;
+  if (path == "/v1/pace") return WorkerCall::kPace;
+  return std::nullopt;
+}
+
+/// The calls named under `key`; `present` if the key is absent.
+std::set<WorkerCall> ReadCalls(JsonObjectReader& reader, const std::string& key, std::set<WorkerCall> present) {
+  const bool is_given = reader.Has(key);
+  const std::vector<std::string> names = reader.Strings(key, kWorkerCallNames.entries().size(), false);
+  if (!is_given) return present;
+  std::set<WorkerCall> calls;
+  for (const std::string& name : names) {
+    const std::optional<WorkerCall> call = kWorkerCallNames.ValueOf(name);
+    if (call) {
+      calls.insert(*call);
+    } else {
+      reader.AddError(key, "unknown call " + name);
+    }
+  }
+  return calls;
+}
+
+json NamesOf(const std::set<WorkerCall>& calls) {
+  json names = json::array();
+  for (const WorkerCall call : calls) names.push_back(kWorkerCallNames.NameOf(call));
+  return names;
+}
+
+/// What tells a call apart in the record.
+json Describe(WorkerCall call, const StandinRequest& request) {
+  json description = {{"call", kWorkerCallNames.NameOf(call)}};
+  const json body = json::parse(request.body, nullptr, false);
+  for (const char* key : {"task", "run", "fence_token", "last_seen", "until_ms"}) {
+    if (body.is_object() && body.contains(key)) description[key] = body[key];
+  }
+  return description;
+}
+
+std::string HeaderOf(const StandinRequest& request, const std::string& name, const std::string& fallback) {
+  const auto found = std::find_if(request.headers.begin(), request.headers.end(),
+                                  [&](const auto& header) { return header.first == name; });
+  return found == request.headers.end() ? fallback : found->second;
+}
 
 }  // namespace
 
 LeasedWorkerService::LeasedWorkerService(LeasedWorkerOptions options, EventRecord& record)
-    : m_options(std::move(options)),
-      m_record(record),
-      m_begun_ms(MonotonicMillis()),
-      m_born(absl::ToUnixMillis(absl::Now())),
-      m_heartbeats([this] { SendHeartbeats(); }) {}
+    : m_options(std::move(options)), m_record(record) {
+  BeginLife(m_options.clock_ms);
+  m_timer = std::thread([this] { RunTimer(); });
+  m_heartbeats = std::thread([this] { SendHeartbeats(); });
+}
 
 LeasedWorkerService::~LeasedWorkerService() {
-  Stop();
+  LeasedWorkerService::Stop();
+  m_timer.join();
   m_heartbeats.join();
 }
 
@@ -34,66 +85,198 @@
   m_changed.notify_all();
 }
 
+// ---- Faults and control calls
+
 void LeasedWorkerService::ReadFaults(JsonObjectReader& reader) {
   const std::lock_guard lock(m_mutex);
-  m_draining = reader.Boolean("draining", m_draining);
+  m_next_faults = {.draining = reader.Boolean("draining", m_faults.draining),
+                   .quiet = reader.Boolean("quiet", m_faults.quiet),
+                   .keep = ReadCalls(reader, "keep", m_faults.keep),
+                   .mute = ReadCalls(reader, "mute", m_faults.mute)};
 }
 
-std::int64_t LeasedWorkerService::ClockMs() const { return MonotonicMillis() - m_begun_ms + 1; }
+void LeasedWorkerService::ApplyFaults() {
+  const std::lock_guard lock(m_mutex);
+  m_faults = m_next_faults;
+  m_changed.notify_all();
+}
+
+json LeasedWorkerService::Faults() const {
+  const std::lock_guard lock(m_mutex);
+  return {{"draining", m_faults.draining},
+          {"quiet", m_faults.quiet},
+          {"keep", NamesOf(m_faults.keep)},
+          {"mute", NamesOf(m_faults.mute)}};
+}
+
+StandinResponse LeasedWorkerService::HandleControl(const StandinRequest& request) {
+  const bool is_rebirth = request.path == "/control/rebirth";
+  if (!is_rebirth && request.path != "/control/play-kept") return StandinService::HandleControl(request);
+  const json document = json::parse(request.body, nullptr, false);
+  if (document.is_discarded()) return StandinResponse::Error(400, "not JSON");
+  JsonErrors errors;
+  JsonObjectReader reader(document, "$", errors);
+  const std::int64_t down_ms = is_rebirth ? reader.Integer("down_ms", {.default_value = 0, .max = kMaxDownMs}) : 0;
+  const std::set<WorkerCall> calls = ReadCalls(reader, is_rebirth ? "play_kept" : "kinds", {});
+  reader.Finish();
+  if (!errors.empty()) return StandinResponse::Error(400, errors.ToFailure().message);
+  std::unique_lock lock(m_mutex);
+  if (!m_is_up) return StandinResponse::Error(409, "the worker is down");
+  if (is_rebirth) {
+    Die();
+    m_changed.wait_for(lock, std::chrono::milliseconds(down_ms), [this] { return m_stopped; });
+    BeginLife(0);
+    m_record.Add("born", {{"born", m_life.born}});
+  }
+  const int played = PlayKept(calls);
+  return StandinResponse::Json({{"born", m_life.born}, {"played", played}});
+}
+
+// ---- Lives
+
+void LeasedWorkerService::BeginLife(std::int64_t clock_ms) {
+  const std::int64_t former = m_life.born;
+  // Lives are told apart by it, also those that begin within one millisecond.
+  m_life = {.born = std::max(absl::ToUnixMillis(absl::Now()), former + 1),
+            .clock_zero_ms = MonotonicMillis() - clock_ms,
+            .runs = {},
+            .ended_runs = {},
+            .ends = {}};
+  m_is_up = true;
+  m_changed.notify_all();
+}
+
+void LeasedWorkerService::Die() {
+  Update();
+  m_record.Add("death", {{"born", m_life.born}});
+  m_life.runs.clear();
+  m_is_up = false;
+  m_faults.keep.clear();
+  m_changed.notify_all();
+}
+
+std::int64_t LeasedWorkerService::ClockMs() const { return MonotonicMillis() - m_life.clock_zero_ms + 1; }
 
 void LeasedWorkerService::Finish(const std::string& task, const std::string& how) {
-  const Run run = m_runs.at(task);
-  m_runs.erase(task);
-  m_ended_runs[task] = std::max(m_ended_runs[task], run.number);
-  m_ends.push_back({.number = ++m_last_end, .task = task, .run = run.number, .how = how});
+  const Run run = m_life.runs.at(task);
+  m_life.runs.erase(task);
+  m_life.ended_runs[task] = std::max(m_life.ended_runs[task], run.number);
+  m_life.ends.push_back({.number = ++m_life.last_end, .task = task, .run = run.number, .how = how});
   m_record.Add("run-end", {{"task", task}, {"run", run.number}, {"how", how}});
   m_changed.notify_all();
 }
 
 void LeasedWorkerService::Update() {
-  const bool lapsed = ClockMs() > m_lease_end_ms;
-  std::vector<std::string> done;
-  for (const auto& [task, run] : m_runs) {
-    if (lapsed || ClockMs() - run.begun_ms >= m_options.work_ms) done.push_back(task);
+  const bool lapsed = ClockMs() > m_life.lease_end_ms;
+  std::vector<std::string> over;
+  for (const auto& [task, run] : m_life.runs) {
+    if (lapsed || ClockMs() - run.begun_ms >= m_options.work_ms) over.push_back(task);
   }
-  for (const std::string& task : done) Finish(task, lapsed ? "lapsed" : "done");
+  for (const std::string& task : over) Finish(task, lapsed ? "lapsed" : "done");
+  if (!lapsed) return;
+  for (End& end : m_life.ends) end.lapsed = true;
 }
 
-StandinResponse LeasedWorkerService::Accepted() const {
-  return StandinResponse::Json({{"clock_ms", ClockMs()}, {"born", m_born}});
+void LeasedWorkerService::RunTimer() {
+  std::unique_lock lock(m_mutex);
+  while (!m_stopped) {
+    m_changed.wait_for(lock, kTick);
+    if (m_is_up) Update();
+  }
 }
 
-StandinResponse LeasedWorkerService::Refusal(const std::string& reason) const {
-  return StandinResponse::Json({{"clock_ms", ClockMs()}, {"reason", reason}, {"born", m_born}}, 409);
+// ---- Calls
+
+StandinResponse LeasedWorkerService::Accepted() const { return StandinResponse::Json({{"clock_ms", ClockMs()}}); }
+
+StandinResponse LeasedWorkerService::Refusal(int status, const std::string& reason) const {
+  return StandinResponse::Json({{"clock_ms", ClockMs()}, {"reason", reason}}, status);
 }
 
 StandinResponse LeasedWorkerService::Handle(const StandinRequest& request) {
-  const json body = json::parse(request.body, nullptr, false);
-  if (!body.is_object()) return StandinResponse::Error(400, "body must be an object");
+  const std::optional<WorkerCall> call = CallAt(request.path);
+  if (!call) return StandinResponse::Error(404, "no such path: " + request.path);
   std::unique_lock lock(m_mutex);
+  if (!m_is_up) return {.closed = true};
+  if (m_faults.keep.contains(*call)) return Keep(*call, request, lock);
+  const std::int64_t born = m_life.born;
+  StandinResponse answer = CarryOut(*call, request);
+  if (*call == WorkerCall::kHold && answer.status == 200) {
+    const std::chrono::milliseconds wait(json::parse(request.body).value("wait_ms", std::int64_t{0}));
+    m_changed.wait_for(lock, wait, [&] { return m_stopped || !IsIn(born) || !m_life.ends.empty(); });
+    if (!IsIn(born)) return {.closed = true};
+    answer = Lists();
+  }
+  if (m_faults.mute.contains(*call)) return {.closed = true};
+  return answer;
+}
+
+StandinResponse LeasedWorkerService::Keep(WorkerCall call, const StandinRequest& request,
+                                          std::unique_lock<std::mutex>& lock) {
+  const std::int64_t number = ++m_last_kept;
+  const std::int64_t born = m_life.born;
+  m_kept.push_back({.number = number, .call = call, .request = request});
+  m_record.Add("kept", Describe(call, request));
+  m_changed.wait(lock, [&] {
+    return m_stopped || !IsIn(born) ||
+           std::none_of(m_kept.begin(), m_kept.end(), [&](const KeptCall& kept) { return kept.number == number; });
+  });
+  return {.closed = true};
+}
+
+int LeasedWorkerService::PlayKept(const std::set<WorkerCall>& calls) {
+  int played = 0;
+  for (const KeptCall& kept : m_kept) {
+    if (!calls.contains(kept.call)) continue;
+    ++played;
+    const StandinResponse answer = CarryOut(kept.call, kept.request);
+    json event = Describe(kept.call, kept.request);
+    event["status"] = answer.status;
+    event["reason"] = json::parse(answer.body).value("reason", "");
+    m_record.Add("played", std::move(event));
+  }
+  std::erase_if(m_kept, [&](const KeptCall& kept) { return calls.contains(kept.call); });
+  m_changed.notify_all();
+  return played;
+}
+
+StandinResponse LeasedWorkerService::CarryOut(WorkerCall call, const StandinRequest& request) {
   Update();
+  if (HeaderOf(request, "expect-instance", m_options.id) != m_options.id) return Refusal(421, "instance");
+  const json body = json::parse(request.body, nullptr, false);
+  if (!body.is_object()) return StandinResponse::Error(400, "body must be an object");
   const std::int64_t token = body.value("fence_token", std::int64_t{0});
-  if (token < m_fence_token) return Refusal("fence");
-  m_fence_token = token;
-  if (request.path == "/v1/run-start") return Start(body);
-  if (request.path == "/v1/run-stop") return StopRun(body);
-  if (request.path == "/v1/hold") return Hold(body, lock);
-  if (request.path == "/v1/pace") return Accepted();
-  return StandinResponse::Error(404, "no such path: " + request.path);
+  if (token < m_life.fence_token) return Refusal(409, "fence");
+  m_life.fence_token = token;
+  switch (call) {
+    case WorkerCall::kStart:
+      return Start(body);
+    case WorkerCall::kStop:
+      return StopRun(body);
+    case WorkerCall::kHold:
+      return Hold(body);
+    case WorkerCall::kPace:
+      break;
+  }
+  return Accepted();
+}
+
+void LeasedWorkerService::ExtendLease(std::int64_t until_ms) {
+  const bool is_first = m_life.lease_end_ms == 0;
+  m_life.lease_end_ms = std::max(m_life.lease_end_ms, std::min(until_ms, ClockMs() + m_options.hold_max_ms));
+  if (is_first && m_life.lease_end_ms > 0) m_record.Add("leased", {{"born", m_life.born}});
 }
 
 StandinResponse LeasedWorkerService::Start(const json& body) {
   const std::string task = body.at("task");
   const int run = body.at("run");
   const std::int64_t until = body.at("until_ms");
-  if (until < ClockMs()) return Refusal("late");
-  m_lease_end_ms = std::max(m_lease_end_ms, until);
-  const auto present = m_runs.find(task);
-  if (present != m_runs.end() && present->second.number == run) {
-    return Accepted();
-  }
-  if (m_ended_runs.contains(task) && run <= m_ended_runs[task]) return Refusal("old");
-  m_runs[task] = {.number = run, .begun_ms = ClockMs()};
+  if (until < ClockMs()) return Refusal(409, "late");
+  ExtendLease(until);
+  const auto present = m_life.runs.find(task);
+  if (present != m_life.runs.end() && present->second.number == run) return Accepted();
+  if (m_life.ended_runs.contains(task) && run <= m_life.ended_runs[task]) return Refusal(409, "old");
+  m_life.runs[task] = {.number = run, .begun_ms = ClockMs()};
   m_record.Add("run-start", {{"task", task}, {"run", run}});
   return Accepted();
 }
@@ -101,53 +284,61 @@
 StandinResponse LeasedWorkerService::StopRun(const json& body) {
   const std::string task = body.at("task");
   const int run = body.at("run");
-  const auto present = m_runs.find(task);
-  if (present != m_runs.end() && present->second.number == run) Finish(task, "stopped");
-  m_ended_runs[task] = std::max(m_ended_runs[task], run);
+  const auto present = m_life.runs.find(task);
+  if (present != m_life.runs.end() && present->second.number == run) Finish(task, "stopped");
+  m_life.ended_runs[task] = std::max(m_life.ended_runs[task], run);
   return Accepted();
 }
 
-StandinResponse LeasedWorkerService::Hold(const json& body, std::unique_lock<std::mutex>& lock) {
-  m_lease_end_ms = std::max(m_lease_end_ms, body.value("until_ms", std::int64_t{0}));
+StandinResponse LeasedWorkerService::Hold(const json& body) {
   const std::int64_t last_seen = body.value("last_seen", std::int64_t{0});
-  std::erase_if(m_ends, [&](const End& end) { return end.number <= last_seen; });
-  const auto deadline =
-      std::chrono::steady_clock::now() + std::chrono::milliseconds(body.value("wait_ms", std::int64_t{0}));
-  while (m_ends.empty() && !m_stopped && std::chrono::steady_clock::now() < deadline) {
-    m_changed.wait_for(lock, kTick);
-    Update();
+  for (const End& end : m_life.ends) {
+    if (end.number <= last_seen && !end.lapsed) {
+      m_record.Add("noted", {{"task", end.task}, {"run", end.run}, {"how", end.how}});
+    }
   }
+  std::erase_if(m_life.ends, [&](const End& end) { return end.number <= last_seen; });
+  ExtendLease(body.value("until_ms", std::int64_t{0}));
+  return Lists();
+}
+
+StandinResponse LeasedWorkerService::Lists() const {
   json running = json::array();
-  for (const auto& [task, run] : m_runs) {
+  for (const auto& [task, run] : m_life.runs) {
     const std::int64_t percent = std::min<std::int64_t>(100, 100 * (ClockMs() - run.begun_ms) / m_options.work_ms);
     running.push_back(json::array({task, run.number, "", percent, 0}));
   }
   json ended = json::array();
-  for (const End& end : m_ends) ended.push_back(json::array({end.number, end.task, end.run, end.how, ""}));
+  for (const End& end : m_life.ends) ended.push_back(json::array({end.number, end.task, end.run, end.how, ""}));
   return StandinResponse::Json(
-      {{"clock_ms", ClockMs()}, {"born", m_born}, {"running", std::move(running)}, {"ended", std::move(ended)}});
+      {{"clock_ms", ClockMs()}, {"born", m_life.born}, {"running", std::move(running)}, {"ended", std::move(ended)}});
 }
 
+// ---- Heartbeats
+
 void LeasedWorkerService::SendHeartbeats() {
   std::unique_lock lock(m_mutex);
-  for (int sequence = 1; !m_stopped; ++sequence) {
-    const json body = {{"service", m_options.service},
-                       {"zone", m_options.zone},
-                       {"state", m_draining ? "draining" : "ready"},
-                       {"labels", {"a", "r0"}},
-                       {"capacity", {{"cpu", 16000}, {"mem_mb", 64000}, {"gpu", 0}}},
-                       {"born", m_born},
-                       {"seq", sequence}};
-    lock.unlock();
-    const std::string text = body.dump();
-    // An agent that is away is told again with the next heartbeat.
-    static_cast<void>(m_http.Call({.method = "POST",
-                                   .url = "http://" + m_options.agent + "/v1/instances/" + m_options.id + "/heartbeat",
-                                   .headers = {{"content-type", "application/json"}},
-                                   .body = text},
-                                  absl::Seconds(1)));
-    lock.lock();
-    m_changed.wait_for(lock, kHeartbeatInterval);
+  while (!m_stopped) {
+    if (m_is_up && !m_faults.quiet) {
+      const json body = {{"service", m_options.service},
+                         {"zone", m_options.zone},
+                         {"state", m_faults.draining ? "draining" : "ready"},
+                         {"labels", {"a", "r0"}},
+                         {"capacity", {{"cpu", 16000}, {"mem_mb", 64000}, {"gpu", 0}}},
+                         {"born", m_life.born},
+                         {"seq", ++m_life.heartbeats}};
+      lock.unlock();
+      const std::string text = body.dump();
+      // An agent that is away is told again with the next heartbeat.
+      static_cast<void>(
+          m_http.Call({.method = "POST",
+                       .url = "http://" + m_options.agent + "/v1/instances/" + m_options.id + "/heartbeat",
+                       .headers = {{"content-type", "application/json"}},
+                       .body = text},
+                      absl::Seconds(1)));
+      lock.lock();
+    }
+    if (!m_stopped) m_changed.wait_for(lock, kHeartbeatInterval);
   }
 }
 
--- a/tests/standins/leased_worker_service.h
+++ b/tests/standins/leased_worker_service.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include <condition_variable>
+#include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "base/enum_names.h"
 #include "clients/http_client.h"
 #include "event_record.h"
 #include "standin_service.h"
@@ -17,20 +20,42 @@
   std::string id;
   std::string service = "dispatch";
   std::string zone = "zone-0";
-  std::string agent;           ///< "IP:PORT" that takes the heartbeats
-  std::int64_t work_ms = 300;  ///< run time of each task
+  std::string agent;                ///< "IP:PORT" that takes the heartbeats
+  std::int64_t work_ms = 300;       ///< run time of each task
+  std::int64_t hold_max_ms = 6000;  ///< longest lease
+  std::int64_t clock_ms = 0;        ///< clock at the start of the first life
+};
+
+/// Calls that the worker takes.
+enum class WorkerCall { kStart, kStop, kHold, kPace };
+
+inline constexpr auto kWorkerCallNames = MakeEnumNames<WorkerCall>({
+    {WorkerCall::kStart, "start"},
+    {WorkerCall::kStop, "stop"},
+    {WorkerCall::kHold, "hold"},
+    {WorkerCall::kPace, "pace"},
+});
+
+struct LeasedWorkerFaults {
+  bool draining = false;
+  bool quiet = false;         ///< no heartbeats
+  std::set<WorkerCall> keep;  ///< kept without effect and answer until they are played
+  std::set<WorkerCall> mute;  ///< carried out, without answer
 };
 
 /// A worker of the platform: runs under one lease, with run numbers, fence tokens and a list of ends.
+///
+/// It can die and be born again under its id while the process goes on.
 class LeasedWorkerService final : public StandinService {
  public:
   LeasedWorkerService(LeasedWorkerOptions options, EventRecord& record);
   ~LeasedWorkerService() override;
 
   StandinResponse Handle(const StandinRequest& request) override;
+  StandinResponse HandleControl(const StandinRequest& request) override;
   void ReadFaults(JsonObjectReader& reader) override;
-  void ApplyFaults() override {}
-  nlohmann::json Faults() const override { return nlohmann::json::object(); }
+  void ApplyFaults() override;
+  nlohmann::json Faults() const override;
   void Stop() override;
 
  private:
@@ -43,33 +68,63 @@
     std::string task;
     int run = 0;
     std::string how;
+    bool lapsed = false;  ///< the lease has lapsed since
+  };
+  /// What a life knows; the next one begins with nothing of it.
+  struct Life {
+    std::int64_t born = 0;
+    std::int64_t clock_zero_ms = 0;
+    std::map<std::string, Run> runs;
+    std::map<std::string, int> ended_runs;  ///< highest run stopped or ended, by task
+    std::vector<End> ends;
+    std::int64_t last_end = 0;
+    std::int64_t lease_end_ms = 0;
+    std::int64_t fence_token = 0;
+    std::int64_t heartbeats = 0;
+  };
+  struct KeptCall {
+    std::int64_t number = 0;
+    WorkerCall call = WorkerCall::kStart;
+    StandinRequest request;
   };
 
   std::int64_t ClockMs() const;
   void Update();
   void Finish(const std::string& task, const std::string& how);
+
+  void Die();
+  void BeginLife(std::int64_t clock_ms);
+  bool IsIn(std::int64_t born) const { return m_is_up && m_life.born == born; }
+
+  /// Keeps the call and returns when its connection is to be closed.
+  StandinResponse Keep(WorkerCall call, const StandinRequest& request, std::unique_lock<std::mutex>& lock);
+  /// Carries out the kept calls of these kinds; returns their number.
+  int PlayKept(const std::set<WorkerCall>& calls);
+  StandinResponse CarryOut(WorkerCall call, const StandinRequest& request);
   StandinResponse Start(const nlohmann::json& body);
   StandinResponse StopRun(const nlohmann::json& body);
-  StandinResponse Hold(const nlohmann::json& body, std::unique_lock<std::mutex>& lock);
+  StandinResponse Hold(const nlohmann::json& body);
+  StandinResponse Lists() const;
   StandinResponse Accepted() const;
-  StandinResponse Refusal(const std::string& reason) const;
+  StandinResponse Refusal(int status, const std::string& reason) const;
+  void ExtendLease(std::int64_t until_ms);
+
+  void RunTimer();
   void SendHeartbeats();
 
   const LeasedWorkerOptions m_options;
   EventRecord& m_record;
-  const std::int64_t m_begun_ms;
-  const std::int64_t m_born;
-  std::mutex m_mutex;
+  mutable std::mutex m_mutex;
   std::condition_variable m_changed;
-  std::map<std::string, Run> m_runs;
-  std::map<std::string, int> m_ended_runs;  ///< highest run stopped or ended, by task
-  std::vector<End> m_ends;
-  std::int64_t m_last_end = 0;
-  std::int64_t m_lease_end_ms = 0;
-  std::int64_t m_fence_token = 0;
-  bool m_draining = false;
+  Life m_life;
+  bool m_is_up = true;
+  std::vector<KeptCall> m_kept;
+  std::int64_t m_last_kept = 0;
+  LeasedWorkerFaults m_faults;
+  LeasedWorkerFaults m_next_faults;  ///< read last
   bool m_stopped = false;
   HttpClient m_http;
+  std::thread m_timer;
   std::thread m_heartbeats;
 };
 
