Let calls reach the next life of a worker in the interleaving world

Agents hold tokens of owner and life. A start before an end is noted counts as the noted end's repetition.

--- a/tests/unit/workflow/interleaving_test.cc
+++ b/tests/unit/workflow/interleaving_test.cc
@@ -17,6 +17,7 @@
   int takeovers = 0;
   int late_starts = 0;
   int repeated_starts = 0;
+  int strayed_starts = 0;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     InterleavingWorld world(seed, Breakage::kNone);
     for (int i = 0; i < kSteps; ++i) world.Step();
@@ -27,12 +28,14 @@
     takeovers += world.takeovers();
     late_starts += world.late_starts();
     repeated_starts += world.repeated_starts();
+    strayed_starts += world.strayed_starts();
   }
   // Otherwise the faults would not have been met.
   CHECK(runs_done > 1000);
   CHECK(takeovers > 1000);
   CHECK(late_starts > 100);
   CHECK(repeated_starts > 100);
+  CHECK(strayed_starts > 100);
 }
 
 struct BreakageRow {
@@ -48,7 +51,10 @@
                BreakageRow{"a new owner does not wait for the former one's leases", Breakage::kNoWaitForFormerOwner},
                BreakageRow{"a start without answer counts as refused", Breakage::kRefusalIsFinal},
                BreakageRow{"leases are taken for shorter than they are", Breakage::kLeaseTooShort},
-               BreakageRow{"an unknown worker counts as another life", Breakage::kUnknownIsOtherLife});
+               BreakageRow{"an unknown worker counts as another life", Breakage::kUnknownIsOtherLife},
+               BreakageRow{"tokens do not tell lives apart", Breakage::kTokenOfOwnerOnly},
+               BreakageRow{"ends are acknowledged with numbers of a former life", Breakage::kAcknowledgeFormerLife},
+               BreakageRow{"orders go to a life that has answered nothing", Breakage::kOrdersBeforeFirstList});
   INFO(row.name);
   bool noticed = false;
   for (std::uint64_t seed = 1; seed <= kSeeds && !noticed; ++seed) {
--- a/tests/unit/workflow/interleaving_world.cc
+++ b/tests/unit/workflow/interleaving_world.cc
@@ -15,14 +15,22 @@
 constexpr std::int64_t kTaskCpuMillis = 1000;
 /// Length of a lease at the workers, as the owner's options say unless they are broken.
 constexpr std::int64_t kLeaseMs = 4500;
+/// The platform's longest lease; a call with the clock of a former life can reach it.
+constexpr std::int64_t kLongestLeaseMs = 6000;
 /// A former owner that is cut off from the store grants leases for less than this.
 constexpr absl::Duration kFormerOwnerGrants = absl::Milliseconds(4400);
 /// After this an agent gives a start without an answer up.
 constexpr absl::Duration kStartLimit = absl::Milliseconds(1500);
 /// An owner sends orders again that had no answer.
 constexpr absl::Duration kOrderPause = absl::Milliseconds(200);
-/// Longest time until a worker announces itself to an agent that was started again, in steps.
+/// Longest time until an agent hears of a worker after a start of either, in steps.
 constexpr int kAnnouncementSteps = 15;
+/// Longest time for which a worker is down, in steps.
+constexpr int kDownSteps = 20;
+/// Calls are carried out this late at most, in steps.
+constexpr int kLateSteps = 60;
+/// The clock of a life begins below this.
+constexpr int kFirstClockMs = 2000;
 
 JobDefinition TwoStepJob(const std::string& id) {
   JobDefinition job;
@@ -41,11 +49,14 @@
 InterleavingWorld::InterleavingWorld(std::uint64_t seed, Breakage breakage) : m_random(seed), m_breakage(breakage) {
   for (int i = 0; i < kWorkers; ++i) {
     Worker worker;
-    worker.agent = "agent-" + std::to_string(i);
-    worker.life = {.worker = "w" + std::to_string(i), .born = m_next_born++};
+    worker.host = "agent-" + std::to_string(i);
+    worker.life.worker = "w" + std::to_string(m_next_id++);
     worker.clock_rate = i == 0 ? 0.98 : 1;
+    GiveBirth(worker);
+    worker.announced_at = m_now;
     m_workers.push_back(std::move(worker));
   }
+  m_claimed_at = m_now;
   m_scheduler = std::make_unique<Scheduler>(Options(), m_now);
 }
 
@@ -88,13 +99,14 @@
 void InterleavingWorld::Tick() {
   m_now = m_now + kTick;
   for (Worker& worker : m_workers) {
-    if (m_now < worker.former_owner_until) worker.lease_end_ms = ClockOf(worker) + kLeaseMs;
+    if (!worker.is_up && m_now >= worker.born_at) GiveBirth(worker);
+    if (m_now < worker.former_owner_until) TakeTurnForFormerOwner(worker);
     Lapse(worker);
   }
-  CarryOutLateStarts();
+  CarryOutLateCalls();
   GiveUpStarts();
   for (Worker& worker : m_workers) {
-    if (IsReporting(worker)) Report(worker);
+    if (IsConnected(worker)) TakeTurn(worker);
   }
   m_scheduler->Advance(m_now, absl::ToInt64Milliseconds(m_now.SinceBoot()));
   for (StopOrder& order : m_scheduler->TakeStops()) m_stops.push_back(std::move(order));
@@ -156,6 +168,7 @@
   ++m_epoch;
   m_stops.clear();
   m_unanswered.clear();
+  m_claimed_at = m_now;
   m_scheduler = std::make_unique<Scheduler>(Options(), m_now);
   const std::int64_t unix_now_ms = absl::ToInt64Milliseconds(m_now.SinceBoot());
   m_index.ForEachJob(
@@ -164,29 +177,26 @@
     if (Random(3) > 0) continue;
     // Only the former owner reaches it; it does not know of its successor.
     worker.former_owner_until = m_now + kFormerOwnerGrants;
+    worker.former_epoch = m_epoch - 1;
     worker.cut_until = std::max(worker.cut_until, m_now + absl::Seconds(5 + Random(8)));
   }
 }
 
 void InterleavingWorld::RestartWorker() {
   Worker& worker = AnyWorker();
-  worker.life.born = m_next_born++;
-  worker.runs.clear();
-  worker.begun.clear();
-  worker.settled.clear();
-  worker.ends.clear();
-  worker.last_end = 0;
-  worker.void_ends = 0;
-  worker.lease_end_ms = 0;
-  worker.highest_epoch = 0;
+  if (!worker.is_up) return;
+  Die(worker);
+  if (Random(3) > 0) worker.born_at = m_now + (1 + Random(kDownSteps)) * kTick;
 }
 
 void InterleavingWorld::RestartAgent() {
   Worker& worker = AnyWorker();
-  ++worker.agent_incarnation;
-  worker.agent_unaware_until = m_now + (1 + Random(kAnnouncementSteps)) * kTick;
+  const Incarnation incarnation = worker.agent.incarnation + 1;
+  worker.agent = {};
+  worker.agent.incarnation = incarnation;
+  worker.announced_at = std::max(worker.announced_at, m_now + (1 + Random(kAnnouncementSteps)) * kTick);
   for (UnansweredStart& start : m_unanswered) {
-    if (start.order.life != worker.life) continue;
+    if (start.order.agent != worker.host) continue;
     start.is_repeated = true;
     start.given_up_at = m_now + kOrderPause;
   }
@@ -194,42 +204,226 @@
 
 void InterleavingWorld::CutWorker() { AnyWorker().cut_until = m_now + absl::Milliseconds(500 + 100 * Random(80)); }
 
-// ---- Workers
+// ---- Agents
+
+void InterleavingWorld::Hear(Worker& worker, std::int64_t epoch) {
+  if (!worker.is_up || m_now < worker.announced_at || worker.agent.life == worker.life) return;
+  const Agent former = std::exchange(worker.agent, {});
+  worker.agent.incarnation = former.incarnation;
+  worker.agent.life = worker.life;
+  if (m_breakage == Breakage::kAcknowledgeFormerLife) worker.agent.last_seen = former.last_seen;
+  TokenFor(worker, epoch);
+}
+
+InterleavingWorld::Token InterleavingWorld::TokenFor(const Worker& worker, std::int64_t epoch) {
+  auto& [life, number] = m_numbers[{worker.host, epoch}];
+  if (life != worker.agent.life) {
+    life = worker.agent.life;
+    ++number;
+  }
+  return {.epoch = epoch, .number = m_breakage == Breakage::kTokenOfOwnerOnly ? 0 : number};
+}
+
+void InterleavingWorld::TakeTurn(Worker& worker) {
+  Hear(worker, m_epoch);
+  Agent& agent = worker.agent;
+  if (agent.life.worker.empty()) return;
+  if (agent.is_other) {
+    m_scheduler->OnReport(worker.host, {}, m_now);
+    return;
+  }
+  if (!worker.is_up && agent.is_confirmed && Random(3) == 0) agent.is_gone = true;
+  if (agent.is_gone) Report(worker, WorkerCondition::kGone);
+  if (!worker.is_up || agent.is_gone) return;
+  if (m_breakage == Breakage::kOrdersBeforeFirstList && !agent.is_confirmed) {
+    agent.is_confirmed = true;
+    Report(worker, WorkerCondition::kReady);
+    return;
+  }
+  if (IsFault(4)) return;  // waits for an answer
+  const PoolWorker* known = m_scheduler->FindWorker(worker.host);
+  if (agent.is_confirmed && known != nullptr && known->life == agent.life) {
+    agent.last_seen = std::max(agent.last_seen, known->ends_durable);
+    agent.until_ms = std::max(agent.until_ms, m_scheduler->LeaseEndFor(*known));
+  }
+  const HoldCall hold{.call = {.life = agent.life, .token = TokenFor(worker, m_epoch)},
+                      .last_seen = agent.last_seen,
+                      .until_ms = agent.until_ms};
+  if (IsFault(12)) {
+    CallLate([this, host = worker.host, hold] { CarryOutHold(At(host), hold); });
+    return;
+  }
+  if (!CarryOutHold(worker, hold) || worker.life != agent.life) {
+    agent.is_other = true;
+    return;
+  }
+  agent.is_confirmed = true;
+  Report(worker, WorkerCondition::kReady);
+}
 
-void InterleavingWorld::Report(Worker& worker) {
-  worker.highest_epoch = m_epoch;
-  const PoolWorker* known = m_scheduler->FindWorker(worker.agent);
-  if (known != nullptr && known->life == worker.life) Acknowledge(worker, known->ends_durable);
+void InterleavingWorld::TakeTurnForFormerOwner(Worker& worker) {
+  Hear(worker, worker.former_epoch);
+  Agent& agent = worker.agent;
+  if (agent.life.worker.empty() || agent.is_other || agent.is_gone || !worker.is_up) return;
+  const Call call{.life = agent.life, .token = TokenFor(worker, worker.former_epoch)};
+  if (agent.is_confirmed && agent.life == worker.life) agent.until_ms = ClockOf(worker) + kLeaseMs;
+  const HoldCall hold{.call = call, .last_seen = agent.last_seen, .until_ms = agent.until_ms};
+  const bool is_answered = CarryOutHold(worker, hold);
+  agent.is_other = worker.life != agent.life;
+  agent.is_confirmed = agent.is_confirmed || (is_answered && !agent.is_other);
+}
+
+void InterleavingWorld::Report(Worker& worker, WorkerCondition condition) {
   WorkerReport report;
-  report.agent_incarnation = worker.agent_incarnation;
-  report.life = worker.life;
+  report.agent_incarnation = worker.agent.incarnation;
+  report.life = worker.agent.life;
+  report.condition = condition;
   report.service = "s";
   report.zone = "z";
   report.capacity = worker.capacity;
+  if (condition == WorkerCondition::kGone) {
+    m_scheduler->OnReport(worker.host, report, m_now);
+    return;
+  }
   report.worker_clock_ms = ClockOf(worker);
   report.has_runs = true;
-  for (const auto& [task, run] : worker.runs) report.runs.push_back({.task = task, .run = run, .checkpoint = {}});
-  report.ends = worker.ends;
-  m_scheduler->OnReport(worker.agent, report, m_now);
-  worker.lease_end_ms = std::max(worker.lease_end_ms, report.worker_clock_ms + kLeaseMs);
+  // Before the first call of this life the agent has its announcement only.
+  if (worker.has_own_token) {
+    for (const auto& [task, run] : worker.runs) report.runs.push_back({.task = task, .run = run, .checkpoint = {}});
+    report.ends = worker.ends;
+    worker.lease_end_ms = std::max(worker.lease_end_ms, report.worker_clock_ms + kLeaseMs);
+  }
+  m_scheduler->OnReport(worker.host, report, m_now);
+  worker.is_reported = true;
   if (m_breakage != Breakage::kAcknowledgeBeforeDurable) return;
-  Acknowledge(worker, m_scheduler->FindWorker(worker.agent)->ends_applied);
+  Acknowledge(worker, m_scheduler->FindWorker(worker.host)->ends_applied);
+}
+
+StartAnswer InterleavingWorld::CallStart(Worker& worker, const StartOrder& order, std::int64_t until_ms) {
+  if (worker.life.worker != order.life.worker) {
+    worker.agent.is_other = true;
+    return {.refusal = StartRefusal::kOtherLife};
+  }
+  StartAnswer answer{.clock_ms = ClockOf(worker)};
+  if (!Begin(worker, {.life = order.life, .token = TokenFor(worker, m_epoch)}, order, until_ms)) {
+    answer.refusal = StartRefusal::kEnded;
+  }
+  return answer;
+}
+
+bool InterleavingWorld::CallStop(Worker& worker, const StopOrder& order) {
+  const Call call{.life = order.life, .token = TokenFor(worker, m_epoch)};
+  if (IsFault(8)) {
+    CallLate([this, order, call] { CarryOutStop(At(order.agent), call, order.task, order.run); });
+    return false;
+  }
+  CarryOutStop(worker, call, order.task, order.run);
+  // A list follows the stop, and names the life.
+  worker.agent.is_other = worker.life != order.life;
+  return !worker.agent.is_other;
+}
+
+// ---- Workers
+
+void InterleavingWorld::Die(Worker& worker) {
+  for (const auto& [task, run] : worker.settled) {
+    int& settled = worker.formerly_settled[task];
+    settled = std::max(settled, run);
+  }
+  if (worker.has_own_token) worker.tokened_born = worker.life.born;
+  worker.is_up = false;
+  worker.born_at = m_now;
+  worker.highest_token = {};
+  worker.has_own_token = false;
+  worker.is_reported = false;
+  worker.lease_end_ms = 0;
+  worker.runs.clear();
+  worker.begun.clear();
+  worker.settled.clear();
+  worker.ends.clear();
+  worker.repeated_ends.clear();
+  worker.last_end = 0;
+  worker.void_ends = 0;
+}
+
+void InterleavingWorld::GiveBirth(Worker& worker) {
+  worker.is_up = true;
+  worker.born_at = m_now;
+  worker.first_clock_ms = 1 + Random(kFirstClockMs);
+  worker.life.born = m_next_born++;
+  if (worker.tokened_born > 0 && Random(5) == 0) worker.life.worker = "w" + std::to_string(m_next_id++);
+  worker.announced_at = m_now + Random(kAnnouncementSteps + 1) * kTick;
+}
+
+bool InterleavingWorld::Admit(Worker& worker, const Call& call) {
+  if (!worker.is_up || worker.life.worker != call.life.worker || call.token < worker.highest_token) return false;
+  worker.highest_token = call.token;
+  if (call.life == worker.life) worker.has_own_token = true;
+  return true;
+}
+
+bool InterleavingWorld::CarryOutHold(Worker& worker, const HoldCall& hold) {
+  if (!Admit(worker, hold.call)) return false;
+  ExtendLease(worker, hold.until_ms);
+  // Left out, because no owner can prevent it: before its first token a life carries a start of the former one out, and
+  // then an acknowledgement of the former one that covers the end.
+  if (worker.has_own_token || worker.last_end == 0) Acknowledge(worker, hold.last_seen);
+  return true;
+}
+
+void InterleavingWorld::CarryOutStop(Worker& worker, const Call& call, const std::string& task, int run) {
+  if (!Admit(worker, call)) return;
+  const auto running = worker.runs.find(task);
+  if (running != worker.runs.end() && running->second == run) ListEnd(worker, task, RunEndKind::kStopped);
+  int& settled = worker.settled[task];
+  settled = std::max(settled, run);
 }
 
 void InterleavingWorld::Acknowledge(Worker& worker, std::int64_t number) {
   std::erase_if(worker.ends, [&](const RunEnd& end) {
     if (end.number > number) return false;
-    if (end.kind == RunEndKind::kDone && end.number > worker.void_ends) m_noted_tasks.insert(end.task);
+    if (end.kind != RunEndKind::kDone || end.number <= worker.void_ends) return true;
+    m_noted_tasks.insert(end.task);
+    if (worker.repeated_ends.contains(end.number)) {
+      m_violations.push_back("ran again before its end was noted: " + end.task);
+    }
     return true;
   });
 }
 
+void InterleavingWorld::ExtendLease(Worker& worker, std::int64_t until_ms) {
+  worker.lease_end_ms = std::max(worker.lease_end_ms, std::min(until_ms, ClockOf(worker) + kLongestLeaseMs));
+}
+
 void InterleavingWorld::Lapse(Worker& worker) {
-  if (ClockOf(worker) <= worker.lease_end_ms) return;
+  // Left out, because no owner can prevent it: a life carries a start of the former one out, and its owner hears
+  // nothing of it for longer than the former one's lease.
+  const bool is_silent = !worker.is_reported && IsLapsedAtOwner(worker);
+  if (ClockOf(worker) > worker.lease_end_ms || is_silent) LapseRuns(worker);
+}
+
+void InterleavingWorld::LapseRuns(Worker& worker) {
   for (const auto& [task, run] : std::map<std::string, int>(worker.runs)) ListEnd(worker, task, RunEndKind::kLapsed);
   worker.void_ends = worker.last_end;
 }
 
+bool InterleavingWorld::IsLapsedAtOwner(const Worker& worker) {
+  const SchedulerOptions options = Options();
+  const absl::Duration lease = options.lease * options.clock_tolerance;
+  const PoolWorker* known = m_scheduler->FindWorker(worker.host);
+  if (known == nullptr || known->life.worker.empty()) return m_now - m_claimed_at > options.former_owner_grants + lease;
+  return m_now - known->clock_read_at > lease;
+}
+
+bool InterleavingWorld::IsLeftOut(const Worker& worker, const Call& call, const StartOrder& order) {
+  if (call.life == worker.life || worker.has_own_token) return false;
+  // No owner can prevent a late start in a life that has no token yet, so these are left out: the owner heard nothing
+  // for the length of a lease; the run has ended or was stopped in a former life; a life between had its token.
+  const auto settled = worker.formerly_settled.find(order.task);
+  const bool is_settled = settled != worker.formerly_settled.end() && order.run <= settled->second;
+  return is_settled || call.life.born < worker.tokened_born || IsLapsedAtOwner(worker);
+}
+
 void InterleavingWorld::ListEnd(Worker& worker, const std::string& task, RunEndKind kind) {
   const int run = worker.runs.at(task);
   worker.runs.erase(task);
@@ -241,42 +435,60 @@
   ++m_runs_done;
 }
 
-bool InterleavingWorld::Begin(Worker& worker, const StartOrder& order, std::int64_t epoch, std::int64_t until_ms) {
-  if (worker.life != order.life || epoch < worker.highest_epoch || ClockOf(worker) > until_ms) return false;
-  worker.highest_epoch = epoch;
+bool InterleavingWorld::Begin(Worker& worker, const Call& call, const StartOrder& order, std::int64_t until_ms) {
+  if (!Admit(worker, call) || ClockOf(worker) > until_ms) return false;
+  ExtendLease(worker, until_ms);
   const auto present = worker.runs.find(order.task);
   if (present != worker.runs.end()) return present->second == order.run;
   const auto settled = worker.settled.find(order.task);
   if (settled != worker.settled.end() && order.run <= settled->second) return false;
-  for (const Worker& other : m_workers) {
-    if (other.runs.contains(order.task)) m_violations.push_back("runs twice: " + order.task);
-  }
-  if (m_noted_tasks.contains(order.task)) m_violations.push_back("runs after its end was noted: " + order.task);
-  const std::string job = order.task.substr(0, order.task.find('.'));
-  const bool is_second_step = order.task.find(".0.1.") != std::string::npos;
-  for (int i = 0; is_second_step && i < kFirstStepTasks; ++i) {
-    if (!m_done_tasks.contains(job + ".0.0." + std::to_string(i))) m_violations.push_back("too early: " + order.task);
-  }
+  if (call.life != worker.life) ++m_strayed_starts;
+  CheckBegin(order.task);
   worker.runs[order.task] = order.run;
   worker.begun[order.task] = m_now;
-  worker.lease_end_ms = std::max(worker.lease_end_ms, until_ms);
   if (static_cast<std::int64_t>(worker.runs.size()) * kTaskCpuMillis > worker.capacity.cpu_millis) {
-    m_violations.push_back("over capacity: " + worker.agent);
+    m_violations.push_back("over capacity: " + worker.host);
   }
   return true;
 }
 
-void InterleavingWorld::CarryOutLateStarts() {
-  std::vector<LateStart> due;
-  std::erase_if(m_late, [&](const LateStart& late) {
+void InterleavingWorld::CheckBegin(const std::string& task) {
+  for (Worker& other : m_workers) {
+    if (other.runs.contains(task)) m_violations.push_back("runs twice: " + task);
+    for (const RunEnd& end : other.ends) {
+      if (end.task == task && end.kind == RunEndKind::kDone) other.repeated_ends.insert(end.number);
+    }
+  }
+  if (m_noted_tasks.contains(task)) m_violations.push_back("runs after its end was noted: " + task);
+  const std::string job = task.substr(0, task.find('.'));
+  const bool is_second_step = task.find(".0.1.") != std::string::npos;
+  for (int i = 0; is_second_step && i < kFirstStepTasks; ++i) {
+    if (!m_done_tasks.contains(job + ".0.0." + std::to_string(i))) m_violations.push_back("too early: " + task);
+  }
+}
+
+// ---- Messages that are late or lost
+
+void InterleavingWorld::CallLate(std::function<void()> carry_out) {
+  m_late.push_back({.carried_out_at = m_now + Random(kLateSteps) * kTick, .carry_out = std::move(carry_out)});
+}
+
+void InterleavingWorld::CallStartLate(const Worker& worker, const StartOrder& order, std::int64_t until_ms) {
+  const Call call{.life = order.life, .token = TokenFor(worker, m_epoch)};
+  CallLate([this, order, call, until_ms] {
+    Worker& worker = At(order.agent);
+    if (!IsLeftOut(worker, call, order) && Begin(worker, call, order, until_ms)) ++m_late_starts;
+  });
+}
+
+void InterleavingWorld::CarryOutLateCalls() {
+  std::vector<LateCall> due;
+  std::erase_if(m_late, [&](LateCall& late) {
     if (late.carried_out_at > m_now) return false;
-    due.push_back(late);
+    due.push_back(std::move(late));
     return true;
   });
-  for (const LateStart& late : due) {
-    Worker* worker = Find(late.order.life);
-    if (worker != nullptr && Begin(*worker, late.order, late.epoch, late.until_ms)) ++m_late_starts;
-  }
+  for (const LateCall& late : due) late.carry_out();
 }
 
 // ---- The owner's messages
@@ -291,57 +503,56 @@
   const StartRefusal refusal =
       m_breakage == Breakage::kRefusalIsFinal ? StartRefusal::kUnhealthy : StartRefusal::kEnded;
   for (const UnansweredStart& start : given_up) {
-    if (start.is_repeated) {
+    const StartOrder& order = start.order;
+    Worker& worker = At(order.agent);
+    if (start.is_repeated || !IsPresent(worker, order.life)) {
       RepeatStart(start);
       continue;
     }
-    const StartOrder& order = start.order;
-    m_scheduler->OnStartAnswer(order.task, order.run, order.life, {.refusal = refusal}, m_now);
+    // The agent tries again, as long as it does not know that the run has ended or that its lease has lapsed.
+    const bool is_tried = IsConnected(worker) && worker.is_up && !worker.agent.is_gone && Random(2) == 0 &&
+                          (worker.life == order.life || m_scheduler->IsStarting(order));
+    const StartAnswer answer = is_tried ? CallStart(worker, order, start.until_ms) : StartAnswer{.refusal = refusal};
+    m_scheduler->OnStartAnswer(order.task, order.run, order.life, answer, m_now);
   }
 }
 
 void InterleavingWorld::RepeatStart(const UnansweredStart& start) {
   const StartOrder& order = start.order;
   if (!m_scheduler->IsStarting(order)) return;
-  Worker* worker = Find(order.life);
-  const bool is_unaware = worker != nullptr && !IsReporting(*worker);
-  if (is_unaware && m_breakage != Breakage::kUnknownIsOtherLife) {
-    if (IsConnected(*worker)) m_scheduler->OnWorkerUnknown(order.life);
-    m_unanswered.push_back({.order = order, .given_up_at = m_now + kOrderPause, .is_repeated = true});
+  Worker& worker = At(order.agent);
+  const bool is_unaware = !IsConnected(worker) || !IsPresent(worker, order.life);
+  if (is_unaware && m_breakage == Breakage::kUnknownIsOtherLife) {
+    m_scheduler->OnStartAnswer(order.task, order.run, order.life, {.refusal = StartRefusal::kOtherLife}, m_now);
     return;
   }
-  ++m_repeated_starts;
-  if (worker == nullptr || is_unaware) {
-    m_scheduler->OnStartAnswer(order.task, order.run, order.life, {.refusal = StartRefusal::kOtherLife}, m_now);
+  if (is_unaware || !worker.is_up || worker.agent.is_gone) {
+    if (is_unaware && IsConnected(worker)) m_scheduler->OnWorkerUnknown(order.life);
+    m_unanswered.push_back({.order = order, .given_up_at = m_now + kOrderPause, .is_repeated = true});
     return;
   }
-  const PoolWorker* known = m_scheduler->FindWorker(worker->agent);
-  StartAnswer answer{.clock_ms = ClockOf(*worker)};
+  ++m_repeated_starts;
+  const PoolWorker* known = m_scheduler->FindWorker(worker.host);
   const std::int64_t until_ms = known == nullptr ? 0 : m_scheduler->LeaseEndFor(*known);
-  if (!Begin(*worker, order, m_epoch, until_ms)) answer.refusal = StartRefusal::kEnded;
-  m_scheduler->OnStartAnswer(order.task, order.run, order.life, answer, m_now);
+  m_scheduler->OnStartAnswer(order.task, order.run, order.life, CallStart(worker, order, until_ms), m_now);
 }
 
 void InterleavingWorld::DeliverStops() {
   std::vector<StopOrder> later;
   for (const StopOrder& order : std::exchange(m_stops, {})) {
-    Worker* worker = Find(order.life);
-    if (worker != nullptr && (!IsReporting(*worker) || (!m_healed && Random(4) == 0))) {
+    Worker& worker = At(order.agent);
+    const PoolWorker* known = m_scheduler->FindWorker(order.agent);
+    if (known == nullptr || known->life != order.life) continue;
+    const bool is_reached = IsConnected(worker) && IsPresent(worker, order.life) && worker.is_up &&
+                            !worker.agent.is_gone && !IsFault(4) && CallStop(worker, order);
+    if (!is_reached) {
       later.push_back(order);
       continue;
     }
-    bool listed = false;
-    if (worker != nullptr) {
-      const auto running = worker->runs.find(order.task);
-      if (running != worker->runs.end() && running->second == order.run) {
-        ListEnd(*worker, order.task, RunEndKind::kStopped);
-      }
-      int& settled = worker->settled[order.task];
-      settled = std::max(settled, order.run);
-      listed = std::any_of(worker->ends.begin(), worker->ends.end(),
-                           [&](const RunEnd& end) { return end.task == order.task && end.run == order.run; });
-    }
-    m_scheduler->OnStopAnswer(order.task, order.run, order.life, listed, m_now);
+    const bool is_listed = std::any_of(worker.ends.begin(), worker.ends.end(), [&](const RunEnd& end) {
+      return end.task == order.task && end.run == order.run;
+    });
+    m_scheduler->OnStopAnswer(order.task, order.run, order.life, is_listed, m_now);
   }
   for (StopOrder& order : later) m_stops.push_back(std::move(order));
 }
@@ -367,41 +578,34 @@
 }
 
 void InterleavingWorld::Send(const StartOrder& order) {
-  Worker* worker = Find(order.life);
-  if (worker == nullptr) {
-    m_scheduler->OnStartAnswer(order.task, order.run, order.life, {.refusal = StartRefusal::kOtherLife}, m_now);
-    return;
-  }
-  const PoolWorker* known = m_scheduler->FindWorker(worker->agent);
+  Worker& worker = At(order.agent);
+  const PoolWorker* known = m_scheduler->FindWorker(worker.host);
   const std::int64_t until_ms = known == nullptr ? 0 : m_scheduler->LeaseEndFor(*known);
-  if (IsConnected(*worker) && !IsReporting(*worker)) {
+  const bool is_present = IsPresent(worker, order.life);
+  if (IsConnected(worker) && (!is_present || worker.agent.is_gone)) {
     // The first message with this start, so the owner knows that it had no effect.
-    m_scheduler->OnWorkerUnknown(order.life);
+    if (!is_present) m_scheduler->OnWorkerUnknown(order.life);
     m_scheduler->OnStartAnswer(order.task, order.run, order.life, {.refusal = StartRefusal::kLate}, m_now);
     return;
   }
-  if (!IsConnected(*worker) || m_lost_answers > 0) {
+  if (!IsConnected(worker) || !worker.is_up || m_lost_answers > 0) {
     m_lost_answers = std::max(0, m_lost_answers - 1);
-    m_unanswered.push_back({.order = order, .given_up_at = m_now + kStartLimit});
-    const absl::Duration delay = absl::Milliseconds(100 * Random(60));
-    m_late.push_back({.order = order, .epoch = m_epoch, .until_ms = until_ms, .carried_out_at = m_now + delay});
+    m_unanswered.push_back({.order = order, .until_ms = until_ms, .given_up_at = m_now + kStartLimit});
+    // Connections to a process that is down are refused, and then nothing is carried out later.
+    if (!is_present || !worker.is_up) return;
+    CallStartLate(worker, order, until_ms);
     return;
   }
-  StartAnswer answer{.clock_ms = ClockOf(*worker)};
-  if (!Begin(*worker, order, m_epoch, until_ms)) answer.refusal = StartRefusal::kEnded;
-  m_scheduler->OnStartAnswer(order.task, order.run, order.life, answer, m_now);
+  m_scheduler->OnStartAnswer(order.task, order.run, order.life, CallStart(worker, order, until_ms), m_now);
 }
 
 std::int64_t InterleavingWorld::ClockOf(const Worker& worker) const {
-  return static_cast<std::int64_t>(worker.clock_rate *
-                                   static_cast<double>(absl::ToInt64Milliseconds(m_now.SinceBoot())));
+  const double age_ms = absl::ToDoubleMilliseconds(m_now - worker.born_at);
+  return worker.first_clock_ms + static_cast<std::int64_t>(worker.clock_rate * age_ms);
 }
 
-InterleavingWorld::Worker* InterleavingWorld::Find(const WorkerLife& life) {
-  for (Worker& worker : m_workers) {
-    if (worker.life == life) return &worker;
-  }
-  return nullptr;
+InterleavingWorld::Worker& InterleavingWorld::At(const std::string& host) {
+  return *std::find_if(m_workers.begin(), m_workers.end(), [&](const Worker& worker) { return worker.host == host; });
 }
 
 InterleavingWorld::Worker& InterleavingWorld::AnyWorker() {
--- a/tests/unit/workflow/interleaving_world.h
+++ b/tests/unit/workflow/interleaving_world.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "workflow/job_index.h"
@@ -22,10 +25,14 @@
   kRefusalIsFinal,            ///< a start without an answer counts as refused
   kLeaseTooShort,             ///< the owner takes leases for shorter than they are
   kUnknownIsOtherLife,        ///< an agent that was started again says that it does not know the worker's life
+  kTokenOfOwnerOnly,          ///< tokens do not tell the lives of a worker apart
+  kAcknowledgeFormerLife,     ///< calls to a life carry the last end that was noted in the former one
+  kOrdersBeforeFirstList,     ///< a life gets orders before it has answered a call
 };
 
-/// An owner, its successors and workers with the platform's rules, under faults at random: cuts, restarts, lost owners,
-/// lost batches, agents that are started again, orders that are carried out seconds late, clocks that are slow.
+/// An owner, its successors, agents and workers with the platform's rules, under faults at random: cuts, restarts, lost
+/// owners, lost batches, agents and workers that are started again, calls that are carried out seconds late or by the
+/// next life of a worker, clocks that are slow.
 ///
 /// Each step lasts 100 ms. Everything follows from the seed.
 class InterleavingWorld {
@@ -43,36 +50,73 @@
   int takeovers() const { return m_takeovers; }
   int late_starts() const { return m_late_starts; }
   int repeated_starts() const { return m_repeated_starts; }
+  /// Starts for a life that the next life of the worker carried out.
+  int strayed_starts() const { return m_strayed_starts; }
 
  private:
-  struct LateStart {
-    StartOrder order;
-    std::int64_t epoch = 0;
-    std::int64_t until_ms = 0;  ///< on the worker's clock
+  /// Fencing token of a call.
+  struct Token {
+    std::int64_t epoch = 0;   ///< of the owner
+    std::int64_t number = 0;  ///< of the life under that owner
+
+    friend auto operator<=>(const Token&, const Token&) = default;
+  };
+  /// Part that all calls to a worker have.
+  struct Call {
+    WorkerLife life;  ///< for which it is meant; the worker sees its id only
+    Token token;
+  };
+  struct HoldCall {
+    Call call;
+    std::int64_t last_seen = 0;
+    std::int64_t until_ms = 0;
+  };
+  struct LateCall {
     MonotonicTime carried_out_at;
+    std::function<void()> carry_out;
+  };
+  /// What an agent knows of the worker beside it.
+  struct Agent {
+    Incarnation incarnation = 1;
+    WorkerLife life;            ///< announced last; empty if none since the agent was started
+    bool is_confirmed = false;  ///< the life has answered a call with its token
+    bool is_other = false;      ///< an answer came from another life
+    bool is_gone = false;       ///< connections were refused
+    std::int64_t last_seen = 0;
+    std::int64_t until_ms = 0;
   };
   struct Worker {
-    std::string agent;
+    std::string host;
+    Agent agent;
     WorkerLife life;
+    bool is_up = true;
+    MonotonicTime born_at;  ///< if it is down, of its next life
+    std::int64_t first_clock_ms = 0;
     double clock_rate = 1;
     Resources capacity = {.cpu_millis = 4000, .memory_mb = 8000};
     MonotonicTime cut_until;
-    MonotonicTime agent_unaware_until;  ///< the agent was started again and has not heard of the worker
-    Incarnation agent_incarnation = 1;
+    MonotonicTime announced_at;        ///< when the agent hears of the present life
     MonotonicTime former_owner_until;  ///< a former owner still grants leases until then
-    std::int64_t highest_epoch = 0;
+    std::int64_t former_epoch = 0;
+    Token highest_token;
+    bool has_own_token = false;  ///< a call that was meant for this life was carried out
+    bool is_reported = false;    ///< an owner knows of this life
     std::int64_t lease_end_ms = 0;
     std::map<std::string, int> runs;
     std::map<std::string, MonotonicTime> begun;
     std::map<std::string, int> settled;  ///< highest run that was stopped or ended here
     std::vector<RunEnd> ends;
+    std::set<std::int64_t> repeated_ends;  ///< numbers of ends whose task began again elsewhere
     std::int64_t last_end = 0;
     std::int64_t void_ends =
         0;  ///< ends up to this number were not noted before the lease lapsed, so they do not count
+    std::map<std::string, int> formerly_settled;  ///< `settled` of former lives
+    std::int64_t tokened_born = 0;                ///< birth of the last former life that had its own token
   };
   /// A start whose agent has no answer and gives up after a while.
   struct UnansweredStart {
     StartOrder order;
+    std::int64_t until_ms = 0;
     MonotonicTime given_up_at;
     bool is_repeated = false;  ///< the agent was started again, so the owner sends the order anew
   };
@@ -87,26 +131,57 @@
   void RestartAgent();
   void CutWorker();
 
-  void Report(Worker& worker);
+  // Agents.
+  void Hear(Worker& worker, std::int64_t epoch);
+  Token TokenFor(const Worker& worker, std::int64_t epoch);
+  void TakeTurn(Worker& worker);
+  void TakeTurnForFormerOwner(Worker& worker);
+  void Report(Worker& worker, WorkerCondition condition);
+  StartAnswer CallStart(Worker& worker, const StartOrder& order, std::int64_t until_ms);
+  bool CallStop(Worker& worker, const StopOrder& order);
+  /// Whether the agent may call the worker for that life.
+  bool IsPresent(const Worker& worker, const WorkerLife& life) const {
+    return worker.agent.life == life && worker.agent.is_confirmed && !worker.agent.is_other;
+  }
+
+  // Workers.
+  void Die(Worker& worker);
+  void GiveBirth(Worker& worker);
+  /// Whether the worker carries the call out.
+  bool Admit(Worker& worker, const Call& call);
+  bool CarryOutHold(Worker& worker, const HoldCall& hold);
+  void CarryOutStop(Worker& worker, const Call& call, const std::string& task, int run);
+  /// What the worker does with a start; says whether the task runs.
+  bool Begin(Worker& worker, const Call& call, const StartOrder& order, std::int64_t until_ms);
+  void CheckBegin(const std::string& task);
+  void ExtendLease(Worker& worker, std::int64_t until_ms);
   /// The worker forgets its ends up to that number.
   void Acknowledge(Worker& worker, std::int64_t number);
   void Lapse(Worker& worker);
-  void CarryOutLateStarts();
+  void LapseRuns(Worker& worker);
+  void ListEnd(Worker& worker, const std::string& task, RunEndKind kind);
+  bool IsLapsedAtOwner(const Worker& worker);
+  bool IsLeftOut(const Worker& worker, const Call& call, const StartOrder& order);
+
+  // Messages that are late or lost.
+  void CallLate(std::function<void()> carry_out);
+  void CallStartLate(const Worker& worker, const StartOrder& order, std::int64_t until_ms);
+  void CarryOutLateCalls();
+
+  // The owner's messages.
   void GiveUpStarts();
   void RepeatStart(const UnansweredStart& start);
   void DeliverStops();
   void StoreBatch();
   void Send(const StartOrder& order);
-  /// What the worker does with a start; says whether the task runs.
-  bool Begin(Worker& worker, const StartOrder& order, std::int64_t epoch, std::int64_t until_ms);
-  void ListEnd(Worker& worker, const std::string& task, RunEndKind kind);
 
   bool IsConnected(const Worker& worker) const { return m_now >= worker.cut_until; }
-  bool IsReporting(const Worker& worker) const { return IsConnected(worker) && m_now >= worker.agent_unaware_until; }
   std::int64_t ClockOf(const Worker& worker) const;
-  Worker* Find(const WorkerLife& life);
+  Worker& At(const std::string& host);
   Worker& AnyWorker();
   int Random(int below) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(below)); }
+  /// Says yes once in so many times while there are faults.
+  bool IsFault(int once_in) { return !m_healed && Random(once_in) == 0; }
   SchedulerOptions Options() const;
 
   std::mt19937_64 m_random;
@@ -114,9 +189,12 @@
   MonotonicTime m_now{absl::Hours(1)};
   JobIndex m_index;
   std::unique_ptr<Scheduler> m_scheduler;
+  MonotonicTime m_claimed_at;
   std::int64_t m_epoch = 1;
   std::vector<Worker> m_workers;
-  std::vector<LateStart> m_late;
+  /// Last life at a host that an owner, by its epoch, has given a number.
+  std::map<std::pair<std::string, std::int64_t>, std::pair<WorkerLife, std::int64_t>> m_numbers;
+  std::vector<LateCall> m_late;
   std::vector<UnansweredStart> m_unanswered;
   std::vector<StopOrder> m_stops;
   std::set<std::string> m_jobs;
@@ -124,6 +202,7 @@
   std::set<std::string> m_done_tasks;   ///< ended as done at a worker
   std::set<std::string> m_noted_tasks;  ///< of these, those whose end was acknowledged
   std::int64_t m_next_born = 1'700'000'000'000;
+  int m_next_id = 0;
   int m_lost_answers = 0;  ///< so many of the next starts have no answer
   bool m_lose_batch = false;
   bool m_healed = false;
@@ -131,6 +210,7 @@
   int m_takeovers = 0;
   int m_late_starts = 0;
   int m_repeated_starts = 0;
+  int m_strayed_starts = 0;
   std::vector<std::string> m_violations;
 };
 
