--- a/tests/unit/workflow/interleaving_world.cc
+++ b/tests/unit/workflow/interleaving_world.cc
@@ -309,7 +309,9 @@
   StartAnswer answer{.clock_ms = ClockOf(worker)};
   if (!Begin(worker, {.life = order.life, .token = TokenFor(worker, m_epoch)}, order, until_ms)) {
     answer.refusal = StartRefusal::kEnded;
+    return answer;
   }
+  answer.is_settled = !worker.agent.unanswered.contains({order.task, order.run});
   return answer;
 }
 
@@ -476,8 +478,9 @@
   m_late.push_back({.carried_out_at = m_now + Random(kLateSteps) * kTick, .carry_out = std::move(carry_out)});
 }
 
-void InterleavingWorld::CallStartLate(const Worker& worker, const StartOrder& order, std::int64_t until_ms) {
+void InterleavingWorld::CallStartLate(Worker& worker, const StartOrder& order, std::int64_t until_ms) {
   const Call call{.life = order.life, .token = TokenFor(worker, m_epoch)};
+  worker.agent.unanswered.insert({order.task, order.run});
   CallLate([this, order, call, until_ms] {
     Worker& worker = At(order.agent);
     if (!IsLeftOut(worker, call, order) && Begin(worker, call, order, until_ms)) ++m_late_starts;
@@ -535,6 +538,7 @@
     return;
   }
   ++m_repeated_starts;
+  worker.agent.unanswered.insert({order.task, order.run});
   const PoolWorker* known = m_scheduler->FindWorker(worker.host);
   const std::int64_t until_ms = known == nullptr ? 0 : m_scheduler->LeaseEndFor(*known);
   m_scheduler->OnStartAnswer(order.task, order.run, order.life, CallStart(worker, order, until_ms), m_now);
--- a/tests/unit/workflow/interleaving_world.h
+++ b/tests/unit/workflow/interleaving_world.h
@@ -84,6 +84,7 @@
     bool is_gone = false;       ///< connections were refused
     std::int64_t last_seen = 0;
     std::int64_t until_ms = 0;
+    std::set<std::pair<std::string, int>> unanswered;  ///< starts with a call without an answer
   };
   struct Worker {
     std::string host;
@@ -166,7 +167,7 @@
 
   // Messages that are late or lost.
   void CallLate(std::function<void()> carry_out);
-  void CallStartLate(const Worker& worker, const StartOrder& order, std::int64_t until_ms);
+  void CallStartLate(Worker& worker, const StartOrder& order, std::int64_t until_ms);
   void CarryOutLateCalls();
 
   // The owner's messages.
