--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -90,6 +90,7 @@
   m_last_end = 0;
   m_refused_calls = 0;
   m_pending_starts.clear();
+  m_pace = workflow::PaceController();
   m_condition = WorkerCondition::kGone;
   m_hold_sent = false;  // a call to the former life may be without an answer for long
   ++m_hold_number;
@@ -175,8 +176,7 @@
 void AgentNode::OnHold(Result<HoldAnswer> answer, const WorkerLife& life, std::int64_t token, std::uint64_t number) {
   const bool is_regular = number != 0;
   if (is_regular && number == m_hold_number) m_hold_sent = false;
-  const bool is_present = m_announcement && m_announcement->life == life;
-  if (!is_present) return;
+  if (!IsPresent(life)) return;
   if (!answer) {
     OnHoldFailure(answer.error());
     return;
@@ -187,7 +187,7 @@
     return;
   }
   TakeLists(std::move(*answer));
-  if (token == m_fence_token) ConfirmLife();
+  if (token == m_fence_token && m_fence_epoch == m_epoch) ConfirmLife();
   if (is_regular) ScheduleHold(HasUnacknowledgedEnds() ? m_options.pending_pause : absl::ZeroDuration());
 }
 
@@ -195,6 +195,7 @@
   const bool is_new = m_announcement && fence.life == m_announcement->life && fence.token > m_fence_token;
   if (!is_new) return;
   m_fence_token = fence.token;
+  m_fence_epoch = m_epoch;
   m_is_confirmed = false;
   if (m_hold_sent) {
     SendHold(false);
@@ -389,7 +390,6 @@
       attempt->epoch = request.epoch;
       attempt->begun = m_loop.Now();
       attempt->call = {.life = request.life,
-                       .fence_token = m_fence_token,
                        .task = order.task,
                        .run = order.run,
                        .payload = job.payload,
@@ -423,7 +423,7 @@
     auto attempt = std::make_shared<StopAttempt>();
     attempt->batch = batch;
     attempt->epoch = request.epoch;
-    attempt->call = {.life = request.life, .fence_token = m_fence_token, .task = order.task, .run = order.run};
+    attempt->call = {.life = request.life, .task = order.task, .run = order.run};
     if (is_present) {
       AbandonStart({order.task, order.run});
       TryStop(std::move(attempt));
@@ -466,7 +466,8 @@
     FinishStart(*attempt, {.refusal = StartRefusal::kEnded});
     return;
   }
-  const StartCall& call = attempt->call;
+  StartCall& call = attempt->call;
+  call.fence_token = m_fence_token;  // the life may have got a higher one since the order
   m_worker.Start(call, m_options.call_timeout, [this, attempt, alive = m_alive](Result<StartAnswer> answer) {
     if (*alive) OnStart(attempt, std::move(answer));
   });
@@ -474,7 +475,9 @@
 
 void AgentNode::OnStart(std::shared_ptr<StartAttempt> attempt, Result<StartAnswer> answer) {
   if (!IsPresent(attempt->call.life)) LogStartForFormerLife(*attempt, answer);
-  if (answer) {
+  // The life got a higher token while the call was under way.
+  const bool is_old_token = answer && answer->refusal == StartRefusal::kStaleOwner && attempt->epoch == m_epoch;
+  if (answer && !is_old_token) {
     // After a call without an answer a refusal is not final: that call may still be carried out. The owner orders a
     // stop, which settles it.
     const bool is_refusal = answer->refusal != StartRefusal::kNone;
@@ -482,7 +485,7 @@
     FinishStart(*attempt, *answer);
     return;
   }
-  if (answer.error().verdict == Verdict::kMayHaveRun) {
+  if (!answer && answer.error().verdict == Verdict::kMayHaveRun) {
     attempt->is_unanswered = true;
     if (m_confirmed_life == attempt->call.life) m_unsettled_starts.insert(attempt->key());
   }
@@ -518,7 +521,8 @@
 void AgentNode::FinishStart(StartAttempt& attempt, StartAnswer answer) {
   const bool accepted = answer.refusal == StartRefusal::kNone;
   const bool unanswered = IsUnsettled(attempt);
-  answer.is_settled = accepted && !unanswered;
+  // The next life may have given the answer, which does not name one.
+  answer.is_settled = accepted && !unanswered && IsPresent(attempt.call.life);
   m_pending_starts.erase(attempt.key());
   if (accepted) {
     m_unsettled_starts.erase(attempt.key());
@@ -539,6 +543,7 @@
 }
 
 void AgentNode::TryStop(std::shared_ptr<StopAttempt> attempt) {
+  attempt->call.fence_token = m_fence_token;
   m_worker.Stop(attempt->call, m_options.call_timeout, [this, attempt, alive = m_alive](Result<void> answer) {
     if (!*alive) return;
     // A call of a stopped run that is carried out later is rejected.
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -140,6 +140,7 @@
   std::optional<WorkerAnnouncement> m_announcement;  ///< newest of the present life
   workflow::WorkerCondition m_condition = workflow::WorkerCondition::kGone;
   std::int64_t m_fence_token = 0;  ///< for calls to the announced life; 0 while no owner has given one
+  std::int64_t m_fence_epoch = 0;  ///< of the owner that gave it
   bool m_is_confirmed = false;     ///< see `ConfirmLife`
   workflow::WorkerLife m_confirmed_life;
   std::int64_t m_lease_end_ms = 0;  ///< granted, on the worker's clock
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -42,6 +42,8 @@
   /// Pause before a task runs again after its first failure; doubles up to the longest.
   absl::Duration first_retry_pause = absl::Milliseconds(20);
   absl::Duration longest_retry_pause = absl::Seconds(2);
+  /// A stop whose result is not known after this time is ordered again; longer than an order takes to be answered.
+  absl::Duration stop_repeat = absl::Seconds(3);
   /// Pause of a worker that refused a start because it is unhealthy or has less room than recorded.
   absl::Duration refusal_pause = absl::Milliseconds(300);
   /// A worker is taken out when this many different jobs failed on it in a row.
@@ -166,7 +168,7 @@
   void LoseSettledRuns(PoolWorker& worker, MonotonicTime now);
   void CompareRuns(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
   void MoveLastingTasks(PoolWorker& worker);
-  void NoteProgress(PoolWorker& worker, const WorkerReport& report);
+  void NoteProgress(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
   void RefreshInterference(MonotonicTime now);
   void LearnInterference(PoolWorker& worker);
   void MoveSlowFillers(MonotonicTime now);
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -68,7 +68,7 @@
     worker.reconciled = true;
     m_placement_due = true;
   } else {
-    NoteProgress(worker, report);
+    NoteProgress(worker, report, now);
   }
   if (worker.condition == WorkerCondition::kDraining) MoveLastingTasks(worker);
 }
@@ -120,7 +120,8 @@
     LoseRun(task, RunLoss::kOtherLife, now);  // nothing was sent
     return;
   }
-  runtime.stage = RunStage::kCarriedOver;
+  // A run that was to be stopped is stopped in this life, too; see `CompareRuns`.
+  if (runtime.stage != RunStage::kStopping) runtime.stage = RunStage::kCarriedOver;
   runtime.is_start_settled = false;
   runtime.percent = 0;
   worker.starting.erase(task);
@@ -216,13 +217,23 @@
   }
 }
 
-void Scheduler::NoteProgress(PoolWorker& worker, const WorkerReport& report) {
+void Scheduler::NoteProgress(PoolWorker& worker, const WorkerReport& report, MonotonicTime now) {
   absl::flat_hash_map<std::string, const ActiveRun*> listed;
   for (const ActiveRun& run : report.runs) listed.emplace(run.task, &run);
   std::vector<TaskRef> missing;
   for (const auto& [task, held] : worker.runs) {
     const TaskProgress& progress = task.step->tasks[static_cast<std::size_t>(task.index)];
     TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
+    if (runtime.stage != RunStage::kStopping) {
+      runtime.stopping_since = InfiniteFuture();
+    } else if (runtime.stopping_since == InfiniteFuture()) {
+      runtime.stopping_since = now;
+    } else if (now - runtime.stopping_since >= m_options.stop_repeat) {
+      // The agent answers a stop without a result while it takes the worker for gone.
+      runtime.stage = RunStage::kUnknown;
+      runtime.stopping_since = InfiniteFuture();
+      missing.push_back(task);
+    }
     const auto found = listed.find(task.step->TaskNameOf(task.index));
     if (found == listed.end() || found->second->run != progress.run) {
       if (runtime.stage == RunStage::kRunning && runtime.started_clock_ms < report.worker_clock_ms) {
@@ -346,9 +357,11 @@
 void Scheduler::LapseLeases(MonotonicTime now) {
   const absl::Duration limit = m_options.lease * m_options.clock_tolerance;
   for (PoolWorker* worker : m_workers.workers()) {
-    if (now - worker->clock_read_at <= limit || now <= worker->former_lease_until) continue;
-    LoseAllRuns(*worker, RunLoss::kLeaseLapsed, now);
+    if (now - worker->clock_read_at <= limit) continue;
     worker->reconciled = false;
+    const bool holds_lease = worker->condition != WorkerCondition::kGone && now <= worker->former_lease_until;
+    if (holds_lease) continue;
+    LoseAllRuns(*worker, RunLoss::kLeaseLapsed, now);
   }
 }
 
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -28,9 +28,10 @@
 /// What the owner knows of a task beyond its record.
 struct TaskRuntime {
   RunStage stage = RunStage::kNone;
-  bool is_start_settled = false;      ///< every call of the start was answered; see `StartAnswer`
-  MonotonicTime started_at;           ///< when the start was answered
-  std::int64_t started_clock_ms = 0;  ///< worker's clock at that time
+  bool is_start_settled = false;                    ///< every call of the start was answered; see `StartAnswer`
+  MonotonicTime started_at;                         ///< when the start was answered
+  std::int64_t started_clock_ms = 0;                ///< worker's clock at that time
+  MonotonicTime stopping_since = InfiniteFuture();  ///< first report after a stop was ordered
   MonotonicTime waiting_since;
   MonotonicTime not_before;        ///< earliest time of the next run
   std::vector<std::string> avoid;  ///< workers on which it failed
--- a/tests/unit/control/agent_node_test.cc
+++ b/tests/unit/control/agent_node_test.cc
@@ -88,6 +88,8 @@
       return Answer<StartAnswer>(std::move(callback), MayHaveRun(FailureCode::kDeadlineExceeded, "no answer"));
     }
     StartAnswer answer{.refusal = refusal, .clock_ms = ++m_clock_ms};
+    if (call.fence_token < highest_token) answer.refusal = StartRefusal::kStaleOwner;
+    if (answer.refusal != StartRefusal::kNone) return Answer<StartAnswer>(std::move(callback), answer);
     if (refusal == StartRefusal::kNone) runs[call.task] = call.run;
     if (unanswered_starts > 0) {
       --unanswered_starts;
@@ -592,6 +594,35 @@
   CHECK(repeated->starts.at(0).answer.refusal == StartRefusal::kEnded);
 }
 
+// Guards against a task that never runs: its start carried the token that the life had before an announcement of
+// another writer, and the refusal counted as one for a former owner (issue 22).
+TEST_CASE("a start is repeated with the life's newest token", "[agent]") {
+  AgentWorld world;
+  world.Announce();
+  std::optional<OrdersAnswer> answer;
+  world.loop().RunSync([&] {
+    world.worker().highest_token = 52;  // seen since the agent's newest call
+    OrdersRequest request = AgentWorld::StartRequest();
+    request.epoch = 5;
+    request.life = world.life();
+    world.agent().OnOrders(request, [&](std::optional<OrdersAnswer> given) { answer = std::move(given); });
+  });
+  absl::SleepFor(absl::Milliseconds(50));
+  world.Fence(world.life(), 53);
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return answer.has_value(); }));
+  CHECK(answer->starts.at(0).answer.refusal == StartRefusal::kNone);
+  CHECK(world.worker().newest_start.fence_token == 53);
+}
+
+// Guards against lists that do not show yet what calls of a former owner did (issue 22).
+TEST_CASE("a life is not confirmed to a new owner by a call with the former one's token", "[agent]") {
+  AgentWorld world;
+  world.Announce();
+  REQUIRE(world.Watch({.epoch = 9, .life = {}}).has_value());
+  absl::SleepFor(absl::Milliseconds(100));  // several lists
+  CHECK(world.Watch({.epoch = 9, .life = {}})->report.life.worker.empty());
+}
+
 // Guards against a run that counts as ended with its worker although an earlier call of its start may be carried out by
 // the worker's next life (issue 22).
 TEST_CASE("an accepted start is settled only if every call of it was answered", "[agent]") {
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -290,6 +290,23 @@
   CHECK(world.PlaceOf("a0.0.0.0") == "w1");
 }
 
+// Guards against a run that is never stopped because its agent took the worker for gone when the stop came (issue 22).
+TEST_CASE("a stop without a result is ordered again", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  world.Submit(SingleStepJob("a0", LastingStep(1)));
+  REQUIRE(world.RunningTasks() == 1);
+  world.Cancel("a0");
+  const std::vector<StopOrder> stops = world.scheduler().TakeStops();
+  REQUIRE(stops.size() == 1);
+  world.scheduler().OnStopAnswer(stops[0].task, stops[0].run, stops[0].life, true, world.now());
+  world.Settle();
+  REQUIRE(world.RunningTasks() == 1);
+  world.Sleep(absl::Seconds(3));
+  world.Settle();
+  CHECK(world.RunningTasks() == 0);
+}
+
 struct NextLifeRow {
   const char* name;
   bool has_ended;
