--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -256,7 +256,9 @@
   PlatformCluster cluster(1, rebirth.workers, rebirth.options);
   rebirth.strike(cluster);
   CHECK(cluster.WaitForState(0, kJob, "done", kLimit));
-  CHECK(cluster.Violation() == "");
+  const std::string violation = cluster.Violation();
+  INFO(violation);
+  CHECK(violation.empty());
   CHECK(cluster.DoneRuns() == rebirth.done_runs);
 }
 
