Make no call to a life without its token when a stop is repeated

The timer that repeats a stop did not look at the life again. After an announcement of the next life the call went out without a token, before the first call of that life. Found by reading the change; harmless as far as is known, because a stop only refuses the run. The life is checked before each call, as for starts.

--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -543,6 +543,10 @@
 }
 
 void AgentNode::TryStop(std::shared_ptr<StopAttempt> attempt) {
+  if (IsOver(attempt->call.life, attempt->epoch)) {
+    ResolveStop(attempt);
+    return;
+  }
   attempt->call.fence_token = m_fence_token;
   m_worker.Stop(attempt->call, m_options.call_timeout, [this, attempt, alive = m_alive](Result<void> answer) {
     if (!*alive) return;
