--- a/tests/unit/workflow/interleaving_world.h
+++ b/tests/unit/workflow/interleaving_world.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -59,7 +58,9 @@
     std::int64_t epoch = 0;   ///< of the owner
     std::int64_t number = 0;  ///< of the life under that owner
 
-    friend auto operator<=>(const Token&, const Token&) = default;
+    friend bool operator<(const Token& a, const Token& b) {
+      return a.epoch != b.epoch ? a.epoch < b.epoch : a.number < b.number;
+    }
   };
   /// Part that all calls to a worker have.
   struct Call {
