--- a/src/control/agent_messages.h
+++ b/src/control/agent_messages.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/failure.h"
-#include "control/fence_tokens.h"
+#include "control/fencing_tokens.h"
 #include "workflow/interference_table.h"
 #include "workflow/orders.h"
 #include "workflow/worker_report.h"
@@ -35,7 +35,7 @@
   std::uint64_t known_version = 0;  ///< of the last answer; 0 asks for an answer at once
   Incarnation known_incarnation = 0;
   int wait_ms = 0;
-  FenceTokens::Grant fence;
+  FencingTokens::Grant fence;
   workflow::WorkerLife life;                              ///< to which the following refer; may be empty
   std::int64_t lease_end_ms = 0;                          ///< on the worker's clock; 0 grants nothing
   std::int64_t acknowledged = 0;                          ///< number of the last end that is durable
--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -83,7 +83,7 @@
   LogEvent(LogLevel::kInfo, "worker_life",
            {{"worker", announcement.life.worker}, {"born", announcement.life.born}, {"zone", announcement.zone}});
   m_lists.reset();
-  m_fence_token = 0;
+  m_fencing_token = 0;
   m_is_confirmed = false;
   m_lease_end_ms = 0;
   m_acknowledged = 0;
@@ -145,7 +145,7 @@
 }
 
 HoldCall AgentNode::MakeHoldCall() const {
-  HoldCall call{.life = m_announcement->life, .fence_token = m_fence_token, .lease_end_ms = {}};
+  HoldCall call{.life = m_announcement->life, .fencing_token = m_fencing_token, .lease_end_ms = {}};
   // Until the life has answered, it may be another one than the one that the numbers are about. An acknowledgement is
   // not repeated once it has had its effect, because the call may be carried out by the next life.
   if (!m_is_confirmed) return call;
@@ -157,7 +157,7 @@
 }
 
 void AgentNode::SendHold(bool is_regular) {
-  if (!m_announcement || m_condition == WorkerCondition::kGone || m_fence_token == 0) return;
+  if (!m_announcement || m_condition == WorkerCondition::kGone || m_fencing_token == 0) return;
   HoldCall call = MakeHoldCall();
   if (is_regular) {
     m_hold_sent = true;
@@ -167,7 +167,7 @@
     }
   }
   m_worker.Hold(call, call.wait + m_options.call_timeout,
-                [this, life = call.life, token = call.fence_token, number = is_regular ? m_hold_number : 0,
+                [this, life = call.life, token = call.fencing_token, number = is_regular ? m_hold_number : 0,
                  alive = m_alive](Result<HoldAnswer> answer) {
                   if (*alive) OnHold(std::move(answer), life, token, number);
                 });
@@ -187,14 +187,14 @@
     return;
   }
   TakeLists(std::move(*answer));
-  if (token == m_fence_token && m_fence_epoch == m_epoch) ConfirmLife();
+  if (token == m_fencing_token && m_fence_epoch == m_epoch) ConfirmLife();
   if (is_regular) ScheduleHold(HasUnacknowledgedEnds() ? m_options.pending_pause : absl::ZeroDuration());
 }
 
-void AgentNode::SetFence(const FenceTokens::Grant& fence) {
-  const bool is_new = m_announcement && fence.life == m_announcement->life && fence.token > m_fence_token;
+void AgentNode::SetFence(const FencingTokens::Grant& fence) {
+  const bool is_new = m_announcement && fence.life == m_announcement->life && fence.token > m_fencing_token;
   if (!is_new) return;
-  m_fence_token = fence.token;
+  m_fencing_token = fence.token;
   m_fence_epoch = m_epoch;
   m_is_confirmed = false;
   if (m_hold_sent) {
@@ -211,7 +211,7 @@
   LogEvent(LogLevel::kInfo, "worker_confirmed",
            {{"worker", life.worker},
             {"born", life.born},
-            {"token", m_fence_token},
+            {"token", m_fencing_token},
             {"runs", m_lists->runs.size()},
             {"ends", m_lists->ends.size()}});
   if (m_confirmed_life != life) m_unsettled_starts.clear();
@@ -467,7 +467,7 @@
     return;
   }
   StartCall& call = attempt->call;
-  call.fence_token = m_fence_token;  // the life may have got a higher one since the order
+  call.fencing_token = m_fencing_token;  // the life may have got a higher one since the order
   m_worker.Start(call, m_options.call_timeout, [this, attempt, alive = m_alive](Result<StartAnswer> answer) {
     if (*alive) OnStart(attempt, std::move(answer));
   });
@@ -547,7 +547,7 @@
     ResolveStop(attempt);
     return;
   }
-  attempt->call.fence_token = m_fence_token;
+  attempt->call.fencing_token = m_fencing_token;
   m_worker.Stop(attempt->call, m_options.call_timeout, [this, attempt, alive = m_alive](Result<void> answer) {
     if (!*alive) return;
     // A call of a stopped run that is carried out later is rejected.
@@ -660,7 +660,7 @@
   m_pace_changes.Add();
   LogEvent(LogLevel::kInfo, "pace", {{"task", change.task}, {"run", change.run}, {"percent", change.percent}});
   const PaceCall call{.life = m_announcement->life,
-                      .fence_token = m_fence_token,
+                      .fencing_token = m_fencing_token,
                       .task = change.task,
                       .run = change.run,
                       .percent = change.percent};
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -89,7 +89,7 @@
   /// The worker at the address has another id.
   void OnOtherWorker();
   void ForgetUnconfirmedAnnouncement();
-  void SetFence(const FenceTokens::Grant& fence);
+  void SetFence(const FencingTokens::Grant& fence);
   /// The announced life has answered a call with its fence token: nothing that was meant for a former life has an
   /// effect any more, and what such calls did before is in its lists.
   void ConfirmLife();
@@ -139,9 +139,9 @@
   MonotonicTime m_watched_at = InfinitePast();
   std::optional<WorkerAnnouncement> m_announcement;  ///< newest of the present life
   workflow::WorkerCondition m_condition = workflow::WorkerCondition::kGone;
-  std::int64_t m_fence_token = 0;  ///< for calls to the announced life; 0 while no owner has given one
-  std::int64_t m_fence_epoch = 0;  ///< of the owner that gave it
-  bool m_is_confirmed = false;     ///< see `ConfirmLife`
+  std::int64_t m_fencing_token = 0;  ///< for calls to the announced life; 0 while no owner has given one
+  std::int64_t m_fence_epoch = 0;    ///< of the owner that gave it
+  bool m_is_confirmed = false;       ///< see `ConfirmLife`
   workflow::WorkerLife m_confirmed_life;
   std::int64_t m_lease_end_ms = 0;  ///< granted, on the worker's clock
   std::int64_t m_acknowledged = 0;
--- a/src/control/fence_tokens.h
+++ b/src/control/fencing_tokens.h
@@ -13,9 +13,9 @@
 ///
 /// A worker that was started again under its id accepts every call for its former life until it has seen a higher
 /// token.
-class FenceTokens {
+class FencingTokens {
  public:
-  explicit FenceTokens(std::int64_t epoch) : m_epoch(epoch) {}
+  explicit FencingTokens(std::int64_t epoch) : m_epoch(epoch) {}
 
   /// The agent of the host has heard of that life. An empty one changes nothing.
   void OnAnnounced(const std::string& host, const workflow::WorkerLife& life);
--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -28,7 +28,7 @@
       m_listener(std::move(listener)),
       m_index(index),
       m_writer(std::move(writer)),
-      m_fence_tokens(m_options.record.epoch),
+      m_fencing_tokens(m_options.record.epoch),
       m_signed_at(loop.Now()),
       m_alive(std::make_shared<bool>(true)) {}
 
@@ -100,7 +100,7 @@
 AgentLink::Listener OwnerRole::MakeLinkListener() {
   AgentLink::Listener listener;
   listener.on_prepare = [this](const std::string& host, bool with_traits, WatchRequest& request) {
-    request.fence = m_fence_tokens.GrantFor(host);
+    request.fence = m_fencing_tokens.GrantFor(host);
     const PoolWorker* worker = m_scheduler->FindWorker(host);
     if (worker == nullptr) return;
     request.life = worker->life;
@@ -118,7 +118,7 @@
     }
   };
   listener.on_report = [this](const std::string& host, const workflow::WorkerReport& report) {
-    m_fence_tokens.OnAnnounced(host, report.announced);
+    m_fencing_tokens.OnAnnounced(host, report.announced);
     m_scheduler->OnReport(host, report, m_loop.Now());
     Kick();
   };
--- a/src/control/owner_role.h
+++ b/src/control/owner_role.h
@@ -12,7 +12,7 @@
 #include "base/clock.h"
 #include "base/metrics.h"
 #include "control/agent_link.h"
-#include "control/fence_tokens.h"
+#include "control/fencing_tokens.h"
 #include "control/keyed_log.h"
 #include "control/log_writer.h"
 #include "control/member_record.h"
@@ -105,7 +105,7 @@
   workflow::PlacementLimits m_limits;
   std::unique_ptr<LogWriter> m_writer;
   std::unique_ptr<workflow::Scheduler> m_scheduler;
-  FenceTokens m_fence_tokens;
+  FencingTokens m_fencing_tokens;
   absl::flat_hash_map<std::string, std::unique_ptr<AgentLink>> m_links;
   MonotonicTime m_signed_at;
   bool m_run_deferred = false;
--- a/src/control/worker_port.h
+++ b/src/control/worker_port.h
@@ -18,7 +18,7 @@
 /// Extends the lease of everything on the worker, acknowledges ends and lists what is there.
 struct HoldCall {
   workflow::WorkerLife life;
-  std::int64_t fence_token = 0;                ///< the worker refuses a lower one than it has seen in its present life
+  std::int64_t fencing_token = 0;              ///< the worker refuses a lower one than it has seen in its present life
   std::int64_t acknowledged = 0;               ///< number of the last end that the worker may forget
   std::optional<std::int64_t> lease_end_ms;    ///< on the worker's clock
   absl::Duration wait = absl::ZeroDuration();  ///< the answer waits this long for an end
@@ -33,7 +33,7 @@
 
 struct StartCall {
   workflow::WorkerLife life;
-  std::int64_t fence_token = 0;
+  std::int64_t fencing_token = 0;
   std::string task;
   int run = 0;
   std::string payload;
@@ -44,14 +44,14 @@
 
 struct StopCall {
   workflow::WorkerLife life;
-  std::int64_t fence_token = 0;
+  std::int64_t fencing_token = 0;
   std::string task;
   int run = 0;
 };
 
 struct PaceCall {
   workflow::WorkerLife life;
-  std::int64_t fence_token = 0;
+  std::int64_t fencing_token = 0;
   std::string task;
   int run = 0;
   int percent = 100;  ///< share of its full speed, 0 to 100
--- a/src/workflow/owner_record.cc
+++ b/src/workflow/owner_record.cc
@@ -19,7 +19,7 @@
   return (((former >> kSaltBits) + 1) << kSaltBits) | static_cast<std::int64_t>(salt & mask);
 }
 
-std::int64_t FenceTokenOf(std::int64_t epoch, std::int64_t life_number) {
+std::int64_t FencingTokenOf(std::int64_t epoch, std::int64_t life_number) {
   static_assert(kMaxLifeNumber < std::int64_t{1} << kSaltBits);
   return ((epoch >> kSaltBits) << kSaltBits) | std::min(life_number, kMaxLifeNumber);
 }
--- a/src/workflow/owner_record.h
+++ b/src/workflow/owner_record.h
@@ -26,7 +26,7 @@
 /// Fence token of calls to the life with that number, 1 to `kMaxLifeNumber`, of a worker under the owner of `epoch`.
 /// Rises with the owner, and under one owner with the number. The salt of the epoch is left out, because of the claims
 /// that differ by it alone only one is stored.
-std::int64_t FenceTokenOf(std::int64_t epoch, std::int64_t life_number);
+std::int64_t FencingTokenOf(std::int64_t epoch, std::int64_t life_number);
 
 std::string EncodeOwner(const OwnerRecord& owner);
 Result<OwnerRecord> DecodeOwner(std::string_view bytes);
--- a/tests/unit/control/agent_node_test.cc
+++ b/tests/unit/control/agent_node_test.cc
@@ -48,8 +48,8 @@
     }
     ++holds;
     newest_hold = call;
-    if (call.fence_token < highest_token) return Answer<HoldAnswer>(std::move(callback), Stale());
-    highest_token = call.fence_token;
+    if (call.fencing_token < highest_token) return Answer<HoldAnswer>(std::move(callback), Stale());
+    highest_token = call.fencing_token;
     lease_end_ms = std::max(lease_end_ms, call.lease_end_ms.value_or(0));
     std::erase_if(ends, [&](const workflow::RunEnd& end) { return end.number <= call.acknowledged; });
     HoldAnswer answer{.clock_ms = ++m_clock_ms, .born = born, .runs = {}, .ends = ends};
@@ -88,7 +88,7 @@
       return Answer<StartAnswer>(std::move(callback), MayHaveRun(FailureCode::kDeadlineExceeded, "no answer"));
     }
     StartAnswer answer{.refusal = refusal, .clock_ms = ++m_clock_ms};
-    if (call.fence_token < highest_token) answer.refusal = StartRefusal::kStaleOwner;
+    if (call.fencing_token < highest_token) answer.refusal = StartRefusal::kStaleOwner;
     if (answer.refusal != StartRefusal::kNone) return Answer<StartAnswer>(std::move(callback), answer);
     if (refusal == StartRefusal::kNone) runs[call.task] = call.run;
     if (unanswered_starts > 0) {
@@ -550,7 +550,7 @@
   world.loop().RunSync([&] { world.worker().lists_nothing = false; });
   REQUIRE(world.IsKnownSoon(next));
   world.loop().RunSync([&] {
-    CHECK(world.worker().newest_hold.fence_token == 52);
+    CHECK(world.worker().newest_hold.fencing_token == 52);
     CHECK(world.worker().lease_end_ms == 0);
   });
   const std::optional<WatchAnswer> watch = world.Watch({.epoch = 5, .life = {}});
@@ -611,7 +611,7 @@
   world.Fence(world.life(), 53);
   REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return answer.has_value(); }));
   CHECK(answer->starts.at(0).answer.refusal == StartRefusal::kNone);
-  CHECK(world.worker().newest_start.fence_token == 53);
+  CHECK(world.worker().newest_start.fencing_token == 53);
 }
 
 // Guards against lists that do not show yet what calls of a former owner did (issue 22).
@@ -634,7 +634,7 @@
   REQUIRE(answer.has_value());
   REQUIRE(answer->starts.at(0).answer.refusal == StartRefusal::kNone);
   CHECK(answer->starts.at(0).answer.is_settled == (unanswered == 0));
-  CHECK(world.worker().newest_start.fence_token == 51);
+  CHECK(world.worker().newest_start.fencing_token == 51);
 }
 
 // Guards against a second run of a task: the lists of a worker's former life, answered late, counted as those of the
--- a/tests/unit/control/fence_tokens_test.cc
+++ b/tests/unit/control/fencing_tokens_test.cc
@@ -1,4 +1,4 @@
-#include "control/fence_tokens.h"
+#include "control/fencing_tokens.h"
 
 #include <catch2/catch.hpp>
 
@@ -12,17 +12,17 @@
 
 // Guards against calls for a worker's former life that its next one accepts (issue 22).
 TEST_CASE("each life announced at a host gets a higher token", "[fence]") {
-  FenceTokens tokens(workflow::NextOwnerEpoch(0, 7));
+  FencingTokens tokens(workflow::NextOwnerEpoch(0, 7));
   CHECK(tokens.GrantFor("side-1").token == 0);
   tokens.OnAnnounced("side-1", kFirst);
-  const FenceTokens::Grant first = tokens.GrantFor("side-1");
+  const FencingTokens::Grant first = tokens.GrantFor("side-1");
   CHECK(first.life == kFirst);
   CHECK(first.token > 0);
   tokens.OnAnnounced("side-1", {});
   tokens.OnAnnounced("side-1", kFirst);
   CHECK(tokens.GrantFor("side-1").token == first.token);
   tokens.OnAnnounced("side-1", kSecond);
-  const FenceTokens::Grant second = tokens.GrantFor("side-1");
+  const FencingTokens::Grant second = tokens.GrantFor("side-1");
   CHECK(second.life == kSecond);
   CHECK(second.token > first.token);
   // A delayed announcement of the former life: the worker itself has seen the second token.
@@ -36,9 +36,9 @@
   const std::uint64_t salt = GENERATE(std::uint64_t{0}, std::uint64_t{5}, ~std::uint64_t{0});
   const std::int64_t former = workflow::NextOwnerEpoch(41 << 20, ~salt);
   const std::int64_t epoch = workflow::NextOwnerEpoch(former, salt);
-  FenceTokens tokens(epoch);
+  FencingTokens tokens(epoch);
   tokens.OnAnnounced("side-1", kFirst);
-  CHECK(tokens.GrantFor("side-1").token > workflow::FenceTokenOf(former, workflow::kMaxLifeNumber));
+  CHECK(tokens.GrantFor("side-1").token > workflow::FencingTokenOf(former, workflow::kMaxLifeNumber));
 }
 
 }  // namespace
--- a/tests/unit/platform/odd_entries_test.cc
+++ b/tests/unit/platform/odd_entries_test.cc
@@ -136,14 +136,14 @@
     AsyncHttpClient client(loop);
     HttpWorkerPort port(client, {.host = "127.0.0.1", .port = 1});
     CHECK_NOTHROW(port.Start({.life = {.worker = "w1", .born = 5},
-                              .fence_token = 1,
+                              .fencing_token = 1,
                               .task = odd,
                               .run = 1,
                               .payload = odd,
                               .checkpoint = odd,
                               .ticket = odd},
                              absl::Seconds(1), [](const Result<workflow::StartAnswer>&) {}));
-    CHECK_NOTHROW(port.Stop({.life = {.worker = "w1", .born = 5}, .fence_token = 1, .task = odd, .run = 1},
+    CHECK_NOTHROW(port.Stop({.life = {.worker = "w1", .born = 5}, .fencing_token = 1, .task = odd, .run = 1},
                             absl::Seconds(1), [](const Result<void>&) {}));
   });
 }
