--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -51,6 +51,9 @@
     {"kind=\"end-other\"", &workflow::SchedulerCounts::ends_other},
     {"kind=\"end-unmatched\"", &workflow::SchedulerCounts::ends_unmatched},
     {"kind=\"refused-start\"", &workflow::SchedulerCounts::refused_starts},
+    {"kind=\"quarantine\"", &workflow::SchedulerCounts::quarantines},
+    {"kind=\"trial\"", &workflow::SchedulerCounts::trials},
+    {"kind=\"readmission\"", &workflow::SchedulerCounts::readmissions},
     {"kind=\"move\"", &workflow::SchedulerCounts::moves},
     {"kind=\"job-done\"", &workflow::SchedulerCounts::jobs_done},
     {"kind=\"job-failed\"", &workflow::SchedulerCounts::jobs_failed},
@@ -103,6 +106,8 @@
       m_longest_wait(metrics.GetGauge("berylgauge_longest_wait_ms",
                                       "Time for which the task that waits longest has waited, at the owner")),
       m_placed_tasks(metrics.GetGauge("berylgauge_placed_tasks", "Tasks with a run, at the owner")),
+      m_quarantined_workers(metrics.GetGauge("berylgauge_quarantined_workers",
+                                             "Workers taken out because everything fails on them, at the owner")),
       m_config_version(metrics.GetGauge("berylgauge_config_version", "Version of the configuration in force")) {}
 
 EntryNode::~EntryNode() {
@@ -134,6 +139,7 @@
   m_waiting_tasks.Set(static_cast<std::int64_t>(scheduler->WaitingTasks()));
   m_longest_wait.Set(absl::ToInt64Milliseconds(scheduler->LongestWait(m_loop.Now())));
   m_placed_tasks.Set(static_cast<std::int64_t>(scheduler->PlacedTasks()));
+  m_quarantined_workers.Set(static_cast<std::int64_t>(scheduler->QuarantinedWorkers()));
   for (const DecisionCount& count : kDecisionCounts) {
     m_metrics.GetGauge(kDecisionsMetric, kDecisionsHelp, count.label)
         .Set(static_cast<std::int64_t>(scheduler->counts().*count.value));
--- a/src/control/entry_node.h
+++ b/src/control/entry_node.h
@@ -161,6 +161,7 @@
   Gauge& m_waiting_tasks;
   Gauge& m_longest_wait;
   Gauge& m_placed_tasks;
+  Gauge& m_quarantined_workers;
   Gauge& m_config_version;
 };
 
--- a/src/schedule/worker_quarantine.cc
+++ b/src/schedule/worker_quarantine.cc
@@ -19,12 +19,19 @@
   }
   if (record.failed_jobs.size() < m_options.failed_jobs) return false;
   record.quarantined = true;
+  record.out_since = now;
   record.pause = m_options.first_pause;
   record.trial_at = now + record.pause;
   return true;
 }
 
-void WorkerQuarantine::RecordSuccess(const WorkerId& worker) { m_records.erase(worker); }
+bool WorkerQuarantine::RecordSuccess(const WorkerId& worker) {
+  const auto found = m_records.find(worker);
+  if (found == m_records.end()) return false;
+  const bool was_out = found->second.quarantined;
+  m_records.erase(found);
+  return was_out;
+}
 
 void WorkerQuarantine::RecordPlaced(const WorkerId& worker, MonotonicTime now) {
   const auto found = m_records.find(worker);
@@ -62,6 +69,11 @@
   return state == QuarantineState::kOpen || state == QuarantineState::kTrialDue;
 }
 
+MonotonicTime WorkerQuarantine::OutSince(const WorkerId& worker) const {
+  const auto found = m_records.find(worker);
+  return found != m_records.end() && found->second.quarantined ? found->second.out_since : InfiniteFuture();
+}
+
 MonotonicTime WorkerQuarantine::TrialAt(const WorkerId& worker, MonotonicTime now) const {
   if (StateOf(worker, now) != QuarantineState::kQuarantined) return InfiniteFuture();
   return m_records.at(worker).trial_at;
--- a/src/schedule/worker_quarantine.h
+++ b/src/schedule/worker_quarantine.h
@@ -45,8 +45,8 @@
   /// taken out by this, or stays out because its trial failed.
   bool RecordFailure(const WorkerId& worker, const JobId& job, MonotonicTime now);
 
-  /// An attempt succeeded, or a service replica has become ready.
-  void RecordSuccess(const WorkerId& worker);
+  /// An attempt succeeded, or a service replica has become ready. Returns true if this ends a quarantine.
+  bool RecordSuccess(const WorkerId& worker);
 
   /// An attempt was placed on the worker; in quarantine it is the trial.
   void RecordPlaced(const WorkerId& worker, MonotonicTime now);
@@ -63,6 +63,8 @@
 
   QuarantineState StateOf(const WorkerId& worker, MonotonicTime now) const;
   bool MayPlace(const WorkerId& worker, MonotonicTime now) const;
+  /// When the worker was taken out; `InfiniteFuture()` if it is not out.
+  MonotonicTime OutSince(const WorkerId& worker) const;
   /// When the pause of a worker ends that is out; `InfiniteFuture()` for any other.
   MonotonicTime TrialAt(const WorkerId& worker, MonotonicTime now) const;
   /// Jobs that failed on the worker since its last success.
@@ -73,6 +75,7 @@
     std::set<JobId> failed_jobs;
     bool quarantined = false;
     bool trial_running = false;
+    MonotonicTime out_since;
     MonotonicTime trial_at;
     absl::Duration pause = absl::ZeroDuration();
   };
--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -391,6 +391,13 @@
   return longest;
 }
 
+std::size_t Scheduler::QuarantinedWorkers() const {
+  const std::vector<PoolWorker*>& workers = m_workers.workers();
+  return static_cast<std::size_t>(std::count_if(workers.begin(), workers.end(), [&](const PoolWorker* worker) {
+    return m_quarantine.OutSince(WorkerId(worker->life.worker)) != InfiniteFuture();
+  }));
+}
+
 std::size_t Scheduler::PlacedTasks() const {
   std::size_t count = 0;
   for (const auto& [id, job] : m_jobs) count += static_cast<std::size_t>(job->placed);
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -19,6 +19,7 @@
 #include "workflow/job_index.h"
 #include "workflow/orders.h"
 #include "workflow/placement_policy.h"
+#include "workflow/readmission_reason.h"
 #include "workflow/run_loss.h"
 #include "workflow/worker_pool.h"
 #include "workflow/worker_report.h"
@@ -72,7 +73,10 @@
   std::uint64_t ends_other = 0;
   std::uint64_t ends_unmatched = 0;  ///< listed by a worker for a run that is not, or no longer, placed there
   std::uint64_t refused_starts = 0;
-  std::uint64_t moves = 0;  ///< filling tasks stopped to run faster elsewhere
+  std::uint64_t quarantines = 0;   ///< workers taken out
+  std::uint64_t trials = 0;        ///< runs placed on workers that are out
+  std::uint64_t readmissions = 0;  ///< workers let back in
+  std::uint64_t moves = 0;         ///< filling tasks stopped to run faster elsewhere
   std::uint64_t jobs_done = 0;
   std::uint64_t jobs_failed = 0;
 };
@@ -134,6 +138,7 @@
   const SchedulerCounts& counts() const { return m_counts; }
   std::size_t WaitingTasks() const;
   std::size_t PlacedTasks() const;
+  std::size_t QuarantinedWorkers() const;
   /// How long the task that waits longest has waited; zero if none waits.
   absl::Duration LongestWait(MonotonicTime now) const;
 
@@ -150,6 +155,10 @@
   void NoteBegun(PoolWorker* worker, TaskRef task);
   void FinishRun(TaskRef task, RunEndKind kind, const std::string& checkpoint, MonotonicTime now);
   void LoseRun(TaskRef task, RunLoss reason, MonotonicTime now);
+  /// A run of the job has failed on the worker.
+  void RecordWorkerFailure(const std::string& worker, const WorkflowJob& job, MonotonicTime now);
+  void RecordWorkerSuccess(const std::string& worker, ReadmissionReason reason, MonotonicTime now);
+  void LogReadmission(const std::string& worker, MonotonicTime out_since, ReadmissionReason reason, MonotonicTime now);
   void Release(TaskRef task, const std::string& checkpoint, MonotonicTime now);
   void CountFailure(TaskRef task, MonotonicTime now);
   void AfterTaskDone(WorkflowStep& step, MonotonicTime now);
--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -168,6 +168,8 @@
   progress.agent = worker.agent;
   step.runtimes[i].stage = RunStage::kRecording;
   m_workers.Attach(worker, {.step = &step, .index = index});
+  const QuarantineState quarantine = m_quarantine.StateOf(WorkerId(worker.life.worker), now);
+  if (quarantine != QuarantineState::kOpen) ++m_counts.trials;
   m_quarantine.RecordPlaced(WorkerId(worker.life.worker), now);
   const WorkflowJob& job = *step.job;
   ++step.job->placed;
@@ -177,6 +179,7 @@
             {"run", run},
             {"image", step.definition->image},
             {"worker", worker.life.worker},
+            {"quarantine", kQuarantineStateNames.NameOf(quarantine)},
             {"waited_ms", absl::ToInt64Milliseconds(now - step.runtimes[i].waiting_since)},
             {"free_cpu", worker.Free().cpu_millis},
             {"filling_cpu", worker.filling_cpu},
--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -88,11 +88,10 @@
   Release(task, checkpoint, now);
   if (kind == RunEndKind::kDone) {
     ++m_counts.ends_done;
-    m_quarantine.RecordSuccess(WorkerId(worker));
+    RecordWorkerSuccess(worker, ReadmissionReason::kRunDone, now);
   } else if (kind == RunEndKind::kFailed) {
     ++m_counts.ends_failed;
-    const bool out = m_quarantine.RecordFailure(WorkerId(worker), JobId(job.definition.id), now);
-    if (out) LogEvent(LogLevel::kWarning, "worker_quarantined", {{"worker", worker}});
+    RecordWorkerFailure(worker, job, now);
     step.runtimes[static_cast<std::size_t>(task.index)].avoid.push_back(worker);
   } else {
     ++m_counts.ends_other;
@@ -157,6 +156,38 @@
   AfterTaskDone(step, now);
 }
 
+void Scheduler::RecordWorkerFailure(const std::string& worker, const WorkflowJob& job, MonotonicTime now) {
+  const WorkerId id(worker);
+  const bool was_out = m_quarantine.OutSince(id) != InfiniteFuture();
+  if (!m_quarantine.RecordFailure(id, JobId(job.definition.id), now)) return;
+  if (!was_out) ++m_counts.quarantines;
+  const std::vector<JobId> evidence = m_quarantine.Evidence(id);
+  LogEvent(LogLevel::kWarning, "worker_quarantined",
+           {{"worker", worker},
+            {"failed_trial", was_out},
+            {"last_job", job.definition.id},
+            {"failed_jobs", evidence.size()},
+            {"pause_ms", absl::ToInt64Milliseconds(m_quarantine.TrialAt(id, now) - now)},
+            {"quarantined_workers", QuarantinedWorkers()},
+            {"workers", m_workers.workers().size()}});
+}
+
+void Scheduler::RecordWorkerSuccess(const std::string& worker, ReadmissionReason reason, MonotonicTime now) {
+  const MonotonicTime out_since = m_quarantine.OutSince(WorkerId(worker));
+  if (m_quarantine.RecordSuccess(WorkerId(worker))) LogReadmission(worker, out_since, reason, now);
+}
+
+void Scheduler::LogReadmission(const std::string& worker, MonotonicTime out_since, ReadmissionReason reason,
+                               MonotonicTime now) {
+  ++m_counts.readmissions;
+  LogEvent(LogLevel::kInfo, "worker_readmitted",
+           {{"worker", worker},
+            {"reason", kReadmissionReasonNames.NameOf(reason)},
+            {"out_ms", absl::ToInt64Milliseconds(now - out_since)},
+            {"quarantined_workers", QuarantinedWorkers()},
+            {"workers", m_workers.workers().size()}});
+}
+
 void Scheduler::Release(TaskRef task, const std::string& checkpoint, MonotonicTime now) {
   WorkflowStep& step = *task.step;
   TaskProgress& progress = step.tasks[static_cast<std::size_t>(task.index)];
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -87,7 +87,9 @@
   std::vector<TaskRef> former_runs;
   for (const auto& [task, held] : worker.runs) former_runs.push_back(task);
   for (const TaskRef task : former_runs) CarryOver(worker, task, now);
+  const MonotonicTime out_since = m_quarantine.OutSince(WorkerId(report.life.worker));
   m_quarantine.Forget(WorkerId(report.life.worker));
+  if (out_since != InfiniteFuture()) LogReadmission(report.life.worker, out_since, ReadmissionReason::kNewLife, now);
   worker.condition = WorkerCondition::kReady;
   worker.service = report.service;
   worker.zone = report.zone;
@@ -246,7 +248,7 @@
     NoteBegun(&worker, task);
     // A task that lasts never ends as done, so being at work is its success.
     const bool is_newly_at_work = run.percent == 100 && runtime.percent != 100 && task.step->definition->long_running;
-    if (is_newly_at_work) m_quarantine.RecordSuccess(WorkerId(worker.life.worker));
+    if (is_newly_at_work) RecordWorkerSuccess(worker.life.worker, ReadmissionReason::kRunAtWork, now);
     runtime.percent = run.percent;
     runtime.measured = run.measured;
     if (!run.checkpoint.empty()) runtime.checkpoint = run.checkpoint;
