Bound how long the quarantine keeps a task from workers

Cause: a worker on which three different jobs failed in a row is taken out, and its pause doubles up to 30 s while trials fail. Nothing bounded how many workers are out at once, nor for how long one task is kept from all of them. When all fail together, all are out, and stay out long after the failures have ended. A trial without a result, such as a filling task at a standstill, kept a worker closed for as long as it ran, and one pass of placement could give a worker on trial many tasks.

While most workers of a service are out, the pause is at most a second: failures of most workers at the same time have a common cause, and say little about each. A task that lasts, or the job of which has no run, takes any worker in quarantine after a second, or two if its step has failed before; in a full service where few workers are out it takes part in trials only, which are made a second apart, so that a single failing worker does not fail all jobs that wait. A trial decides after 2 s at the latest. The last attempt of a task is no trial. Workers that are not out come first all the while.

--- a/src/schedule/worker_quarantine.cc
+++ b/src/schedule/worker_quarantine.cc
@@ -4,24 +4,28 @@
 
 namespace berylgauge {
 
+QuarantineExtent QuarantineExtentOf(std::size_t out, std::size_t workers) {
+  return 2 * out > workers ? QuarantineExtent::kMost : QuarantineExtent::kFew;
+}
+
 WorkerQuarantine::WorkerQuarantine(WorkerQuarantineOptions options) : m_options(options) {}
 
 bool WorkerQuarantine::RecordFailure(const WorkerId& worker, const JobId& job, MonotonicTime now) {
   Record& record = m_records[worker];
   record.failed_jobs.insert(job);
   if (record.quarantined) {
-    // Attempts that were placed before the quarantine may still fail; only the trial counts.
+    // Attempts that were placed before the quarantine may still fail; only trials count.
     if (!record.trial_running) return false;
     record.trial_running = false;
     record.pause = std::min(record.pause * 2, m_options.longest_pause);
-    record.trial_at = now + record.pause;
+    record.paused_since = now;
     return true;
   }
   if (record.failed_jobs.size() < m_options.failed_jobs) return false;
   record.quarantined = true;
   record.out_since = now;
   record.pause = m_options.first_pause;
-  record.trial_at = now + record.pause;
+  record.paused_since = now;
   return true;
 }
 
@@ -35,8 +39,9 @@
 
 void WorkerQuarantine::RecordPlaced(const WorkerId& worker, MonotonicTime now) {
   const auto found = m_records.find(worker);
-  if (found == m_records.end() || !found->second.quarantined || now < found->second.trial_at) return;
+  if (found == m_records.end() || !found->second.quarantined) return;
   found->second.trial_running = true;
+  found->second.trial_since = now;
 }
 
 void WorkerQuarantine::RecordTrialAborted(const WorkerId& worker) {
@@ -57,15 +62,21 @@
 
 void WorkerQuarantine::Forget(const WorkerId& worker) { m_records.erase(worker); }
 
-QuarantineState WorkerQuarantine::StateOf(const WorkerId& worker, MonotonicTime now) const {
+MonotonicTime WorkerQuarantine::NextTrial(const Record& record, QuarantineExtent extent) const {
+  if (record.trial_running) return record.trial_since + m_options.longest_trial;
+  const bool is_common = extent == QuarantineExtent::kMost;
+  return record.paused_since + (is_common ? std::min(record.pause, m_options.most_out_pause) : record.pause);
+}
+
+QuarantineState WorkerQuarantine::StateOf(const WorkerId& worker, MonotonicTime now, QuarantineExtent extent) const {
   const auto found = m_records.find(worker);
   if (found == m_records.end() || !found->second.quarantined) return QuarantineState::kOpen;
-  if (found->second.trial_running) return QuarantineState::kTrialRunning;
-  return now < found->second.trial_at ? QuarantineState::kQuarantined : QuarantineState::kTrialDue;
+  if (now >= NextTrial(found->second, extent)) return QuarantineState::kTrialDue;
+  return found->second.trial_running ? QuarantineState::kTrialRunning : QuarantineState::kQuarantined;
 }
 
-bool WorkerQuarantine::MayPlace(const WorkerId& worker, MonotonicTime now) const {
-  const QuarantineState state = StateOf(worker, now);
+bool WorkerQuarantine::MayPlace(const WorkerId& worker, MonotonicTime now, QuarantineExtent extent) const {
+  const QuarantineState state = StateOf(worker, now, extent);
   return state == QuarantineState::kOpen || state == QuarantineState::kTrialDue;
 }
 
@@ -74,9 +85,11 @@
   return found != m_records.end() && found->second.quarantined ? found->second.out_since : InfiniteFuture();
 }
 
-MonotonicTime WorkerQuarantine::TrialAt(const WorkerId& worker, MonotonicTime now) const {
-  if (StateOf(worker, now) != QuarantineState::kQuarantined) return InfiniteFuture();
-  return m_records.at(worker).trial_at;
+MonotonicTime WorkerQuarantine::TrialAt(const WorkerId& worker, MonotonicTime now, QuarantineExtent extent) const {
+  const auto found = m_records.find(worker);
+  if (found == m_records.end() || !found->second.quarantined) return InfiniteFuture();
+  const MonotonicTime next = NextTrial(found->second, extent);
+  return now < next ? next : InfiniteFuture();
 }
 
 std::vector<JobId> WorkerQuarantine::Evidence(const WorkerId& worker) const {
--- a/src/schedule/worker_quarantine.h
+++ b/src/schedule/worker_quarantine.h
@@ -18,8 +18,27 @@
   std::size_t failed_jobs = 3;
   absl::Duration first_pause = absl::Minutes(1);  ///< until the first trial; doubles with each failed trial
   absl::Duration longest_pause = absl::Minutes(30);
+  /// Longest pause while most workers are out. Their failures then probably have a common cause, which may end for all
+  /// of them at any time.
+  absl::Duration most_out_pause = absl::Seconds(1);
+  /// A trial without a result for this long no longer keeps other attempts from the worker.
+  absl::Duration longest_trial = absl::Seconds(2);
 };
 
+/// How many of the workers that may take the same work are out.
+enum class QuarantineExtent {
+  kFew,
+  kMost,  ///< more than half
+};
+
+inline constexpr auto kQuarantineExtentNames = MakeEnumNames<QuarantineExtent>({
+    {QuarantineExtent::kFew, "few"},
+    {QuarantineExtent::kMost, "most"},
+});
+
+/// The extent if `out` of `workers` are out.
+QuarantineExtent QuarantineExtentOf(std::size_t out, std::size_t workers);
+
 enum class QuarantineState {
   kOpen,
   kQuarantined,
@@ -48,7 +67,7 @@
   /// An attempt succeeded, or a service replica has become ready. Returns true if this ends a quarantine.
   bool RecordSuccess(const WorkerId& worker);
 
-  /// An attempt was placed on the worker; in quarantine it is the trial.
+  /// An attempt was placed on the worker; in quarantine it is a trial.
   void RecordPlaced(const WorkerId& worker, MonotonicTime now);
 
   /// The trial ended without a result, for example because it was cancelled; another one may be placed.
@@ -61,12 +80,14 @@
   /// The worker is gone or was replaced.
   void Forget(const WorkerId& worker);
 
-  QuarantineState StateOf(const WorkerId& worker, MonotonicTime now) const;
-  bool MayPlace(const WorkerId& worker, MonotonicTime now) const;
+  QuarantineState StateOf(const WorkerId& worker, MonotonicTime now,
+                          QuarantineExtent extent = QuarantineExtent::kFew) const;
+  bool MayPlace(const WorkerId& worker, MonotonicTime now, QuarantineExtent extent = QuarantineExtent::kFew) const;
   /// When the worker was taken out; `InfiniteFuture()` if it is not out.
   MonotonicTime OutSince(const WorkerId& worker) const;
-  /// When the pause of a worker ends that is out; `InfiniteFuture()` for any other.
-  MonotonicTime TrialAt(const WorkerId& worker, MonotonicTime now) const;
+  /// When the next attempt may be placed on a worker to which none may be now; `InfiniteFuture()` for any other.
+  MonotonicTime TrialAt(const WorkerId& worker, MonotonicTime now,
+                        QuarantineExtent extent = QuarantineExtent::kFew) const;
   /// Jobs that failed on the worker since its last success.
   std::vector<JobId> Evidence(const WorkerId& worker) const;
 
@@ -76,10 +97,14 @@
     bool quarantined = false;
     bool trial_running = false;
     MonotonicTime out_since;
-    MonotonicTime trial_at;
+    MonotonicTime paused_since;  ///< last failure that counted
     absl::Duration pause = absl::ZeroDuration();
+    MonotonicTime trial_since;
   };
 
+  /// When the next trial of a worker that is out may begin.
+  MonotonicTime NextTrial(const Record& record, QuarantineExtent extent) const;
+
   WorkerQuarantineOptions m_options;
   absl::flat_hash_map<WorkerId, Record> m_records;  ///< of workers with failures since their last success
 };
--- /dev/null
+++ b/src/workflow/quarantine_filter.cc
@@ -0,0 +1,61 @@
+#include "workflow/quarantine_filter.h"
+
+#include <algorithm>
+
+#include "base/ids.h"
+
+namespace berylgauge::workflow {
+
+QuarantineFilter::QuarantineFilter(const std::vector<PoolWorker*>& workers, const WorkerQuarantine& quarantine,
+                                   MonotonicTime now)
+    : m_workers(workers), m_quarantine(quarantine), m_now(now) {
+  for (const PoolWorker* worker : workers) {
+    if (worker->condition != WorkerCondition::kReady) continue;
+    ServiceState& service = m_services[worker->service];
+    ++service.workers;
+    if (quarantine.OutSince(WorkerId(worker->life.worker)) != InfiniteFuture()) ++service.out;
+    service.capacity += worker->capacity;
+    service.reserved += worker->reserved;
+  }
+  for (PoolWorker* worker : workers) {
+    const WorkerId id(worker->life.worker);
+    const QuarantineExtent extent = ExtentIn(worker->service);
+    m_next_trial = std::min(m_next_trial, quarantine.TrialAt(id, now, extent));
+    m_next_early_trial = std::min(m_next_early_trial, quarantine.TrialAt(id, now, QuarantineExtent::kMost));
+    const QuarantineAccess needed = AccessNeededFor(*worker);
+    if (needed != QuarantineAccess::kNone) m_has_quarantined = true;
+    for (std::size_t i = Index(needed); i < std::size(m_lists); ++i) m_lists[i].push_back(worker);
+  }
+}
+
+const std::vector<PoolWorker*>& QuarantineFilter::Candidates(QuarantineAccess access) const {
+  return m_lists[Index(access)];
+}
+
+void QuarantineFilter::OnPlaced(const PoolWorker& worker) {
+  m_next_trial = std::min(m_next_trial, m_quarantine.TrialAt(WorkerId(worker.life.worker), m_now));
+  for (std::size_t i = 0; i < Index(AccessNeededFor(worker)); ++i) std::erase(m_lists[i], &worker);
+}
+
+QuarantineExtent QuarantineFilter::ExtentIn(const std::string& service) const {
+  const auto found = m_services.find(service);
+  if (found == m_services.end()) return QuarantineExtent::kFew;
+  return QuarantineExtentOf(found->second.out, found->second.workers);
+}
+
+bool QuarantineFilter::IsMostlyFree(const std::string& service) const {
+  const auto found = m_services.find(service);
+  if (found == m_services.end()) return false;
+  const ServiceState& state = found->second;
+  return 2 * state.reserved.cpu_millis < state.capacity.cpu_millis ||
+         2 * state.reserved.memory_mb < state.capacity.memory_mb;
+}
+
+QuarantineAccess QuarantineFilter::AccessNeededFor(const PoolWorker& worker) const {
+  const WorkerId id(worker.life.worker);
+  if (m_quarantine.OutSince(id) == InfiniteFuture()) return QuarantineAccess::kNone;
+  if (m_quarantine.MayPlace(id, m_now, ExtentIn(worker.service))) return QuarantineAccess::kTrial;
+  return m_quarantine.MayPlace(id, m_now, QuarantineExtent::kMost) ? QuarantineAccess::kEarly : QuarantineAccess::kAll;
+}
+
+}  // namespace berylgauge::workflow
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -19,6 +19,7 @@
 #include "workflow/job_index.h"
 #include "workflow/orders.h"
 #include "workflow/placement_policy.h"
+#include "workflow/quarantine_filter.h"
 #include "workflow/readmission_reason.h"
 #include "workflow/run_loss.h"
 #include "workflow/worker_pool.h"
@@ -48,8 +49,16 @@
   /// Pause of a worker that refused a start because it is unhealthy or has less room than recorded.
   absl::Duration refusal_pause = absl::Milliseconds(300);
   /// A worker is taken out when this many different jobs failed on it in a row.
-  WorkerQuarantineOptions quarantine = {
-      .failed_jobs = 3, .first_pause = absl::Seconds(3), .longest_pause = absl::Seconds(30)};
+  WorkerQuarantineOptions quarantine = {.failed_jobs = 3,
+                                        .first_pause = absl::Seconds(3),
+                                        .longest_pause = absl::Seconds(30),
+                                        .most_out_pause = absl::Seconds(1),
+                                        .longest_trial = absl::Seconds(2)};
+  /// The quarantine is only an estimate, too: a task that lasts, or whose job has no run, takes a worker in quarantine
+  /// after it has waited for the first time, or for the second one if runs of its step have failed. With the placement
+  /// itself both stay under the 3 s for which the platform accepts that a job has no run while there is room.
+  absl::Duration quarantine_patience = absl::Seconds(1);
+  absl::Duration longest_quarantine_patience = absl::Seconds(2);
   /// A filling task that runs below this share of its speed is moved if another worker promises the higher one, and if
   /// that saves at least this time after a restart from its checkpoint.
   double slow_filling_speed = 0.5;
@@ -186,7 +195,22 @@
   void LapseFormerWorkers(MonotonicTime now);
   void CreateDueOccurrences(MonotonicTime now, std::int64_t unix_now_ms);
   void PlaceWaiting(MonotonicTime now);
-  bool PlaceGang(WorkflowStep& step, const std::vector<PoolWorker*>& candidates, MonotonicTime now);
+  /// A step of which no task found a worker.
+  struct FailedSearch {
+    const WorkflowStep* step = nullptr;
+    QuarantineAccess access = QuarantineAccess::kNone;
+  };
+  void PlaceTasks(WorkflowStep& step, QuarantineFilter& filter, std::vector<FailedSearch>& failed, MonotonicTime now);
+  /// Returns false if no worker takes the task.
+  bool PlaceTask(WorkflowStep& step, int index, QuarantineAccess access, QuarantineFilter& filter, MonotonicTime now);
+  bool PlaceGang(WorkflowStep& step, QuarantineAccess access, QuarantineFilter& filter, MonotonicTime now);
+  QuarantineAccess AccessOf(const WorkflowStep& step, int index, const QuarantineFilter& filter,
+                            MonotonicTime now) const;
+  /// Of the tasks of the step that wait.
+  QuarantineAccess WidestAccessOf(const WorkflowStep& step, const QuarantineFilter& filter, MonotonicTime now) const;
+  /// When the quarantine no longer keeps the task from any worker; `InfiniteFuture()` while the task waits for others
+  /// of its job.
+  MonotonicTime QuarantineEndsFor(const WorkflowStep& step, int index) const;
   void LogLongWaits(MonotonicTime now);
   void Place(WorkflowStep& step, int index, PoolWorker& worker, int run, MonotonicTime now);
   void OrderStop(TaskRef task);
--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -37,52 +37,119 @@
 
 void Scheduler::PlaceWaiting(MonotonicTime now) {
   m_next_retry = InfiniteFuture();
-  std::vector<PoolWorker*> candidates;
-  for (PoolWorker* worker : m_workers.workers()) {
+  for (const PoolWorker* worker : m_workers.workers()) {
     if (worker->avoid_until > now) m_next_retry = std::min(m_next_retry, worker->avoid_until);
-    const WorkerId id(worker->life.worker);
-    m_next_retry = std::min(m_next_retry, m_quarantine.TrialAt(id, now));
-    if (m_quarantine.MayPlace(id, now)) candidates.push_back(worker);
   }
+  QuarantineFilter filter(m_workers.workers(), m_quarantine, now);
   std::vector<WorkflowStep*> waiting(m_waiting.begin(), m_waiting.end());
   SortByUrgency(waiting, now);
-  std::vector<const WorkflowStep*> failed;
+  std::vector<FailedSearch> failed;
   for (WorkflowStep* step : waiting) {
     const MonotonicTime any_speed_from = m_policy.AnySpeedFrom(*step);
     if (any_speed_from > now) m_next_retry = std::min(m_next_retry, any_speed_from);
-    const bool is_hopeless =
-        any_speed_from > now &&
-        std::any_of(failed.begin(), failed.end(), [&](const WorkflowStep* other) { return FailsLike(*step, *other); });
+    if (filter.HasQuarantined()) {
+      const MonotonicTime ends = QuarantineEndsFor(*step, static_cast<int>(step->LongestWaitingTask()));
+      m_next_retry = std::min(m_next_retry, ends > now ? ends : filter.NextEarlyTrial());
+    }
+    const QuarantineAccess access = WidestAccessOf(*step, filter, now);
+    const bool is_hopeless = any_speed_from > now && std::any_of(failed.begin(), failed.end(), [&](const auto& other) {
+                               return other.access >= access && FailsLike(*step, *other.step);
+                             });
     if (is_hopeless) continue;
     if (step->definition->gang) {
-      PlaceGang(*step, candidates, now);
+      if (!PlaceGang(*step, QuarantineAccess::kNone, filter, now)) PlaceGang(*step, access, filter, now);
       continue;
     }
-    for (std::size_t i = 0; i < step->tasks.size(); ++i) {
-      TaskRuntime& runtime = step->runtimes[i];
-      if (step->tasks[i].state != TaskState::kWaiting) continue;
-      if (now < runtime.not_before) {
-        m_next_retry = std::min(m_next_retry, runtime.not_before);
-        continue;
-      }
-      PoolWorker* worker = m_policy.Choose(*step, static_cast<int>(i), candidates, m_limits, now);
-      if (worker == nullptr) {
-        if (step->definition->long_running) {
-          m_next_retry = std::min(m_next_retry, now + m_options.placement.reserve_patience);
-        }
-        failed.push_back(step);
-        break;
-      }
-      Place(*step, static_cast<int>(i), *worker, step->tasks[i].run + 1, now);
-    }
+    PlaceTasks(*step, filter, failed, now);
     UpdateWaiting(*step);
   }
+  m_next_retry = std::min(m_next_retry, filter.NextTrial());
   m_placement_due = false;
 }
 
+void Scheduler::PlaceTasks(WorkflowStep& step, QuarantineFilter& filter, std::vector<FailedSearch>& failed,
+                           MonotonicTime now) {
+  std::vector<std::size_t> order;
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    if (step.tasks[i].state != TaskState::kWaiting) continue;
+    if (now < step.runtimes[i].not_before) {
+      m_next_retry = std::min(m_next_retry, step.runtimes[i].not_before);
+    } else {
+      order.push_back(i);
+    }
+  }
+  // The search ends at the first task that finds no worker, so those that may take most workers come first.
+  std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+    if (step.definition->long_running) return step.runtimes[a].waiting_since < step.runtimes[b].waiting_since;
+    return filter.HasQuarantined() && step.tasks[a].failures < step.tasks[b].failures;
+  });
+  for (const std::size_t i : order) {
+    const int index = static_cast<int>(i);
+    const QuarantineAccess access = AccessOf(step, index, filter, now);
+    if (PlaceTask(step, index, access, filter, now)) continue;
+    if (step.definition->long_running) {
+      m_next_retry = std::min(m_next_retry, now + m_options.placement.reserve_patience);
+    }
+    failed.push_back({.step = &step, .access = access});
+    return;
+  }
+}
+
+bool Scheduler::PlaceTask(WorkflowStep& step, int index, QuarantineAccess access, QuarantineFilter& filter,
+                          MonotonicTime now) {
+  const QuarantineAccess first = std::min(access, QuarantineAccess::kTrial);
+  PoolWorker* worker = m_policy.Choose(step, index, filter.Candidates(first), m_limits, now);
+  if (worker == nullptr && access != first) {
+    worker = m_policy.Choose(step, index, filter.Candidates(access), m_limits, now);
+  }
+  if (worker == nullptr) return false;
+  Place(step, index, *worker, step.tasks[static_cast<std::size_t>(index)].run + 1, now);
+  filter.OnPlaced(*worker);
+  return true;
+}
+
+MonotonicTime Scheduler::QuarantineEndsFor(const WorkflowStep& step, int index) const {
+  MonotonicTime since = step.runtimes[static_cast<std::size_t>(index)].waiting_since;
+  if (!step.definition->long_running) {
+    // Further tasks wait for the runs of the job: their success lets workers back in.
+    if (step.job->placed > 0) return InfiniteFuture();
+    since = std::max(step.runtimes[step.LongestWaitingTask()].waiting_since, step.job->nothing_placed_since);
+  }
+  const bool has_failed =
+      std::any_of(step.tasks.begin(), step.tasks.end(), [](const TaskProgress& task) { return task.failures > 0; });
+  return since + (has_failed ? m_options.longest_quarantine_patience : m_options.quarantine_patience);
+}
+
+QuarantineAccess Scheduler::AccessOf(const WorkflowStep& step, int index, const QuarantineFilter& filter,
+                                     MonotonicTime now) const {
+  if (!filter.HasQuarantined()) return QuarantineAccess::kNone;
+  const std::string& service = step.job->definition.queue.service;
+  if (now >= QuarantineEndsFor(step, index)) {
+    // In a full service the workers that are out get one task at a time, or they would fail most of those that wait.
+    const bool is_bound = !step.definition->long_running && !filter.IsMostlyFree(service) &&
+                          filter.ExtentIn(service) == QuarantineExtent::kFew;
+    return is_bound ? QuarantineAccess::kEarly : QuarantineAccess::kAll;
+  }
+  // A trial is likely to fail, and a gang would be several.
+  const int failures = step.tasks[static_cast<std::size_t>(index)].failures;
+  const bool may_fail = step.definition->long_running || failures + 1 < step.job->definition.queue.max_attempts;
+  return may_fail && !step.definition->gang ? QuarantineAccess::kTrial : QuarantineAccess::kNone;
+}
+
+QuarantineAccess Scheduler::WidestAccessOf(const WorkflowStep& step, const QuarantineFilter& filter,
+                                           MonotonicTime now) const {
+  QuarantineAccess widest = QuarantineAccess::kNone;
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    if (step.tasks[i].state != TaskState::kWaiting) continue;
+    widest = std::max(widest, AccessOf(step, static_cast<int>(i), filter, now));
+  }
+  return widest;
+}
+
 void Scheduler::LogLongWaits(MonotonicTime now) {
   if (now < m_next_wait_check) return;
   m_next_wait_check = now + kWaitLogInterval;
+  const QuarantineFilter filter(m_workers.workers(), m_quarantine, now);
   std::vector<WorkflowStep*> waiting(m_waiting.begin(), m_waiting.end());
   std::erase_if(waiting, [&](const WorkflowStep* step) {
     return now - step->runtimes[step->LongestWaitingTask()].waiting_since < kLongWait;
@@ -93,7 +160,7 @@
     const std::size_t i = step->LongestWaitingTask();
     std::map<std::string, int> workers;
     for (const PoolWorker* worker : m_workers.workers()) {
-      if (!m_quarantine.MayPlace(WorkerId(worker->life.worker), now)) {
+      if (filter.AccessNeededFor(*worker) > AccessOf(*step, static_cast<int>(i), filter, now)) {
         ++workers["quarantined"];
         continue;
       }
@@ -116,7 +183,8 @@
   }
 }
 
-bool Scheduler::PlaceGang(WorkflowStep& step, const std::vector<PoolWorker*>& candidates, MonotonicTime now) {
+bool Scheduler::PlaceGang(WorkflowStep& step, QuarantineAccess access, QuarantineFilter& filter, MonotonicTime now) {
+  const std::vector<PoolWorker*>& candidates = filter.Candidates(access);
   int run = 0;
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
     if (step.tasks[i].state != TaskState::kWaiting) return false;
@@ -152,6 +220,7 @@
     }
     if (chosen.size() < step.tasks.size()) continue;
     for (std::size_t i = 0; i < chosen.size(); ++i) Place(step, static_cast<int>(i), *chosen[i], run, now);
+    for (const PoolWorker* worker : chosen) filter.OnPlaced(*worker);
     UpdateWaiting(step);
     return true;
   }
--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -206,7 +206,7 @@
   runtime.waiting_since = now;
   runtime.checkpoint.clear();
   runtime.percent = 0;
-  --step.job->placed;
+  if (--step.job->placed == 0) step.job->nothing_placed_since = now;
   m_placement_due = true;
 }
 
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -82,6 +82,7 @@
   MonotonicTime accepted_at;
   std::int64_t next_occurrence = 0;
   int placed = 0;  ///< tasks of which a run may exist
+  MonotonicTime nothing_placed_since;
   std::map<std::int64_t, std::vector<std::unique_ptr<WorkflowStep>>> occurrences;
 
   /// A job that is done, failed or cancelled gets no further runs.
