Place waiting tasks when a worker is let back in by a task that lasts

Tasks waited on beside a worker that was sound again: a task that lasts and gets to work ends the quarantine, but changed nothing else, so the next pass of placement came with the next event or timer. The test failed before: CHECK( world.PlaceOf(next) == "w0" ) "" == "w0"

--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -174,7 +174,9 @@
 
 void Scheduler::RecordWorkerSuccess(const std::string& worker, ReadmissionReason reason, MonotonicTime now) {
   const MonotonicTime out_since = m_quarantine.OutSince(WorkerId(worker));
-  if (m_quarantine.RecordSuccess(WorkerId(worker))) LogReadmission(worker, out_since, reason, now);
+  if (!m_quarantine.RecordSuccess(WorkerId(worker))) return;
+  m_placement_due = true;
+  LogReadmission(worker, out_since, reason, now);
 }
 
 void Scheduler::LogReadmission(const std::string& worker, MonotonicTime out_since, ReadmissionReason reason,
--- a/tests/unit/workflow/quarantine_test.cc
+++ b/tests/unit/workflow/quarantine_test.cc
@@ -283,5 +283,24 @@
   CHECK(world.worker("w0").runs.empty());
 }
 
+// Guards against tasks that wait on beside a worker that was let back in, because no event led to a pass of placement.
+TEST_CASE("a worker that is let back in gets tasks at once", "[quarantine]") {
+  FailingFleet fleet(1, 1);
+  fleet.Play(absl::Seconds(5), ShortStep(1), 5);
+  SchedulerWorld& world = fleet.world();
+  for (const auto& [task, run] : std::map(world.worker("w0").runs)) world.End(task, RunEndKind::kFailed);
+  for (int i = 0; i < fleet.submitted(); ++i) world.Cancel("j" + std::to_string(i));
+  world.Settle();
+  REQUIRE(world.scheduler().QuarantinedWorkers() == 1);
+  world.Sleep(absl::Seconds(30));
+  const std::string trial = fleet.Submit(LastingStep(1)) + ".0.0.0";
+  const std::string next = fleet.Submit(ShortStep(1)) + ".0.0.0";
+  REQUIRE(world.PlaceOf(trial) == "w0");
+  REQUIRE(world.PlaceOf(next).empty());
+  world.worker("w0").percents[trial] = 100;
+  world.Settle();
+  CHECK(world.PlaceOf(next) == "w0");
+}
+
 }  // namespace
 }  // namespace berylgauge::workflow
