Do not move a filling task to a worker in quarantine

A slow filling task was stopped because a worker in quarantine promised a better speed. That worker then did not take it, so it waited, or ran at a worker that fails everything. The test failed before: CHECK( world.scheduler().counts().moves == 0 ), 1 == 0.

--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -350,6 +350,7 @@
   for (const PoolWorker* other : m_workers.workers()) {
     if (other == &worker || !m_policy.IsEligible(*task.step, *other, m_limits, now)) continue;
     if (!m_policy.HasRoom(*task.step, task.index, *other, now)) continue;
+    if (m_quarantine.OutSince(WorkerId(other->life.worker)) != InfiniteFuture()) continue;
     const double other_speed = m_policy.FillingSpeed(definition, *other);
     if (other_speed >= m_options.good_filling_speed && remaining / other_speed < allowed) return true;
   }
--- a/tests/unit/workflow/quarantine_test.cc
+++ b/tests/unit/workflow/quarantine_test.cc
@@ -302,5 +302,29 @@
   CHECK(world.PlaceOf(next) == "w0");
 }
 
+// Guards against a running task that is stopped for a worker that does not take it.
+TEST_CASE("a slow filling task is not moved to a worker in quarantine", "[quarantine]") {
+  SchedulerWorld world;
+  world.AddWorker("a").labels = {kSoundLabel};
+  world.AddWorker("b").labels = {kFailingLabel};
+  for (const char* id : {"j0", "j1", "j2"}) {
+    JobDefinition job = SingleStepJob(id, OnFailingOnly(ShortStep(1)));
+    job.queue.max_attempts = 1;
+    world.Submit(job);
+    world.End(std::string(id) + ".0.0.0", RunEndKind::kFailed);
+    world.Settle();
+  }
+  StepDefinition serving = LastingStep(1);
+  serving.required_label = kSoundLabel;
+  serving.tail_target_ms = 50;
+  world.Submit(SingleStepJob("serving", serving));
+  world.Submit(SingleStepJob("filling", FillingStep(1)));
+  REQUIRE(world.PlaceOf("filling.0.0.0") == "a");
+  world.Sleep(absl::Seconds(2));
+  world.Settle();  // the list tells that it got no processor time
+  CHECK(world.scheduler().counts().moves == 0);
+  CHECK(world.PlaceOf("filling.0.0.0") == "a");
+}
+
 }  // namespace
 }  // namespace berylgauge::workflow
