Drop the evidence against a worker that was replaced

A host gives each worker that it starts another id, and the evidence against the former one was never dropped: its record stayed for as long as the owner lived. Nothing that callers see.

--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -80,7 +80,10 @@
 void Scheduler::StartLife(PoolWorker& worker, const WorkerReport& report, MonotonicTime now) {
   const bool is_same_worker = worker.life.worker == report.life.worker;
   // A worker with another id refuses the calls for the former one.
-  if (!is_same_worker) LoseAllRuns(worker, RunLoss::kOtherLife, now);
+  if (!is_same_worker) {
+    LoseAllRuns(worker, RunLoss::kOtherLife, now);
+    m_quarantine.Forget(WorkerId(worker.life.worker));
+  }
   const absl::Duration former_lease = m_options.longest_lease * m_options.clock_tolerance;
   worker.former_lease_until = is_same_worker ? now + former_lease : InfinitePast();
   m_workers.Reindex(worker, report.life);
