--- a/src/workflow/quarantine_filter.cc
+++ b/src/workflow/quarantine_filter.cc
@@ -9,23 +9,25 @@
 QuarantineFilter::QuarantineFilter(const std::vector<PoolWorker*>& workers, const WorkerQuarantine& quarantine,
                                    MonotonicTime now)
     : m_workers(workers), m_quarantine(quarantine), m_now(now) {
-  for (const PoolWorker* worker : workers) {
+  std::vector<const PoolWorker*> out;
+  for (PoolWorker* worker : workers) {
+    const bool is_out = quarantine.OutSince(WorkerId(worker->life.worker)) != InfiniteFuture();
+    if (is_out) out.push_back(worker);
     if (worker->condition != WorkerCondition::kReady) continue;
     ServiceState& service = m_services[worker->service];
     ++service.workers;
-    if (quarantine.OutSince(WorkerId(worker->life.worker)) != InfiniteFuture()) ++service.out;
+    if (is_out) ++service.out;
     service.capacity += worker->capacity;
     service.reserved += worker->reserved;
   }
-  for (PoolWorker* worker : workers) {
+  m_has_quarantined = !out.empty();
+  for (const PoolWorker* worker : out) {
     const WorkerId id(worker->life.worker);
-    const QuarantineExtent extent = ExtentIn(worker->service);
-    m_next_trial = std::min(m_next_trial, quarantine.TrialAt(id, now, extent));
+    m_next_trial = std::min(m_next_trial, quarantine.TrialAt(id, now, ExtentIn(worker->service)));
     m_next_early_trial = std::min(m_next_early_trial, quarantine.TrialAt(id, now, QuarantineExtent::kMost));
-    const QuarantineAccess needed = AccessNeededFor(*worker);
-    if (needed != QuarantineAccess::kNone) m_has_quarantined = true;
-    for (std::size_t i = Index(needed); i < std::size(m_lists); ++i) m_lists[i].push_back(worker);
   }
+  for (std::vector<PoolWorker*>& list : m_lists) list = workers;
+  for (const PoolWorker* worker : out) Close(*worker);
 }
 
 const std::vector<PoolWorker*>& QuarantineFilter::Candidates(QuarantineAccess access) const {
@@ -33,7 +35,12 @@
 }
 
 void QuarantineFilter::OnPlaced(const PoolWorker& worker) {
+  if (!m_has_quarantined) return;
   m_next_trial = std::min(m_next_trial, m_quarantine.TrialAt(WorkerId(worker.life.worker), m_now));
+  Close(worker);
+}
+
+void QuarantineFilter::Close(const PoolWorker& worker) {
   for (std::size_t i = 0; i < Index(AccessNeededFor(worker)); ++i) std::erase(m_lists[i], &worker);
 }
 
--- a/src/workflow/quarantine_filter.h
+++ b/src/workflow/quarantine_filter.h
@@ -56,6 +56,8 @@
     Resources reserved;
   };
 
+  /// Takes the worker off the lists that it needs more access for.
+  void Close(const PoolWorker& worker);
   static std::size_t Index(QuarantineAccess access) { return static_cast<std::size_t>(access); }
   const std::vector<PoolWorker*>& m_workers;
   const WorkerQuarantine& m_quarantine;
