Give the last attempt of a task to a sound worker first

A task on its last attempt that had waited for over 2 s was placed on a worker whose trial was due although another one had room, because workers on trial, which are empty, look best. The job then failed for good.

--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -206,7 +206,9 @@
   bool PlaceGang(WorkflowStep& step, QuarantineAccess access, QuarantineFilter& filter, MonotonicTime now);
   QuarantineAccess AccessOf(const WorkflowStep& step, int index, const QuarantineFilter& filter,
                             MonotonicTime now) const;
-  /// Of the tasks of the step that wait.
+  /// Whether the task may be the trial of a worker in quarantine, which is likely to fail.
+  static bool MayTry(const WorkflowStep& step, int index);
+  /// The widest access of those tasks of the step that wait.
   QuarantineAccess WidestAccessOf(const WorkflowStep& step, const QuarantineFilter& filter, MonotonicTime now) const;
   /// When the quarantine no longer keeps the task from any worker; `InfiniteFuture()` while the task waits for others
   /// of its job.
--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -97,7 +97,8 @@
 
 bool Scheduler::PlaceTask(WorkflowStep& step, int index, QuarantineAccess access, QuarantineFilter& filter,
                           MonotonicTime now) {
-  const QuarantineAccess first = std::min(access, QuarantineAccess::kTrial);
+  const QuarantineAccess first =
+      MayTry(step, index) ? std::min(access, QuarantineAccess::kTrial) : QuarantineAccess::kNone;
   PoolWorker* worker = m_policy.Choose(step, index, filter.Candidates(first), m_limits, now);
   if (worker == nullptr && access != first) {
     worker = m_policy.Choose(step, index, filter.Candidates(access), m_limits, now);
@@ -130,20 +131,23 @@
                           filter.ExtentIn(service) == QuarantineExtent::kFew;
     return is_bound ? QuarantineAccess::kEarly : QuarantineAccess::kAll;
   }
-  // A trial is likely to fail, and a gang would be several.
+  return MayTry(step, index) ? QuarantineAccess::kTrial : QuarantineAccess::kNone;
+}
+
+bool Scheduler::MayTry(const WorkflowStep& step, int index) {
+  if (step.definition->gang) return false;  // its members would be several trials
   const int failures = step.tasks[static_cast<std::size_t>(index)].failures;
-  const bool may_fail = step.definition->long_running || failures + 1 < step.job->definition.queue.max_attempts;
-  return may_fail && !step.definition->gang ? QuarantineAccess::kTrial : QuarantineAccess::kNone;
+  return step.definition->long_running || failures + 1 < step.job->definition.queue.max_attempts;
 }
 
 QuarantineAccess Scheduler::WidestAccessOf(const WorkflowStep& step, const QuarantineFilter& filter,
                                            MonotonicTime now) const {
-  QuarantineAccess widest = QuarantineAccess::kNone;
-  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-    if (step.tasks[i].state != TaskState::kWaiting) continue;
-    widest = std::max(widest, AccessOf(step, static_cast<int>(i), filter, now));
+  std::size_t widest = step.LongestWaitingTask();
+  for (std::size_t i = 0; i < step.tasks.size() && !step.definition->long_running; ++i) {
+    const TaskProgress& task = step.tasks[i];
+    if (task.state == TaskState::kWaiting && task.failures < step.tasks[widest].failures) widest = i;
   }
-  return widest;
+  return AccessOf(step, static_cast<int>(widest), filter, now);
 }
 
 void Scheduler::LogLongWaits(MonotonicTime now) {
--- a/tests/unit/workflow/quarantine_test.cc
+++ b/tests/unit/workflow/quarantine_test.cc
@@ -283,6 +283,29 @@
   CHECK(world.worker("w0").runs.empty());
 }
 
+// Guards against a job that fails for good although a sound worker has room, because it had waited for long.
+TEST_CASE("the last attempt of a task goes to a sound worker if there is one", "[quarantine]") {
+  FailingFleet fleet(3, 1);
+  fleet.Play(absl::Seconds(5), ShortStep(6), 5);
+  SchedulerWorld& world = fleet.world();
+  REQUIRE(world.scheduler().QuarantinedWorkers() == 1);
+  for (const char* name : {"w1", "w2"}) world.worker(name).condition = WorkerCondition::kDraining;
+  fleet.SetMaxAttempts(1);
+  StepDefinition step = ShortStep(1);
+  step.required_label = kSoundLabel;
+  const std::string task = fleet.Submit(step) + ".0.0.0";
+  world.worker("w0").labels.emplace_back(kSoundLabel);
+  REQUIRE(world.PlaceOf(task).empty());
+  world.worker("w0").condition = WorkerCondition::kDraining;
+  world.Sleep(absl::Seconds(30));
+  world.Settle();
+  REQUIRE(world.PlaceOf(task).empty());
+  for (const char* name : {"w0", "w1", "w2"}) world.worker(name).condition = WorkerCondition::kReady;
+  world.Settle();
+  CHECK_FALSE(world.PlaceOf(task).empty());
+  CHECK(world.PlaceOf(task) != "w0");
+}
+
 // Guards against tasks that wait on beside a worker that was let back in, because no event led to a pass of placement.
 TEST_CASE("a worker that is let back in gets tasks at once", "[quarantine]") {
   FailingFleet fleet(1, 1);
