Repeat orders that were under way to an agent's former address

Callers saw: a task whose start was under way when its agent got another port or address counted as placed for good, while no worker ever had the start. Cause: `OwnerRole::SetMember` replaces the `AgentLink`; the callbacks of the former one do nothing any more, so its orders ended neither in an answer nor in a failure. A run that is "starting" is not compared with the lists, and while the worker's clock is read no lease lapses. They count as failed with "may have run", so they are repeated with the same run and `was_sent`: a refusal of the repeat is left to a stop, and no other run begins before that.

--- a/src/control/agent_link.cc
+++ b/src/control/agent_link.cc
@@ -111,29 +111,43 @@
   if (m_client == nullptr) return;
   request.epoch = m_epoch;
   std::string body = EncodeOrdersRequest(request);
+  const std::uint64_t number = ++m_newest_orders;
+  m_unanswered.emplace(number, std::move(request));
   m_client->Send({.path = std::string(kOrdersPath), .headers = {}, .body = std::move(body)}, m_options.orders_timeout,
-                 [this, request = std::move(request), alive = m_alive](Result<StreamResponse> response) {
-                   if (!*alive) return;
-                   if (!response) {
-                     m_listener.on_orders_failure(m_options.host, request, response.error());
-                     return;
-                   }
-                   if (response->status == kStatusStaleOwner) {
-                     m_listener.on_stale();
-                     return;
-                   }
-                   const Result<OrdersAnswer> answer = DecodeOrdersAnswer(response->body);
-                   if (response->status == kStatusOk && answer) {
-                     m_listener.on_orders_answer(m_options.host, request, *answer);
-                     return;
-                   }
-                   m_listener.on_orders_failure(
-                       m_options.host, request,
-                       {.code = FailureCode::kCorrupt,
-                        .verdict = Verdict::kMayHaveRun,
-                        .message = answer ? "status " + std::to_string(response->status) : answer.error().message,
-                        .field = {}});
+                 [this, number, alive = m_alive](const Result<StreamResponse>& response) {
+                   if (*alive) OnOrders(number, response);
                  });
 }
 
+std::vector<OrdersRequest> AgentLink::TakeUnanswered() {
+  std::vector<OrdersRequest> taken;
+  for (auto& [number, request] : std::exchange(m_unanswered, {})) taken.push_back(std::move(request));
+  return taken;
+}
+
+void AgentLink::OnOrders(std::uint64_t number, const Result<StreamResponse>& response) {
+  const auto sent = m_unanswered.extract(number);
+  if (sent.empty()) return;
+  const OrdersRequest& request = sent.mapped();
+  if (!response) {
+    m_listener.on_orders_failure(m_options.host, request, response.error());
+    return;
+  }
+  if (response->status == kStatusStaleOwner) {
+    m_listener.on_stale();
+    return;
+  }
+  const Result<OrdersAnswer> answer = DecodeOrdersAnswer(response->body);
+  if (response->status == kStatusOk && answer) {
+    m_listener.on_orders_answer(m_options.host, request, *answer);
+    return;
+  }
+  m_listener.on_orders_failure(
+      m_options.host, request,
+      {.code = FailureCode::kCorrupt,
+       .verdict = Verdict::kMayHaveRun,
+       .message = answer ? "status " + std::to_string(response->status) : answer.error().message,
+       .field = {}});
+}
+
 }  // namespace berylgauge::control
--- a/src/control/agent_link.h
+++ b/src/control/agent_link.h
@@ -4,8 +4,10 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/monotonic_time.h"
 #include "control/agent_messages.h"
@@ -46,7 +48,10 @@
   ~AgentLink();
 
   void Start();
+  /// Ends in `on_orders_answer` or `on_orders_failure`, unless the orders are taken back before.
   void SendOrders(OrdersRequest request);
+  /// The orders that have no answer yet; no callback follows for them. Each may have been carried out, or may be yet.
+  std::vector<OrdersRequest> TakeUnanswered();
 
   const AgentLinkOptions& options() const { return m_options; }
 
@@ -55,12 +60,15 @@
   /// `named_worker`: the request was about a worker that the owner knows.
   void OnWatch(Result<StreamResponse> response, bool named_worker);
   void WatchLater();
+  void OnOrders(std::uint64_t number, const Result<StreamResponse>& response);
 
   EventLoop& m_loop;
   const AgentLinkOptions m_options;
   const std::int64_t m_epoch;
   Listener m_listener;
   std::unique_ptr<StreamClient> m_client;
+  std::map<std::uint64_t, OrdersRequest> m_unanswered;  ///< by the number of the message
+  std::uint64_t m_newest_orders = 0;
   std::uint64_t m_known_version = 0;
   Incarnation m_known_incarnation = 0;
   bool m_send_traits = true;
--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -91,10 +91,28 @@
   const bool is_linked =
       link != nullptr && link->options().address == member.address && link->options().port == member.port;
   if (is_linked) return;
+  std::vector<OrdersRequest> unanswered;
+  if (link != nullptr) {
+    unanswered = link->TakeUnanswered();
+    LogEvent(LogLevel::kInfo, "agent_moved",
+             {{"host", host},
+              {"former_address", link->options().address},
+              {"former_port", link->options().port},
+              {"address", member.address},
+              {"port", member.port},
+              {"unanswered", unanswered.size()}});
+  }
   link = std::make_unique<AgentLink>(m_loop,
                                      AgentLinkOptions{.host = host, .address = member.address, .port = member.port},
                                      m_options.record.epoch, MakeLinkListener());
   link->Start();
+  for (const OrdersRequest& request : unanswered) {
+    OnOrdersFailure(host, request,
+                    {.code = FailureCode::kUnavailable,
+                     .verdict = Verdict::kMayHaveRun,
+                     .message = "the agent has another address before it answered",
+                     .field = {}});
+  }
 }
 
 AgentLink::Listener OwnerRole::MakeLinkListener() {
--- /dev/null
+++ b/tests/unit/control/owner_role_test.cc
@@ -0,0 +1,107 @@
+#include "control/owner_role.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "memory_keyed_log.h"
+#include "played_agent.h"
+#include "wait_until.h"
+#include "workflow/job_codec.h"
+
+namespace berylgauge::control {
+namespace {
+
+constexpr LogPartition MakeProgress() { return {.topic = "keyed.work", .number = 1}; }
+
+/// An owner on a store of its own, with one agent's host.
+class OwnerWorld {
+ public:
+  OwnerWorld() {
+    m_loop.RunSync([&] {
+      const workflow::OwnerRecord record{.epoch = 5, .holder = "e1.1"};
+      auto writer = std::make_unique<LogWriter>(
+          m_loop, m_log, LogWriterOptions{.partition = MakeProgress(), .producer = "owner", .epoch = record.epoch});
+      m_owner = std::make_unique<OwnerRole>(
+          m_loop, m_clock, std::move(writer), m_index,
+          OwnerRoleOptions{
+              .record = record, .submissions_known_until = [this] { return m_loop.Now(); }, .scheduler = {}},
+          OwnerRole::Listener{.on_deposed = [] {},
+                              .on_stored =
+                                  [this](const std::vector<KeyedRecord>& records, std::int64_t) {
+                                    for (const KeyedRecord& stored : records) {
+                                      m_index.ApplyProgress(stored.key, stored.value);
+                                    }
+                                  },
+                              .on_retired = [](const std::vector<std::string>&) {}});
+      m_owner->Begin();
+    });
+  }
+  ~OwnerWorld() {
+    m_loop.RunSync([&] { m_owner.reset(); });
+  }
+  OwnerWorld(const OwnerWorld&) = delete;
+  OwnerWorld& operator=(const OwnerWorld&) = delete;
+
+  /// The host's agent listens at that port.
+  void SetAgent(int port) {
+    m_loop.RunSync([&] { m_owner->SetMember("side-1", {.address = "127.0.0.1", .port = port}); });
+  }
+
+  void Submit(const workflow::JobDefinition& job) {
+    m_loop.RunSync([&] {
+      m_index.ApplySubmission(job.id, EncodeJob(job));
+      m_owner->OnSubmission(job.id);
+    });
+  }
+
+  EventLoop& loop() { return m_loop; }
+  const workflow::JobIndex& index() const { return m_index; }
+
+ private:
+  MemoryStore m_store;
+  SystemClock m_clock;
+  workflow::JobIndex m_index;
+  EventLoop m_loop;
+  MemoryKeyedLog m_log{m_loop, m_store};
+  std::unique_ptr<OwnerRole> m_owner;
+};
+
+workflow::JobDefinition SmallJob(const std::string& id) {
+  workflow::JobDefinition job;
+  job.id = id;
+  job.queue = {.name = "q", .service = "s"};
+  job.steps = {{.task_count = 1}};
+  return job;
+}
+
+/// The job of these tests and its only task.
+constexpr const char* kJob = "00000000000000aa";
+constexpr const char* kTask = "00000000000000aa.0.0.0";
+
+// Guards against a task that is placed for good while no worker has its start: the agent got another port before it
+// answered, and the order that was under way to the former one is not repeated.
+TEST_CASE("an order without answer is repeated to the agent's new port", "[owner]") {
+  OwnerWorld world;
+  PlayedAgent former(world.loop(), 1);
+  PlayedAgent present(world.loop(), 2);
+  world.loop().RunSync([&] { former.keeps_orders = true; });
+  world.SetAgent(former.port());
+  world.Submit(SmallJob(kJob));
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return former.orders().size() == 1; }));
+  world.SetAgent(present.port());
+  // Longer than the time allowed for orders, shorter than the lease after which every run of a silent worker is lost.
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(4), [&] { return !present.orders().empty(); }));
+  world.loop().RunSync([&] {
+    const workflow::StartOrder& repeated = present.orders().front();
+    CHECK(repeated.task == kTask);
+    CHECK(repeated.run == former.orders().front().run);
+    CHECK(repeated.was_sent);  // so that no refusal counts before the run is stopped
+  });
+  CHECK(WaitUntil(world.loop(), absl::Seconds(2),
+                  [&] { return world.index().PhaseOf(kJob) == workflow::JobPhase::kRunning; }));
+}
+
+}  // namespace
+}  // namespace berylgauge::control
--- a/tests/unit/control/played_agent.cc
+++ b/tests/unit/control/played_agent.cc
@@ -10,9 +10,16 @@
 /// Time for which a watch is held; answers without news at this rate keep the worker's clock young.
 constexpr absl::Duration kWatchPause = absl::Milliseconds(20);
 
+/// Between the readings of the worker's clock by two processes of the agent.
+constexpr std::int64_t kIncarnationStepMs = 1'000'000;
+
 }  // namespace
 
-PlayedAgent::PlayedAgent(EventLoop& loop) : m_loop(loop), m_server(MakeStreamServer({}).value()) {
+PlayedAgent::PlayedAgent(EventLoop& loop, Incarnation incarnation)
+    : m_loop(loop),
+      m_incarnation(incarnation),
+      m_clock_ms(static_cast<std::int64_t>(incarnation) * kIncarnationStepMs),
+      m_server(MakeStreamServer({}).value()) {
   m_port =
       m_server
           ->Start("127.0.0.1", 0,
@@ -40,7 +47,13 @@
 
 void PlayedAgent::Handle(const StreamRequest& request, const StreamServer::Responder& respond) {
   if (request.path == kOrdersPath) {
-    respond({.status = 200, .headers = {}, .body = EncodeOrdersAnswer(CarryOut(*DecodeOrdersRequest(request.body)))});
+    const OrdersRequest orders = *DecodeOrdersRequest(request.body);
+    for (const JobStarts& job : orders.jobs) m_orders.insert(m_orders.end(), job.starts.begin(), job.starts.end());
+    if (keeps_orders) {
+      m_kept.push_back(respond);
+    } else {
+      respond({.status = 200, .headers = {}, .body = EncodeOrdersAnswer(CarryOut(orders))});
+    }
     return;
   }
   m_loop.AddTimer(m_loop.Now() + kWatchPause, [this, alive = m_alive, body = request.body, respond] {
@@ -53,7 +66,7 @@
 WatchAnswer PlayedAgent::MakeWatchAnswer(const WatchRequest& request) {
   WatchAnswer answer{.version = request.known_version + 1, .report = {}};
   workflow::WorkerReport& report = answer.report;
-  report.agent_incarnation = 1;
+  report.agent_incarnation = m_incarnation;
   report.life = m_life;
   report.service = std::string("s");
   report.capacity = {.cpu_millis = 16000, .memory_mb = 64000};
--- a/tests/unit/control/played_agent.h
+++ b/tests/unit/control/played_agent.h
@@ -15,12 +15,17 @@
 /// the destructor.
 class PlayedAgent {
  public:
-  explicit PlayedAgent(EventLoop& loop);
+  /// A later process of the agent has a higher `incarnation`, and reads a later time on the worker's clock.
+  explicit PlayedAgent(EventLoop& loop, Incarnation incarnation = 1);
   ~PlayedAgent();
 
+  bool keeps_orders = false;  ///< orders have no answer and no effect
+
   int port() const { return m_port; }
   /// Whether the task has ever been started.
   bool HasStarted(const std::string& task) const { return m_starts.contains(task); }
+  /// All starts that arrived, in order.
+  const std::vector<workflow::StartOrder>& orders() const { return m_orders; }
   /// Ends the task's run as done.
   void EndDone(const std::string& task);
 
@@ -31,10 +36,13 @@
 
   EventLoop& m_loop;
   const workflow::WorkerLife m_life{.worker = "w1", .born = 1};
-  std::int64_t m_clock_ms = 1;
+  const Incarnation m_incarnation;
+  std::int64_t m_clock_ms;
+  std::vector<workflow::StartOrder> m_orders;
   std::map<std::string, int> m_starts;  ///< run by task
   std::map<std::string, int> m_runs;    ///< of these, what runs now
   std::vector<workflow::RunEnd> m_ends;
+  std::vector<StreamServer::Responder> m_kept;  ///< of orders without an answer
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
   std::unique_ptr<StreamServer> m_server;
   int m_port = 0;
