Report orders that no agent takes as failed

Cause: `AgentLink::SendOrders` dropped orders without a line if the address of the agent is of no use, and if the agent answered that it has seen a newer owner. By reading, neither leaves a task placed for good today: member records with such an address are not decoded, and an owner with a successor is deposed by its next append. But each was one more way for an order to end in nothing.

--- a/src/control/agent_link.cc
+++ b/src/control/agent_link.cc
@@ -108,7 +108,12 @@
 }
 
 void AgentLink::SendOrders(OrdersRequest request) {
-  if (m_client == nullptr) return;
+  if (m_client == nullptr) {
+    m_listener.on_orders_failure(
+        m_options.host, request,
+        {.code = FailureCode::kUnavailable, .message = "the agent's address is invalid", .field = {}});
+    return;
+  }
   request.epoch = m_epoch;
   std::string body = EncodeOrdersRequest(request);
   const std::uint64_t number = ++m_newest_orders;
@@ -133,10 +138,7 @@
     m_listener.on_orders_failure(m_options.host, request, response.error());
     return;
   }
-  if (response->status == kStatusStaleOwner) {
-    m_listener.on_stale();
-    return;
-  }
+  if (response->status == kStatusStaleOwner) m_listener.on_stale();
   const Result<OrdersAnswer> answer = DecodeOrdersAnswer(response->body);
   if (response->status == kStatusOk && answer) {
     m_listener.on_orders_answer(m_options.host, request, *answer);
--- a/tests/unit/control/agent_link_test.cc
+++ b/tests/unit/control/agent_link_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "played_agent.h"
@@ -39,5 +41,45 @@
   });
 }
 
+struct UnansweredRow {
+  const char* name;
+  const char* address;
+  bool is_stale;
+  Verdict verdict;
+};
+
+// Guards against orders that are dropped without a word, so that their tasks count as placed for good: the address of
+// the agent is of no use, or the agent has seen a newer owner and the present one goes on.
+TEST_CASE("orders that no agent takes are reported as failed", "[link]") {
+  const UnansweredRow row = GENERATE(UnansweredRow{"no address", "nowhere", false, Verdict::kNotRun},
+                                     UnansweredRow{"newer owner", "127.0.0.1", true, Verdict::kMayHaveRun});
+  INFO(row.name);
+  EventLoop loop;
+  PlayedAgent agent(loop);
+  int failures = 0;
+  int stale = 0;
+  std::optional<Verdict> verdict;
+  AgentLink::Listener listener;
+  listener.on_orders_failure = [&](const std::string&, const OrdersRequest& request, const Failure& failure) {
+    ++failures;
+    verdict = failure.verdict;
+    CHECK(request.jobs.size() == 1);
+  };
+  listener.on_stale = [&] { ++stale; };
+  std::unique_ptr<AgentLink> link;
+  loop.RunSync([&] {
+    agent.refuses_orders = row.is_stale;
+    link = std::make_unique<AgentLink>(
+        loop, AgentLinkOptions{.host = "side-1", .address = row.address, .port = agent.port()}, 1, std::move(listener));
+    link->SendOrders({.life = {}, .jobs = {{.payload = "p", .starts = {{.task = "a.0.0.0", .run = 1}}}}, .stops = {}});
+  });
+  CHECK(WaitUntil(loop, absl::Seconds(1), [&] { return failures == 1; }));
+  loop.RunSync([&] {
+    CHECK(verdict == row.verdict);
+    CHECK(stale == (row.is_stale ? 1 : 0));
+    link.reset();
+  });
+}
+
 }  // namespace
 }  // namespace berylgauge::control
--- a/tests/unit/control/played_agent.cc
+++ b/tests/unit/control/played_agent.cc
@@ -51,6 +51,8 @@
     for (const JobStarts& job : orders.jobs) m_orders.insert(m_orders.end(), job.starts.begin(), job.starts.end());
     if (keeps_orders) {
       m_kept.push_back(respond);
+    } else if (refuses_orders) {
+      respond({.status = kStatusStaleOwner, .headers = {}, .body = {}});
     } else {
       respond({.status = 200, .headers = {}, .body = EncodeOrdersAnswer(CarryOut(orders))});
     }
--- a/tests/unit/control/played_agent.h
+++ b/tests/unit/control/played_agent.h
@@ -19,7 +19,8 @@
   explicit PlayedAgent(EventLoop& loop, Incarnation incarnation = 1);
   ~PlayedAgent();
 
-  bool keeps_orders = false;  ///< orders have no answer and no effect
+  bool keeps_orders = false;    ///< orders have no answer and no effect
+  bool refuses_orders = false;  ///< orders are answered as those of a former owner, without effect
 
   int port() const { return m_port; }
   /// Whether the task has ever been started.
