Repeat a start that its answer leaves undecided

Cause: the owner read the answers that a message lists and asked for no others. A start that the agent does not name, or refuses because of a newer owner, stayed "starting" for good unless this process was deposed. The agent of today names every start; the code of the owner did not depend on it in any visible way.

--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -1,6 +1,7 @@
 #include "control/owner_role.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "base/event_log.h"
@@ -18,6 +19,33 @@
 /// Pause before starts that may not be sent yet are looked at again.
 constexpr absl::Duration kHeldStartsPause = absl::Milliseconds(50);
 
+/// Whether the agent has decided the start. That another owner's call stood in its way says nothing of the run, as long
+/// as this process is not deposed.
+bool IsDecided(const OrdersAnswer& answer, const StartOrder& start) {
+  return std::any_of(answer.starts.begin(), answer.starts.end(), [&](const OrdersAnswer::Started& one) {
+    return one.task == start.task && one.run == start.run && one.answer.refusal != workflow::StartRefusal::kStaleOwner;
+  });
+}
+
+bool IsDecided(const OrdersAnswer& answer, const StopOrder& stop) {
+  return std::any_of(answer.stops.begin(), answer.stops.end(),
+                     [&](const OrdersAnswer::Stopped& one) { return one.task == stop.task && one.run == stop.run; });
+}
+
+/// The orders of `request` that the answer leaves undecided.
+OrdersRequest UndecidedBy(const OrdersAnswer& answer, const OrdersRequest& request) {
+  OrdersRequest undecided{.life = request.life, .jobs = {}, .stops = {}};
+  for (const JobStarts& job : request.jobs) {
+    JobStarts starts{.payload = job.payload, .starts = {}};
+    std::copy_if(job.starts.begin(), job.starts.end(), std::back_inserter(starts.starts),
+                 [&](const StartOrder& start) { return !IsDecided(answer, start); });
+    if (!starts.starts.empty()) undecided.jobs.push_back(std::move(starts));
+  }
+  std::copy_if(request.stops.begin(), request.stops.end(), std::back_inserter(undecided.stops),
+               [&](const StopOrder& stop) { return !IsDecided(answer, stop); });
+  return undecided;
+}
+
 }  // namespace
 
 OwnerRole::OwnerRole(EventLoop& loop, const Clock& clock, std::unique_ptr<LogWriter> writer,
@@ -342,6 +370,13 @@
     m_scheduler->OnStopAnswer(stop.task, stop.run, request.life, stop.end_listed, now);
   }
   Kick();
+  const OrdersRequest undecided = UndecidedBy(answer, request);
+  if (undecided.jobs.empty() && undecided.stops.empty()) return;
+  OnOrdersFailure(agent, undecided,
+                  {.code = FailureCode::kCorrupt,
+                   .verdict = Verdict::kMayHaveRun,
+                   .message = "the answer leaves orders undecided",
+                   .field = {}});
 }
 
 void OwnerRole::OnOrdersFailure(const std::string& agent, const OrdersRequest& request, const Failure& failure) {
--- a/tests/unit/control/owner_role_test.cc
+++ b/tests/unit/control/owner_role_test.cc
@@ -103,5 +103,31 @@
                   [&] { return world.index().PhaseOf(kJob) == workflow::JobPhase::kRunning; }));
 }
 
+struct UndecidedRow {
+  const char* name;
+  int omitted;
+  int stale;
+};
+
+// Guards against a task that is placed for good because the answer to a message with its start does not decide it.
+TEST_CASE("a start that its answer leaves undecided is repeated", "[owner]") {
+  const UndecidedRow row = GENERATE(UndecidedRow{"not named", 1, 0}, UndecidedRow{"refused for a newer owner", 0, 1});
+  INFO(row.name);
+  OwnerWorld world;
+  PlayedAgent agent(world.loop());
+  world.loop().RunSync([&] {
+    agent.omitted_starts = row.omitted;
+    agent.stale_starts = row.stale;
+  });
+  world.SetAgent(agent.port());
+  world.Submit(SmallJob(kJob));
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return agent.orders().size() == 1; }));
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(4), [&] { return agent.HasStarted(kTask); }));
+  world.loop().RunSync([&] {
+    CHECK(agent.orders().back().run == agent.orders().front().run);
+    CHECK(agent.orders().back().was_sent);
+  });
+}
+
 }  // namespace
 }  // namespace berylgauge::control
--- a/tests/unit/control/played_agent.cc
+++ b/tests/unit/control/played_agent.cc
@@ -83,6 +83,16 @@
   OrdersAnswer answer;
   for (const JobStarts& job : request.jobs) {
     for (const workflow::StartOrder& start : job.starts) {
+      if (stale_starts > 0) {
+        --stale_starts;
+        answer.starts.push_back(
+            {.task = start.task, .run = start.run, .answer = {.refusal = workflow::StartRefusal::kStaleOwner}});
+        continue;
+      }
+      if (omitted_starts > 0) {
+        --omitted_starts;
+        continue;
+      }
       m_starts[start.task] = start.run;
       m_runs[start.task] = start.run;
       answer.starts.push_back({.task = start.task, .run = start.run, .answer = {.clock_ms = ++m_clock_ms}});
--- a/tests/unit/control/played_agent.h
+++ b/tests/unit/control/played_agent.h
@@ -21,6 +21,8 @@
 
   bool keeps_orders = false;    ///< orders have no answer and no effect
   bool refuses_orders = false;  ///< orders are answered as those of a former owner, without effect
+  int stale_starts = 0;         ///< so many starts have no effect, because a newer owner has given orders
+  int omitted_starts = 0;       ///< so many starts have no effect and are missing in the answer
 
   int port() const { return m_port; }
   /// Whether the task has ever been started.
