Do not repeat a start whose run was stopped meanwhile

Cause: an order that failed is repeated after 150 ms, and whether it is still wanted was asked before that pause only. A run that was stopped in the pause, for example because its job was cancelled, got its start after its stop, and only the worker's memory of the stop kept it from running. A held message keeps its stops, too.

--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -327,12 +327,16 @@
               {"host", agent},
               {"submissions_age_ms", absl::ToInt64Milliseconds(m_loop.Now() - m_options.submissions_known_until())}});
   }
-  m_loop.AddTimer(m_loop.Now() + kHeldStartsPause, [this, agent, request = std::move(request), alive = m_alive] {
-    if (*alive) SendHeldStarts(agent, request);
+  SendLater(agent, std::move(request), kHeldStartsPause);
+}
+
+void OwnerRole::SendLater(const std::string& agent, OrdersRequest request, absl::Duration pause) {
+  m_loop.AddTimer(m_loop.Now() + pause, [this, agent, request = std::move(request), alive = m_alive] {
+    if (*alive) SendWanted(agent, request);
   });
 }
 
-void OwnerRole::SendHeldStarts(const std::string& agent, const OrdersRequest& request) {
+void OwnerRole::SendWanted(const std::string& agent, const OrdersRequest& request) {
   OrdersRequest wanted{.life = request.life, .jobs = {}, .stops = {}};
   for (const JobStarts& job : request.jobs) {
     JobStarts starts{.payload = job.payload, .starts = {}};
@@ -347,8 +351,10 @@
     }
     if (!starts.starts.empty()) wanted.jobs.push_back(std::move(starts));
   }
+  std::copy_if(request.stops.begin(), request.stops.end(), std::back_inserter(wanted.stops),
+               [&](const StopOrder& stop) { return m_scheduler->IsStopping(stop); });
   Kick();
-  if (!wanted.jobs.empty()) SendTo(agent, std::move(wanted));
+  if (!wanted.jobs.empty() || !wanted.stops.empty()) SendTo(agent, std::move(wanted));
 }
 
 void OwnerRole::OnOrdersAnswer(const std::string& agent, const OrdersRequest& request, const OrdersAnswer& answer) {
@@ -405,10 +411,7 @@
   }
   Kick();
   if (again.jobs.empty() && again.stops.empty()) return;
-  m_loop.AddTimer(m_loop.Now() + AgentLinkOptions{}.retry_pause,
-                  [this, agent, again = std::move(again), alive = m_alive]() mutable {
-                    if (*alive) SendTo(agent, std::move(again));
-                  });
+  SendLater(agent, std::move(again), AgentLinkOptions{}.retry_pause);
 }
 
 std::int64_t OwnerRole::UnixNow() const { return absl::ToUnixMillis(m_clock.WallNow()); }
--- a/src/control/owner_role.h
+++ b/src/control/owner_role.h
@@ -89,9 +89,11 @@
   void SendStarts(std::vector<workflow::StartOrder> starts);
   void SendStops(std::vector<workflow::StopOrder> stops);
   void SendTo(const std::string& agent, OrdersRequest request);
-  /// Sends the starts again after a pause, without those that are no longer wanted.
+  /// Sends the starts after a pause.
   void HoldStarts(const std::string& agent, OrdersRequest request);
-  void SendHeldStarts(const std::string& agent, const OrdersRequest& request);
+  void SendLater(const std::string& agent, OrdersRequest request, absl::Duration pause);
+  /// Sends those of the orders whose runs are not settled yet, and refuses unsent starts that have become forbidden.
+  void SendWanted(const std::string& agent, const OrdersRequest& request);
   void OnOrdersAnswer(const std::string& agent, const OrdersRequest& request, const OrdersAnswer& answer);
   void OnOrdersFailure(const std::string& agent, const OrdersRequest& request, const Failure& failure);
   AgentLink::Listener MakeLinkListener();
--- a/tests/unit/control/owner_role_test.cc
+++ b/tests/unit/control/owner_role_test.cc
@@ -56,6 +56,10 @@
     });
   }
 
+  void Cancel(const std::string& job) {
+    m_loop.RunSync([&] { m_owner->OnCancellation(job); });
+  }
+
   EventLoop& loop() { return m_loop; }
   const workflow::JobIndex& index() const { return m_index; }
 
@@ -129,5 +133,23 @@
   });
 }
 
+// Guards against the start of a run that was stopped meanwhile: its job was cancelled in the pause before the repeat.
+TEST_CASE("a start is not repeated once its run was stopped", "[owner]") {
+  const bool is_cancelled = GENERATE(true, false);
+  INFO("cancelled: " << is_cancelled);
+  OwnerWorld world;
+  PlayedAgent agent(world.loop());
+  world.loop().RunSync([&] { agent.failed_orders = 1; });
+  world.SetAgent(agent.port());
+  world.Submit(SmallJob(kJob));
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return agent.orders().size() == 1; }));
+  if (is_cancelled) {
+    world.Cancel(kJob);
+    REQUIRE(WaitUntil(world.loop(), absl::Seconds(1), [&] { return agent.stops() == 1; }));
+  }
+  const bool is_repeated = WaitUntil(world.loop(), absl::Seconds(1), [&] { return agent.HasStarted(kTask); });
+  CHECK(is_repeated != is_cancelled);
+}
+
 }  // namespace
 }  // namespace berylgauge::control
--- a/tests/unit/control/played_agent.cc
+++ b/tests/unit/control/played_agent.cc
@@ -51,6 +51,9 @@
     for (const JobStarts& job : orders.jobs) m_orders.insert(m_orders.end(), job.starts.begin(), job.starts.end());
     if (keeps_orders) {
       m_kept.push_back(respond);
+    } else if (failed_orders > 0) {
+      --failed_orders;
+      respond({.status = 500, .headers = {}, .body = {}});
     } else if (refuses_orders) {
       respond({.status = kStatusStaleOwner, .headers = {}, .body = {}});
     } else {
@@ -99,6 +102,7 @@
     }
   }
   for (const workflow::StopOrder& stop : request.stops) {
+    ++m_stops;
     m_runs.erase(stop.task);
     answer.stops.push_back({.task = stop.task, .run = stop.run, .end_listed = false});
   }
--- a/tests/unit/control/played_agent.h
+++ b/tests/unit/control/played_agent.h
@@ -22,11 +22,14 @@
   bool keeps_orders = false;    ///< orders have no answer and no effect
   bool refuses_orders = false;  ///< orders are answered as those of a former owner, without effect
   int stale_starts = 0;         ///< so many starts have no effect, because a newer owner has given orders
+  int failed_orders = 0;        ///< so many messages of orders are answered by a failure, without effect
   int omitted_starts = 0;       ///< so many starts have no effect and are missing in the answer
 
   int port() const { return m_port; }
   /// Whether the task has ever been started.
   bool HasStarted(const std::string& task) const { return m_starts.contains(task); }
+  /// How many stops were carried out.
+  int stops() const { return m_stops; }
   /// All starts that arrived, in order.
   const std::vector<workflow::StartOrder>& orders() const { return m_orders; }
   /// Ends the task's run as done.
@@ -42,6 +45,7 @@
   const Incarnation m_incarnation;
   std::int64_t m_clock_ms;
   std::vector<workflow::StartOrder> m_orders;
+  int m_stops = 0;
   std::map<std::string, int> m_starts;  ///< run by task
   std::map<std::string, int> m_runs;    ///< of these, what runs now
   std::vector<workflow::RunEnd> m_ends;
