Bound the size of a message of starts

Callers would see: tasks that count as placed and never start, because the message with their starts exceeds the 4 MiB that one may have. No site is known to put so many tasks on one worker (some 1,050 with the longest payload). Cause: all starts of a batch for one agent went into one message, and a message that was too large was refused and built again alike. Starts of one job share its payload, but the repeat of a failed message gave each start a copy of its own, so a message that fitted no longer did, and the repeat went on for good.

--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -19,6 +19,21 @@
 /// Pause before starts that may not be sent yet are looked at again.
 constexpr absl::Duration kHeldStartsPause = absl::Milliseconds(50);
 
+/// Size of the starts in a message beyond which the others go into the next one; a quarter of what a message may have.
+constexpr std::size_t kMaxStartsBytes = std::size_t{1} << 20;
+/// Of a start in a message beside its texts, rounded up.
+constexpr std::size_t kStartBytes = 64;
+
+std::size_t SizeOf(const StartOrder& start) {
+  return kStartBytes + start.task.size() + start.checkpoint.size() + start.image.size() + start.ticket.size();
+}
+
+/// A message that is being put together.
+struct StartsDraft {
+  OrdersRequest request;
+  std::size_t bytes = 0;
+};
+
 /// Whether the agent has decided the start. That another owner's call stood in its way says nothing of the run, as long
 /// as this process is not deposed.
 bool IsDecided(const OrdersAnswer& answer, const StartOrder& start) {
@@ -268,21 +283,25 @@
 
 void OwnerRole::SendStarts(std::vector<StartOrder> starts) {
   if (m_handing_over) return;
-  absl::flat_hash_map<std::string, OrdersRequest> by_agent;
+  absl::flat_hash_map<std::string, StartsDraft> by_agent;
   for (StartOrder& start : starts) {
     const workflow::JobDefinition* job = m_scheduler->FindJob(start.job);
     if (job == nullptr) continue;
-    OrdersRequest& request = by_agent[start.agent];
+    StartsDraft& draft = by_agent[start.agent];
+    if (draft.bytes >= kMaxStartsBytes) SendTo(start.agent, std::exchange(draft, {}).request);
+    OrdersRequest& request = draft.request;
     request.life = start.life;
+    draft.bytes += SizeOf(start);
     const auto same_job = std::find_if(request.jobs.begin(), request.jobs.end(),
                                        [&](const JobStarts& other) { return other.starts.front().job == start.job; });
     if (same_job != request.jobs.end()) {
       same_job->starts.push_back(std::move(start));
     } else {
+      draft.bytes += job->payload.size();
       request.jobs.push_back({.payload = job->payload, .starts = {std::move(start)}});
     }
   }
-  for (auto& [agent, request] : by_agent) SendTo(agent, std::move(request));
+  for (auto& [agent, draft] : by_agent) SendTo(agent, std::move(draft.request));
 }
 
 void OwnerRole::SendStops(std::vector<StopOrder> stops) {
@@ -395,16 +414,17 @@
             {"reason", failure.message}});
   OrdersRequest again{.life = request.life, .jobs = {}, .stops = {}};
   for (const JobStarts& job : request.jobs) {
+    JobStarts repeated{.payload = job.payload, .starts = {}};
     for (const StartOrder& start : job.starts) {
       if (failure.verdict == Verdict::kNotRun && !start.was_sent) {
         m_scheduler->OnStartAnswer(start.task, start.run, request.life, {.refusal = workflow::StartRefusal::kLate},
                                    m_loop.Now());
       } else if (m_scheduler->IsStarting(start)) {
-        JobStarts repeated{.payload = job.payload, .starts = {start}};
-        repeated.starts.front().was_sent = true;
-        again.jobs.push_back(std::move(repeated));
+        repeated.starts.push_back(start);
+        repeated.starts.back().was_sent = true;
       }
     }
+    if (!repeated.starts.empty()) again.jobs.push_back(std::move(repeated));
   }
   for (const StopOrder& stop : request.stops) {
     if (m_scheduler->IsStopping(stop)) again.stops.push_back(stop);
--- a/tests/unit/control/owner_role_test.cc
+++ b/tests/unit/control/owner_role_test.cc
@@ -1,5 +1,7 @@
 #include "control/owner_role.h"
 
+#include <absl/strings/str_format.h>
+
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
@@ -151,5 +153,31 @@
   CHECK(is_repeated != is_cancelled);
 }
 
+struct ManyStartsRow {
+  const char* name;
+  int jobs;
+  int tasks;  ///< of each job
+  int failed_orders;
+};
+
+// Guards against tasks that never start because a message with their starts exceeds what one may have.
+TEST_CASE("many starts for one agent all arrive", "[owner]") {
+  const ManyStartsRow row = GENERATE(ManyStartsRow{"of many jobs", 1100, 1, 0},
+                                     ManyStartsRow{"of one job, after a message that failed", 1, 1100, 1});
+  INFO(row.name);
+  OwnerWorld world;
+  PlayedAgent agent(world.loop());
+  world.loop().RunSync([&] { agent.failed_orders = row.failed_orders; });
+  for (int i = 0; i < row.jobs; ++i) {
+    workflow::JobDefinition job = SmallJob(absl::StrFormat("%016x", i));
+    job.payload = std::string(4000, 'p');  // the longest of the platform
+    job.steps = {{.task_count = row.tasks}};
+    world.Submit(job);
+  }
+  world.SetAgent(agent.port());
+  CHECK(WaitUntil(world.loop(), absl::Seconds(10),
+                  [&] { return agent.started() == static_cast<std::size_t>(row.jobs * row.tasks); }));
+}
+
 }  // namespace
 }  // namespace berylgauge::control
--- a/tests/unit/control/played_agent.h
+++ b/tests/unit/control/played_agent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
@@ -28,6 +29,8 @@
   int port() const { return m_port; }
   /// Whether the task has ever been started.
   bool HasStarted(const std::string& task) const { return m_starts.contains(task); }
+  /// How many tasks have ever been started.
+  std::size_t started() const { return m_starts.size(); }
   /// How many stops were carried out.
   int stops() const { return m_stops; }
   /// All starts that arrived, in order.
