Log orders that are not sent

Cause: starts and stops for a life that is not the present one, and starts while the ownership is handed over, ended without a line. By reading, none of them leaves a task placed for good: the first lists of the next life decide the runs of the former one, and the next owner finds what was not started. There is no new test; what is new are the lines `orders_failed` (for a former life), `stop_for_former_life` and `starts_left`.

--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -282,7 +282,11 @@
 // ---- Orders
 
 void OwnerRole::SendStarts(std::vector<StartOrder> starts) {
-  if (m_handing_over) return;
+  if (m_handing_over) {
+    // Nothing was sent; the next owner finds that they are not there.
+    LogEvent(LogLevel::kInfo, "starts_left", {{"epoch", m_options.record.epoch}, {"starts", starts.size()}});
+    return;
+  }
   absl::flat_hash_map<std::string, StartsDraft> by_agent;
   for (StartOrder& start : starts) {
     const workflow::JobDefinition* job = m_scheduler->FindJob(start.job);
@@ -308,7 +312,12 @@
   absl::flat_hash_map<std::string, OrdersRequest> by_agent;
   for (StopOrder& stop : stops) {
     const PoolWorker* worker = m_scheduler->FindWorker(stop.agent);
-    if (worker == nullptr || worker->life != stop.life) continue;  // a former life; nothing of it is left
+    if (worker == nullptr || worker->life != stop.life) {
+      // The first lists of the present life decide its runs, and order this stop again if it is needed.
+      LogEvent(LogLevel::kInfo, "stop_for_former_life",
+               {{"task", stop.task}, {"run", stop.run}, {"worker", stop.life.worker}, {"born", stop.life.born}});
+      continue;
+    }
     OrdersRequest& request = by_agent[stop.agent];
     request.life = stop.life;
     request.stops.push_back(std::move(stop));
@@ -319,7 +328,12 @@
 void OwnerRole::SendTo(const std::string& agent, OrdersRequest request) {
   const auto link = m_links.find(agent);
   const PoolWorker* worker = m_scheduler->FindWorker(agent);
-  if (link == m_links.end() || worker == nullptr || worker->life != request.life) return;
+  if (link == m_links.end() || worker == nullptr || worker->life != request.life) {
+    // Whatever an earlier message did is shown by the lists of the present life.
+    OnOrdersFailure(agent, request,
+                    {.code = FailureCode::kExpired, .message = "the agent's worker has another life", .field = {}});
+    return;
+  }
   if (!IsValid(m_loop.Now()) && !request.jobs.empty()) {
     // Without a recent append this process may have a successor that waits for its last orders to end.
     OnOrdersFailure(agent, request,
