Keep the wait of a task whose start had no effect

Seen by callers: a task waits beside a worker with room for as long as another worker refuses its starts; a filling task whose run a former owner placed waits 2 s more after the lease of that owner (9.1 s after the claim).

Cause: each release of a task set the begin of its wait to the present time, also where no worker had begun the run. So the patience after which it takes a slow worker, or the reserve of short tasks, began anew with each refusal.

The begin of the wait now moves only after a run that a worker has shown to have begun.

Tests on the code without the fix: refused starts do not keep a task that lasts from the reserve of short tasks: "" == "w2" a filling task takes a slow worker as soon as the leases of a former owner are over: 1 == 2

--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "base/doubling_delay.h"
 #include "base/event_log.h"
@@ -43,6 +44,7 @@
 
 void Scheduler::NoteBegun(PoolWorker* worker, TaskRef task) {
   if (worker != nullptr) worker->starting.erase(task);
+  task.step->runtimes[static_cast<std::size_t>(task.index)].has_begun = true;
   WorkflowJob& job = *task.step->job;
   if (job.phase != JobPhase::kQueued) return;
   job.phase = JobPhase::kRunning;
@@ -205,7 +207,8 @@
   progress.worker_born = 0;
   progress.agent.clear();
   runtime.stage = RunStage::kNone;
-  runtime.waiting_since = now;
+  // A start without effect ends no wait.
+  if (std::exchange(runtime.has_begun, false)) runtime.waiting_since = now;
   runtime.checkpoint.clear();
   runtime.percent = 0;
   if (--step.job->placed == 0) step.job->nothing_placed_since = now;
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -28,11 +28,12 @@
 /// What the owner knows of a task beyond its record.
 struct TaskRuntime {
   RunStage stage = RunStage::kNone;
+  bool has_begun = false;                           ///< a worker has shown that the present run is or was there
   bool is_start_settled = false;                    ///< every call of the start was answered; see `StartAnswer`
   MonotonicTime started_at;                         ///< when the start was answered
   std::int64_t started_clock_ms = 0;                ///< worker's clock at that time
   MonotonicTime stopping_since = InfiniteFuture();  ///< first report after a stop was ordered
-  MonotonicTime waiting_since;
+  MonotonicTime waiting_since;     ///< end of the newest run that has begun, or when the task's turn came
   MonotonicTime not_before;        ///< earliest time of the next run
   std::vector<std::string> avoid;  ///< workers on which it failed
   std::string checkpoint;          ///< newest that the worker listed for the present run
--- a/tests/unit/workflow/scheduler_world.cc
+++ b/tests/unit/workflow/scheduler_world.cc
@@ -87,10 +87,12 @@
                       .ends = worker.ends};
   for (const auto& [task, run] : worker.runs) {
     const auto percent = worker.percents.find(task);
+    const auto measured = worker.measured.find(task);
     report.runs.push_back({.task = task,
                            .run = run,
                            .checkpoint = {},
-                           .percent = percent == worker.percents.end() ? 0 : percent->second});
+                           .percent = percent == worker.percents.end() ? 0 : percent->second,
+                           .measured = measured == worker.measured.end() ? 0 : measured->second});
   }
   m_scheduler->OnReport(worker.agent, report, m_now);
 }
@@ -101,6 +103,8 @@
   StartAnswer answer{.clock_ms = absl::ToInt64Milliseconds(m_now.SinceBoot()), .is_settled = true};
   if (worker.life != order.life) {
     answer.refusal = StartRefusal::kOtherLife;
+  } else if (worker.refusal != StartRefusal::kNone) {
+    answer.refusal = worker.refusal;
   } else {
     ++m_starts[order.task];
     if (!PlaceOf(order.task).empty()) m_violations.push_back("runs twice: " + order.task);
--- a/tests/unit/workflow/scheduler_world.h
+++ b/tests/unit/workflow/scheduler_world.h
@@ -28,7 +28,9 @@
   std::map<std::string, int> percents;  ///< of their work, by task; 0 if absent
   std::vector<RunEnd> ends;
   std::int64_t last_end = 0;
-  bool answers_starts = true;  ///< otherwise starts have no answer and no effect
+  bool answers_starts = true;                    ///< otherwise starts have no answer and no effect
+  StartRefusal refusal = StartRefusal::kNone;    ///< answer to starts
+  std::map<std::string, std::int64_t> measured;  ///< as in `ActiveRun`, by task; 0 if absent
 };
 
 /// A scheduler with workers that exist in the test only. Batches are stored at once; their records outlive the
