Count only runs known to be at work as progress of a job

Seen by callers: a job with nothing at work waits beside free workers, for as long as one of its tasks counts as placed: at a worker that gives no lists, with a start that has no answer, at pace 0, or with a run that a new owner has not heard of.

Cause: both limits of patience (slow workers for filling tasks, workers in quarantine) were lifted only for a job without a placed task.

A job now keeps when a run of it was last known to be at work: a start that was answered, an end, or a list as new as the reading of its worker's clock, in which a filling task uses processor time. Both limits ask the same function. Lists count for 2 s, because they are up to 1.9 s apart; a start that has no answer counts for 0.3 s, so that one task at a time is placed on a slow worker. What may be started where a run may exist is not touched.

Tests on the code without the fix: only a run at work makes the other filling tasks of its job wait: "" == "w2" in the rows "at a silent worker", "at a silent worker, with a successor of the owner", "its start has no answer" and "at a standstill" only a run at work keeps the other tasks of its job from workers in quarantine: "" == "w2" in the rows "at a silent worker" and "its start has no answer"

--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -79,8 +79,8 @@
     // The expected speed is only an estimate, so it delays the first run of a job but never prevents it.
     Resources spare = demand;
     for (int i = 1; i < m_options.slow_worker_room; ++i) spare += demand;
-    const bool takes_any_speed = now >= AnySpeedFrom(step) && spare.FitsIn(free);
-    return takes_any_speed ? PlacementObstacle::kNone : PlacementObstacle::kTooSlow;
+    const bool takes_worker = spare.FitsIn(free) && TakesAnySpeed(step, now);
+    return takes_worker ? PlacementObstacle::kNone : PlacementObstacle::kTooSlow;
   }
   if (!definition.long_running) return PlacementObstacle::kNone;
   const MonotonicTime waiting_since = step.runtimes[static_cast<std::size_t>(index)].waiting_since;
@@ -91,10 +91,13 @@
 
 MonotonicTime PlacementPolicy::AnySpeedFrom(const WorkflowStep& step) const {
   if (!step.definition->fills_idle_cpu) return InfiniteFuture();
-  // Further runs of the job may wait for a better worker, because the job makes progress. A task that lasts must run
-  // whatever the others do.
-  if (step.job->placed > 0 && !step.definition->long_running) return InfiniteFuture();
-  return step.runtimes[step.LongestWaitingTask()].waiting_since + m_options.slow_worker_patience;
+  return step.PatienceEnds(m_options.slow_worker_patience);
+}
+
+bool PlacementPolicy::TakesAnySpeed(const WorkflowStep& step, MonotonicTime now) const {
+  // Spares the search for the task that waits longest while the job makes progress.
+  if (!step.definition->long_running && now < step.job->IdleFor(m_options.slow_worker_patience)) return false;
+  return now >= AnySpeedFrom(step);
 }
 
 double PlacementPolicy::FillingSpeed(const StepDefinition& definition, const PoolWorker& worker) const {
--- a/src/workflow/placement_policy.h
+++ b/src/workflow/placement_policy.h
@@ -71,7 +71,8 @@
   PlacementObstacle RoomObstacle(const WorkflowStep& step, int index, const PoolWorker& worker,
                                  MonotonicTime now) const;
 
-  /// When the step's tasks may take a worker that is slower than it should be; `InfiniteFuture()` if never.
+  /// When the step's tasks may take a worker that is slower than it should be, by what is known now; `InfiniteFuture()`
+  /// if never.
   MonotonicTime AnySpeedFrom(const WorkflowStep& step) const;
 
   /// Expected speed of one more filling task, 0 to 1: what idle processors and the targets of serving tasks allow.
@@ -81,6 +82,7 @@
   double IdleCpu(const PoolWorker& worker) const;
 
  private:
+  bool TakesAnySpeed(const WorkflowStep& step, MonotonicTime now) const;
   double Score(const WorkflowStep& step, int index, const PoolWorker& worker, MonotonicTime now) const;
 
   const InterferenceModel& m_interference;
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -162,6 +162,9 @@
   void ApplyEnd(const WorkerLife& life, const RunEnd& end, MonotonicTime now);
   /// A worker has shown that the present run of the task is, or was, carried out.
   void NoteBegun(PoolWorker* worker, TaskRef task);
+  static void NoteAtWork(WorkflowJob& job, MonotonicTime at);
+  /// The newest list of the worker has the present run of the task.
+  void NoteListed(PoolWorker& worker, TaskRef task, const ActiveRun& run);
   void FinishRun(TaskRef task, RunEndKind kind, const std::string& checkpoint, MonotonicTime now);
   void LoseRun(TaskRef task, RunLoss reason, MonotonicTime now);
   /// A run of the job has failed on the worker.
@@ -195,6 +198,8 @@
   void LapseFormerWorkers(MonotonicTime now);
   void CreateDueOccurrences(MonotonicTime now, std::int64_t unix_now_ms);
   void PlaceWaiting(MonotonicTime now);
+  /// Sees to it that the step is looked at again when more workers are open to it by time alone.
+  void ScheduleRetry(const WorkflowStep& step, const QuarantineFilter& filter, MonotonicTime now);
   /// A step of which no task found a worker.
   struct FailedSearch {
     const WorkflowStep* step = nullptr;
@@ -210,8 +215,7 @@
   static bool MayTry(const WorkflowStep& step, int index);
   /// The widest access of those tasks of the step that wait.
   QuarantineAccess WidestAccessOf(const WorkflowStep& step, const QuarantineFilter& filter, MonotonicTime now) const;
-  /// When the quarantine no longer keeps the task from any worker; `InfiniteFuture()` while the task waits for others
-  /// of its job.
+  /// When the quarantine no longer keeps the task from any worker, by what is known now.
   MonotonicTime QuarantineEndsFor(const WorkflowStep& step, int index) const;
   void LogLongWaits(MonotonicTime now);
   void Place(WorkflowStep& step, int index, PoolWorker& worker, int run, MonotonicTime now);
--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -45,28 +45,34 @@
   SortByUrgency(waiting, now);
   std::vector<FailedSearch> failed;
   for (WorkflowStep* step : waiting) {
-    const MonotonicTime any_speed_from = m_policy.AnySpeedFrom(*step);
-    if (any_speed_from > now) m_next_retry = std::min(m_next_retry, any_speed_from);
-    if (filter.HasQuarantined()) {
-      const MonotonicTime ends = QuarantineEndsFor(*step, static_cast<int>(step->LongestWaitingTask()));
-      m_next_retry = std::min(m_next_retry, ends > now ? ends : filter.NextEarlyTrial());
-    }
     const QuarantineAccess access = WidestAccessOf(*step, filter, now);
-    const bool is_hopeless = any_speed_from > now && std::any_of(failed.begin(), failed.end(), [&](const auto& other) {
-                               return other.access >= access && FailsLike(*step, *other.step);
-                             });
-    if (is_hopeless) continue;
-    if (step->definition->gang) {
-      if (!PlaceGang(*step, QuarantineAccess::kNone, filter, now)) PlaceGang(*step, access, filter, now);
-      continue;
+    const bool is_hopeless =
+        m_policy.AnySpeedFrom(*step) > now && std::any_of(failed.begin(), failed.end(), [&](const auto& other) {
+          return other.access >= access && FailsLike(*step, *other.step);
+        });
+    if (!is_hopeless) {
+      if (step->definition->gang) {
+        if (!PlaceGang(*step, QuarantineAccess::kNone, filter, now)) PlaceGang(*step, access, filter, now);
+      } else {
+        PlaceTasks(*step, filter, failed, now);
+        UpdateWaiting(*step);
+      }
     }
-    PlaceTasks(*step, filter, failed, now);
-    UpdateWaiting(*step);
+    // After the placements, because each of them lets the others of its job wait for a while.
+    if (m_waiting.contains(step)) ScheduleRetry(*step, filter, now);
   }
   m_next_retry = std::min(m_next_retry, filter.NextTrial());
   m_placement_due = false;
 }
 
+void Scheduler::ScheduleRetry(const WorkflowStep& step, const QuarantineFilter& filter, MonotonicTime now) {
+  const MonotonicTime any_speed_from = m_policy.AnySpeedFrom(step);
+  if (any_speed_from > now) m_next_retry = std::min(m_next_retry, any_speed_from);
+  if (!filter.HasQuarantined()) return;
+  const MonotonicTime ends = QuarantineEndsFor(step, static_cast<int>(step.LongestWaitingTask()));
+  m_next_retry = std::min(m_next_retry, ends > now ? ends : filter.NextEarlyTrial());
+}
+
 void Scheduler::PlaceTasks(WorkflowStep& step, QuarantineFilter& filter, std::vector<FailedSearch>& failed,
                            MonotonicTime now) {
   std::vector<std::size_t> order;
@@ -110,22 +116,23 @@
 }
 
 MonotonicTime Scheduler::QuarantineEndsFor(const WorkflowStep& step, int index) const {
-  MonotonicTime since = step.runtimes[static_cast<std::size_t>(index)].waiting_since;
-  if (!step.definition->long_running) {
-    // Further tasks wait for the runs of the job: their success lets workers back in.
-    if (step.job->placed > 0) return InfiniteFuture();
-    since = std::max(step.runtimes[step.LongestWaitingTask()].waiting_since, step.job->nothing_placed_since);
-  }
   const bool has_failed =
       std::any_of(step.tasks.begin(), step.tasks.end(), [](const TaskProgress& task) { return task.failures > 0; });
-  return since + (has_failed ? m_options.longest_quarantine_patience : m_options.quarantine_patience);
+  const absl::Duration patience = has_failed ? m_options.longest_quarantine_patience : m_options.quarantine_patience;
+  if (step.definition->long_running) {
+    return step.runtimes[static_cast<std::size_t>(index)].waiting_since + patience;
+  }
+  // Further tasks wait for the runs of the job: their success lets workers back in.
+  return step.PatienceEnds(patience);
 }
 
 QuarantineAccess Scheduler::AccessOf(const WorkflowStep& step, int index, const QuarantineFilter& filter,
                                      MonotonicTime now) const {
   if (!filter.HasQuarantined()) return QuarantineAccess::kNone;
   const std::string& service = step.job->definition.queue.service;
-  if (now >= QuarantineEndsFor(step, index)) {
+  // Spares the look at all tasks of the step while the job makes progress.
+  const bool may_end = step.definition->long_running || now >= step.job->IdleFor(m_options.quarantine_patience);
+  if (may_end && now >= QuarantineEndsFor(step, index)) {
     // In a full service the workers that are out get one task at a time, or they would fail most of those that wait.
     const bool is_bound = !step.definition->long_running && !filter.IsMostlyFree(service) &&
                           filter.ExtentIn(service) == QuarantineExtent::kFew;
@@ -142,10 +149,12 @@
 
 QuarantineAccess Scheduler::WidestAccessOf(const WorkflowStep& step, const QuarantineFilter& filter,
                                            MonotonicTime now) const {
+  if (!filter.HasQuarantined()) return QuarantineAccess::kNone;
+  // Access grows with the wait of tasks that last; that of the others differs by their failures alone.
   std::size_t widest = step.LongestWaitingTask();
   for (std::size_t i = 0; i < step.tasks.size() && !step.definition->long_running; ++i) {
-    const TaskProgress& task = step.tasks[i];
-    if (task.state == TaskState::kWaiting && task.failures < step.tasks[widest].failures) widest = i;
+    const bool has_failed_less = step.tasks[i].failures < step.tasks[widest].failures;
+    if (step.tasks[i].state == TaskState::kWaiting && has_failed_less) widest = i;
   }
   return AccessOf(step, static_cast<int>(widest), filter, now);
 }
@@ -246,6 +255,7 @@
   m_quarantine.RecordPlaced(WorkerId(worker.life.worker), now);
   const WorkflowJob& job = *step.job;
   ++step.job->placed;
+  step.job->last_placed = now;
   ++m_counts.placements;
   LogEvent(LogLevel::kInfo, "run_placed",
            {{"task", step.TaskNameOf(index)},
--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -21,6 +21,7 @@
         runtime.started_at = now;
         runtime.started_clock_ms = answer.clock_ms;
         NoteBegun(m_workers.FindLife(life), *ref);
+        NoteAtWork(*ref->step->job, now);
       }
       return;
     case StartRefusal::kEnded:
@@ -53,6 +54,15 @@
   m_changed_jobs.push_back(&job);
 }
 
+void Scheduler::NoteAtWork(WorkflowJob& job, MonotonicTime at) { job.last_at_work = std::max(job.last_at_work, at); }
+
+void Scheduler::NoteListed(PoolWorker& worker, TaskRef task, const ActiveRun& run) {
+  NoteBegun(&worker, task);
+  const bool stands_still = task.step->definition->fills_idle_cpu && run.measured == 0;
+  // An agent repeats the list of a worker that does not answer it.
+  if (!stands_still) NoteAtWork(*task.step->job, worker.clock_read_at);
+}
+
 void Scheduler::OnStopAnswer(const std::string& task, int run, const WorkerLife& life, bool end_listed,
                              MonotonicTime now) {
   const std::optional<TaskRef> ref = FindRun(task, run, life);
@@ -88,6 +98,7 @@
             {"ms", absl::ToInt64Milliseconds(now - step.runtimes[static_cast<std::size_t>(task.index)].started_at)},
             {"estimate_ms", step.definition->estimate_ms}});
   Release(task, checkpoint, now);
+  if (kind == RunEndKind::kDone || kind == RunEndKind::kFailed) NoteAtWork(job, now);
   if (kind == RunEndKind::kDone) {
     ++m_counts.ends_done;
     RecordWorkerSuccess(worker, ReadmissionReason::kRunDone, now);
@@ -208,10 +219,14 @@
   progress.agent.clear();
   runtime.stage = RunStage::kNone;
   // A start without effect ends no wait.
-  if (std::exchange(runtime.has_begun, false)) runtime.waiting_since = now;
+  if (std::exchange(runtime.has_begun, false)) {
+    runtime.waiting_since = now;
+  } else {
+    step.job->last_placed = InfinitePast();
+  }
   runtime.checkpoint.clear();
   runtime.percent = 0;
-  if (--step.job->placed == 0) step.job->nothing_placed_since = now;
+  --step.job->placed;
   m_placement_due = true;
 }
 
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -192,7 +192,7 @@
     }
     if (listed != report.runs.end()) {
       expected.insert(name);
-      NoteBegun(&worker, task);
+      NoteListed(worker, task, *listed);
       if (runtime.stage == RunStage::kUnknown || runtime.stage == RunStage::kCarriedOver) {
         runtime.stage = RunStage::kRunning;
         runtime.started_at = now;
@@ -248,7 +248,7 @@
     }
     const ActiveRun& run = *found->second;
     listed.erase(found);
-    NoteBegun(&worker, task);
+    NoteListed(worker, task, run);
     // A task that lasts never ends as done, so being at work is its success.
     const bool is_newly_at_work = run.percent == 100 && runtime.percent != 100 && task.step->definition->long_running;
     if (is_newly_at_work) RecordWorkerSuccess(worker.life.worker, ReadmissionReason::kRunAtWork, now);
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <absl/time/time.h>
+
+#include <algorithm>
 #include <cstddef>
 #include <map>
 #include <memory>
@@ -43,6 +46,13 @@
 
 struct WorkflowJob;
 
+/// A run that was listed as being at work counts as such for this long: the lists of a worker that reports are at most
+/// 1.9 s apart (0.9 s between two calls, each held for up to 1 s).
+inline constexpr absl::Duration kListValidity = absl::Seconds(2);
+
+/// A start without an answer for this long no longer promises a run. An answer usually takes under 20 ms.
+inline constexpr absl::Duration kStartValidity = absl::Milliseconds(300);
+
 /// The tasks of one step in one occurrence.
 struct WorkflowStep {
   WorkflowJob* job = nullptr;
@@ -73,6 +83,10 @@
     }
     return longest;
   }
+  /// When a task of the step has waited for `patience` and its job has had nothing at work for as long, by what is
+  /// known now. Further runs of a job may wait while it makes progress; a task that lasts must run whatever the others
+  /// do.
+  MonotonicTime PatienceEnds(absl::Duration patience) const;
 };
 
 /// A job that the owner schedules.
@@ -82,12 +96,25 @@
   bool phase_changed = false;  ///< its summary must be written
   MonotonicTime accepted_at;
   std::int64_t next_occurrence = 0;
-  int placed = 0;  ///< tasks of which a run may exist
-  MonotonicTime nothing_placed_since;
+  int placed = 0;                               ///< tasks of which a run may exist
+  MonotonicTime last_at_work = InfinitePast();  ///< when a run of it was last known to be at work
+  MonotonicTime last_placed = InfinitePast();   ///< when a task was placed that has not been given up before its begin
   std::map<std::int64_t, std::vector<std::unique_ptr<WorkflowStep>>> occurrences;
 
+  /// When the job has had nothing at work for `patience`, by what is known now. A run that is only recorded does not
+  /// count: its worker may be silent, its start lost or its pace 0.
+  MonotonicTime IdleFor(absl::Duration patience) const {
+    const MonotonicTime listed = last_at_work + (placed > 0 ? std::max(patience, kListValidity) : patience);
+    return std::max(listed, last_placed + kStartValidity);
+  }
+
   /// A job that is done, failed or cancelled gets no further runs.
   bool TakesRuns() const { return !IsFinal(phase); }
 };
 
+inline MonotonicTime WorkflowStep::PatienceEnds(absl::Duration patience) const {
+  const MonotonicTime waited = runtimes[LongestWaitingTask()].waiting_since + patience;
+  return definition->long_running ? waited : std::max(waited, job->IdleFor(patience));
+}
+
 }  // namespace berylgauge::workflow
--- a/tests/unit/workflow/bounded_wait_test.cc
+++ b/tests/unit/workflow/bounded_wait_test.cc
@@ -60,5 +60,68 @@
   CHECK(world.StartsOf("a0.0.0.0") == 2);
 }
 
+struct OtherRunRow {
+  const char* name;
+  bool is_silent;       ///< the worker of the other run stops reporting
+  bool answers_starts;  ///< of that worker
+  int measured;         ///< thousandths of a core that the other run uses
+  bool is_replaced;     ///< the owner, after that
+  bool is_placed;       ///< the task that waits, on a worker that it should not take
+};
+
+// Guards against a job that has nothing at work and waits beside free workers, because a run of it is recorded.
+TEST_CASE("only a run at work makes the other filling tasks of its job wait", "[wait]") {
+  const OtherRunRow row =
+      GENERATE(OtherRunRow{"at work", false, true, 4000, false, false},
+               OtherRunRow{"at work, with a successor of the owner", false, true, 4000, true, false},
+               OtherRunRow{"at a silent worker", true, true, 4000, false, true},
+               OtherRunRow{"at a silent worker, with a successor of the owner", true, true, 4000, true, true},
+               OtherRunRow{"its start has no answer", false, false, 0, false, true},
+               OtherRunRow{"at a standstill", false, true, 0, false, true});
+  INFO(row.name);
+  SchedulerWorld world;
+  world.AddWorker("w2");
+  world.Submit(SingleStepJob("b0", FillingStep(4)));  // as many as the idle processors carry
+  PlayedWorker& worker = world.AddWorker("w1");
+  worker.capacity.memory_mb = 1000;
+  worker.answers_starts = row.answers_starts;
+  worker.measured["a0.0.0.0"] = row.measured;
+  world.Submit(SingleStepJob("a0", FillingStep(2)));
+  REQUIRE(world.StartsOf("a0.0.0.0") == (row.answers_starts ? 1 : 0));
+  REQUIRE(world.PlaceOf("a0.0.0.1").empty());
+  if (row.is_replaced) world.Replace();
+  Pass(world, kPromisedWait, row.is_silent ? "w1" : "");
+  CHECK(world.PlaceOf("a0.0.0.1") == (row.is_placed ? "w2" : ""));
+  CHECK(world.violations().empty());
+}
+
+// Guards against the same where the only free worker is in quarantine.
+TEST_CASE("only a run at work keeps the other tasks of its job from workers in quarantine", "[wait]") {
+  const OtherRunRow row = GENERATE(OtherRunRow{"at work", false, true, 0, false, false},
+                                   OtherRunRow{"at a silent worker", true, true, 0, false, true},
+                                   OtherRunRow{"its start has no answer", false, false, 0, false, true});
+  INFO(row.name);
+  SchedulerWorld world;
+  world.AddWorker("w2");
+  for (const char* id : {"j0", "j1", "j2"}) {
+    JobDefinition job = SingleStepJob(id, ShortStep(1));
+    job.queue.max_attempts = 1;
+    world.Submit(job);
+    world.End(std::string(id) + ".0.0.0", RunEndKind::kFailed);
+    world.Settle();
+  }
+  REQUIRE(world.scheduler().QuarantinedWorkers() == 1);
+  PlayedWorker& worker = world.AddWorker("w1");
+  worker.capacity.cpu_millis = 240;
+  worker.answers_starts = row.answers_starts;
+  JobDefinition job = SingleStepJob("a0", ShortStep(2));
+  job.queue.max_attempts = 1;  // or a task would be the trial of the other worker
+  world.Submit(job);
+  REQUIRE(world.StartsOf("a0.0.0.0") == (row.answers_starts ? 1 : 0));
+  REQUIRE(world.PlaceOf("a0.0.0.1").empty());
+  Pass(world, kPromisedWait, row.is_silent ? "w1" : "");
+  CHECK(world.PlaceOf("a0.0.0.1") == (row.is_placed ? "w2" : ""));
+}
+
 }  // namespace
 }  // namespace berylgauge::workflow
