Take occurrences over that waited while a later one was placed

Seen by callers: an occurrence of a scheduled job never runs, and the job ends as done without it.

Cause: a new owner knew an occurrence by its step records alone, and went on after the last one that had any. A step that was never placed has no record. An occurrence that can no longer be in time waits behind a later one that can, so it is forgotten if the owner is replaced then.

A new owner creates every occurrence up to the last recorded one. None of those without a record was ever started, because starts are sent after their record is stored.

Test on the code without the fix: an occurrence that waits outlives its owner although a later one has begun: "" == "w1"

--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -76,6 +76,12 @@
         job.next_occurrence = std::max(job.next_occurrence, parsed->occurrence + 1);
       }
     }
+    // Those that waited while a later one was placed have no record.
+    for (std::int64_t occurrence = 0; occurrence < job.next_occurrence; ++occurrence) {
+      if (job.occurrences.contains(occurrence)) continue;
+      const absl::Duration age = AgeOf(job.definition.DueUnixMs(occurrence), unix_now_ms);
+      AddOccurrence(job, occurrence, nullptr, now - age, now);
+    }
     if (job.TakesRuns()) m_scheduled.insert(&job);
   } else {
     job.next_occurrence = 1;
--- a/tests/unit/workflow/bounded_wait_test.cc
+++ b/tests/unit/workflow/bounded_wait_test.cc
@@ -123,5 +123,30 @@
   CHECK(world.PlaceOf("a0.0.0.1") == (row.is_placed ? "w2" : ""));
 }
 
+// Guards against an occurrence that never runs: it waited while a later one was placed, so no record told of it.
+TEST_CASE("an occurrence that waits outlives its owner although a later one has begun", "[wait]") {
+  SchedulerWorld world;
+  PlayedWorker& worker = world.AddWorker("w1");
+  worker.condition = WorkerCondition::kDraining;
+  worker.capacity.cpu_millis = 240;
+  JobDefinition job = SingleStepJob("a0", ShortStep(1));
+  job.occurrences = 2;
+  job.first_due_unix_ms = world.unix_now_ms();
+  job.interval_ms = 5000;
+  world.Submit(job);
+  Pass(world, absl::Seconds(5));
+  worker.condition = WorkerCondition::kReady;
+  world.Settle();
+  REQUIRE(world.PlaceOf("a0.1.0.0") == "w1");  // the earlier one can no longer be in time
+  world.Replace();
+  world.Settle();
+  world.End("a0.1.0.0", RunEndKind::kDone);
+  world.Settle();
+  CHECK(world.PlaceOf("a0.0.0.0") == "w1");
+  world.End("a0.0.0.0", RunEndKind::kDone);
+  world.Settle();
+  CHECK(world.PhaseOf("a0") == JobPhase::kDone);
+}
+
 }  // namespace
 }  // namespace berylgauge::workflow
