Bound the occurrences that one call creates

Seen by callers: nothing is placed while the owner creates all due occurrences of a job, which may be any number.

Cause: the loop over due occurrences had no bound, and each pass of placement looks at all that wait.

A job with 10,000 waiting tasks gets a further occurrence only when the first steps of its newest one have been placed, so later steps that find no worker do not keep further occurrences from their first step.

--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -126,6 +126,7 @@
       step->runtimes[static_cast<std::size_t>(index)].waiting_since = now;
       const TaskProgress& task = step->tasks[static_cast<std::size_t>(index)];
       if (task.state == TaskState::kDone) ++step->done;
+      if (task.state == TaskState::kWaiting) ++job.waiting;
       if (task.state != TaskState::kPlaced) continue;
       ++job.placed;
       step->runtimes[static_cast<std::size_t>(index)].stage = RunStage::kUnknown;
@@ -149,9 +150,7 @@
 }
 
 void Scheduler::UpdateWaiting(WorkflowStep& step) {
-  const bool waits = step.ready && step.job->TakesRuns() &&
-                     std::any_of(step.tasks.begin(), step.tasks.end(),
-                                 [](const TaskProgress& task) { return task.state == TaskState::kWaiting; });
+  const bool waits = step.ready && step.job->TakesRuns() && step.HasWaitingTask();
   if (waits) {
     m_waiting.insert(&step);
     m_placement_due = true;
@@ -245,7 +244,8 @@
   std::vector<WorkflowJob*> complete;
   for (WorkflowJob* job : m_scheduled) {
     const JobDefinition& definition = job->definition;
-    while (job->next_occurrence < definition.occurrences && unix_now_ms >= definition.DueUnixMs(job->next_occurrence)) {
+    while (job->next_occurrence < definition.occurrences && job->TakesOccurrence() &&
+           unix_now_ms >= definition.DueUnixMs(job->next_occurrence)) {
       AddOccurrence(*job, job->next_occurrence++, nullptr, now, now);
     }
     if (job->next_occurrence >= definition.occurrences) complete.push_back(job);
--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -255,6 +255,7 @@
   m_quarantine.RecordPlaced(WorkerId(worker.life.worker), now);
   const WorkflowJob& job = *step.job;
   ++step.job->placed;
+  --step.job->waiting;
   step.job->last_placed = now;
   ++m_counts.placements;
   LogEvent(LogLevel::kInfo, "run_placed",
--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -115,6 +115,7 @@
   } else if (kind == RunEndKind::kDone && !step.definition->long_running) {
     step.tasks[static_cast<std::size_t>(task.index)].state = TaskState::kDone;
     ++step.done;
+    --job.waiting;
   } else if (kind == RunEndKind::kFailed) {
     CountFailure(task, now);
   }
@@ -136,6 +137,7 @@
       if (step.tasks[i].state == TaskState::kPlaced) Release({.step = &step, .index = static_cast<int>(i)}, {}, now);
       step.tasks[i].state = TaskState::kDone;
     }
+    step.job->waiting -= static_cast<int>(step.tasks.size());
     step.done = static_cast<int>(step.tasks.size());
     return;
   }
@@ -227,6 +229,7 @@
   runtime.checkpoint.clear();
   runtime.percent = 0;
   --step.job->placed;
+  ++step.job->waiting;
   m_placement_due = true;
 }
 
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -53,6 +53,10 @@
 /// A start without an answer for this long no longer promises a run. An answer usually takes under 20 ms.
 inline constexpr absl::Duration kStartValidity = absl::Milliseconds(300);
 
+/// A job with this many tasks that wait gets further occurrences only one by one, so that one call creates, and one
+/// pass of placement looks at, a bounded number. More than the 4,000 tasks that one step may have.
+inline constexpr int kMostWaitingTasks = 10'000;
+
 /// The tasks of one step in one occurrence.
 struct WorkflowStep {
   WorkflowJob* job = nullptr;
@@ -83,6 +87,10 @@
     }
     return longest;
   }
+  bool HasWaitingTask() const {
+    return std::any_of(tasks.begin(), tasks.end(),
+                       [](const TaskProgress& task) { return task.state == TaskState::kWaiting; });
+  }
   /// When a task of the step has waited for `patience` and its job has had nothing at work for as long, by what is
   /// known now. Further runs of a job may wait while it makes progress; a task that lasts must run whatever the others
   /// do.
@@ -96,6 +104,7 @@
   bool phase_changed = false;  ///< its summary must be written
   MonotonicTime accepted_at;
   std::int64_t next_occurrence = 0;
+  int waiting = 0;                              ///< tasks that wait for a run or for their turn
   int placed = 0;                               ///< tasks of which a run may exist
   MonotonicTime last_at_work = InfinitePast();  ///< when a run of it was last known to be at work
   MonotonicTime last_placed = InfinitePast();   ///< when a task was placed that has not been given up before its begin
@@ -108,6 +117,16 @@
     return std::max(listed, last_placed + kStartValidity);
   }
 
+  /// Whether one more occurrence may be created. Where many tasks wait, its first steps would wait if those of the
+  /// newest occurrence do.
+  bool TakesOccurrence() const {
+    if (waiting < kMostWaitingTasks) return true;
+    const std::vector<std::unique_ptr<WorkflowStep>>& newest = occurrences.rbegin()->second;
+    return std::none_of(newest.begin(), newest.end(), [](const std::unique_ptr<WorkflowStep>& step) {
+      return step->definition->after.empty() && step->HasWaitingTask();
+    });
+  }
+
   /// A job that is done, failed or cancelled gets no further runs.
   bool TakesRuns() const { return !IsFinal(phase); }
 };
--- a/tests/unit/workflow/bounded_wait_test.cc
+++ b/tests/unit/workflow/bounded_wait_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <cstddef>
 #include <string>
 
 #include "scheduler_world.h"
@@ -148,5 +149,41 @@
   CHECK(world.PhaseOf("a0") == JobPhase::kDone);
 }
 
+// Guards against an owner that stands still for as long as it creates all occurrences of a job that are due.
+TEST_CASE("a job with very many due occurrences gets them bit by bit", "[wait]") {
+  constexpr std::size_t kAtOnce = 10'000;
+  constexpr std::size_t kDue = 12'000;
+  SchedulerWorld world;
+  PlayedWorker& worker = world.AddWorker("w1");
+  worker.condition = WorkerCondition::kDraining;
+  worker.capacity = {.cpu_millis = 240 * kDue, .memory_mb = 480 * kDue};
+  JobDefinition job = SingleStepJob("a0", ShortStep(1));
+  job.occurrences = kDue;
+  job.first_due_unix_ms = world.unix_now_ms();
+  world.Submit(job);
+  CHECK(world.scheduler().WaitingTasks() == kAtOnce);
+  worker.condition = WorkerCondition::kReady;
+  world.Settle();
+  CHECK(world.RunningTasks() == kDue);
+  CHECK(world.scheduler().WaitingTasks() == 0);
+}
+
+// Guards against a bound on the former that keeps an occurrence from its first step, because later steps of others
+// wait.
+TEST_CASE("a job with very many tasks that find no worker still gets its occurrences", "[wait]") {
+  constexpr int kOccurrences = 5;
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  JobDefinition job = SingleStepJob("a0", ShortStep(1));
+  StepDefinition second = ShortStep(4000);
+  second.required_label = "none";
+  second.after = {0};
+  job.steps.push_back(second);
+  job.occurrences = kOccurrences;
+  job.first_due_unix_ms = world.unix_now_ms();
+  world.Submit(job);
+  CHECK(world.RunningTasks() == kOccurrences);
+}
+
 }  // namespace
 }  // namespace berylgauge::workflow
