Look at lasting gangs again when the reserve of short tasks is open to them

Seen by callers: a gang that lasts waits beside a worker with room until something else happens.

Cause: the timer for the reserve was set in the search for single tasks only.

The timer now stands with the other ones, for each step that waits.

Test on the code without the fix: a gang that lasts takes the reserve of short tasks without another event: 0 == 1

--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -66,6 +66,9 @@
 }
 
 void Scheduler::ScheduleRetry(const WorkflowStep& step, const QuarantineFilter& filter, MonotonicTime now) {
+  if (step.definition->long_running) {
+    m_next_retry = std::min(m_next_retry, now + m_options.placement.reserve_patience);
+  }
   const MonotonicTime any_speed_from = m_policy.AnySpeedFrom(step);
   if (any_speed_from > now) m_next_retry = std::min(m_next_retry, any_speed_from);
   if (!filter.HasQuarantined()) return;
@@ -93,9 +96,6 @@
     const int index = static_cast<int>(i);
     const QuarantineAccess access = AccessOf(step, index, filter, now);
     if (PlaceTask(step, index, access, filter, now)) continue;
-    if (step.definition->long_running) {
-      m_next_retry = std::min(m_next_retry, now + m_options.placement.reserve_patience);
-    }
     failed.push_back({.step = &step, .access = access});
     return;
   }
--- a/tests/unit/workflow/bounded_wait_test.cc
+++ b/tests/unit/workflow/bounded_wait_test.cc
@@ -185,5 +185,17 @@
   CHECK(world.RunningTasks() == kOccurrences);
 }
 
+// Guards against a gang that waits beside free workers, because nothing looks at it when its patience ends.
+TEST_CASE("a gang that lasts takes the reserve of short tasks without another event", "[wait]") {
+  SchedulerWorld world;
+  world.AddWorker("w1").capacity.cpu_millis = 3500;
+  StepDefinition step = LastingStep(1);
+  step.gang = true;
+  world.Submit(SingleStepJob("a0", step));
+  REQUIRE(world.RunningTasks() == 0);
+  Pass(world, kPromisedWait);
+  CHECK(world.RunningTasks() == 1);
+}
+
 }  // namespace
 }  // namespace berylgauge::workflow
