Place tasks when a worker reports more room or other labels

Seen by callers: a task waits beside a worker that has become fit for it until something else happens.

Cause: a report that changes the capacity or the labels of a worker led to no pass of placement.

Test on the code without the fix: a worker that has more room or another label is used at once: 0 == 1 in both rows

--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -45,6 +45,7 @@
     worker.condition = report.condition;
     m_placement_due = true;
   }
+  if (worker.capacity != report.capacity || worker.labels != report.labels) m_placement_due = true;
   worker.capacity = report.capacity;
   worker.labels = report.labels;
   worker.rack = report.rack;
--- a/tests/unit/workflow/bounded_wait_test.cc
+++ b/tests/unit/workflow/bounded_wait_test.cc
@@ -197,5 +197,27 @@
   CHECK(world.RunningTasks() == 1);
 }
 
+struct ChangeRow {
+  const char* name;
+  bool grows;
+};
+
+// Guards against a task that waits beside a worker that has become fit for it, until something else happens.
+TEST_CASE("a worker that has more room or another label is used at once", "[wait]") {
+  const ChangeRow row = GENERATE(ChangeRow{"room", true}, ChangeRow{"label", false});
+  INFO(row.name);
+  SchedulerWorld world;
+  PlayedWorker& worker = world.AddWorker("w1");
+  if (row.grows) worker.capacity.cpu_millis = 100;
+  StepDefinition step = ShortStep(1);
+  step.required_label = row.grows ? "a" : "b";
+  world.Submit(SingleStepJob("a0", step));
+  REQUIRE(world.RunningTasks() == 0);
+  worker.capacity.cpu_millis = 16000;
+  worker.labels.push_back("b");
+  world.Settle();
+  CHECK(world.RunningTasks() == 1);
+}
+
 }  // namespace
 }  // namespace berylgauge::workflow
