Start no member of a gang without the others

Seen by callers: members of a gang wait in vain for one whose start was forbidden while the placement was stored, and the gang runs again only after they have given up.

Cause: a stop of a run that is being recorded does nothing, so the start of each later member in the batch was sent; the start of each earlier one was sent together with its stop.

A start of a gang is sent only while all its members are placed, and forbidden starts of a batch are given up before any start of it is allowed.

--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -323,14 +323,11 @@
     PoolWorker* worker = m_workers.FindLife(ack.life);
     if (worker != nullptr) worker->ends_durable = std::max(worker->ends_durable, ack.number);
   }
+  LoseForbiddenStarts(batch.starts, now);
   std::vector<StartOrder> allowed;
   for (StartOrder& order : batch.starts) {
     const std::optional<TaskRef> ref = FindRun(order.task, order.run, order.life);
     if (!ref) continue;
-    if (!MaySend(order)) {
-      LoseRun(*ref, RunLoss::kStartForbidden, now);
-      continue;
-    }
     TaskRuntime& runtime = ref->step->runtimes[static_cast<std::size_t>(ref->index)];
     runtime.stage = RunStage::kStarting;
     runtime.is_start_settled = false;
@@ -342,11 +339,30 @@
   return batch;
 }
 
+void Scheduler::LoseForbiddenStarts(const std::vector<StartOrder>& starts, MonotonicTime now) {
+  bool has_lost = true;
+  while (has_lost) {  // a start that is forbidden forbids those of the other members of its gang
+    has_lost = false;
+    for (const StartOrder& order : starts) {
+      const std::optional<TaskRef> ref = FindRun(order.task, order.run, order.life);
+      if (!ref || MaySend(order)) continue;
+      LoseRun(*ref, RunLoss::kStartForbidden, now);
+      has_lost = true;
+    }
+  }
+}
+
 bool Scheduler::MaySend(const StartOrder& order) {
   const std::optional<TaskRef> ref = FindRun(order.task, order.run, order.life);
   const PoolWorker* worker = m_workers.FindLife(order.life);
   if (!ref || worker == nullptr) return false;
   if (!ref->step->job->TakesRuns()) return false;
+  // Alone it would wait for the others in vain.
+  const std::vector<TaskProgress>& tasks = ref->step->tasks;
+  const bool is_whole = !ref->step->definition->gang ||
+                        std::all_of(tasks.begin(), tasks.end(),
+                                    [](const TaskProgress& task) { return task.state == TaskState::kPlaced; });
+  if (!is_whole) return false;
   return worker->condition == WorkerCondition::kReady && !m_limits.evacuated_zones.contains(worker->zone);
 }
 
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -166,6 +166,7 @@
   /// The newest list of the worker has the present run of the task.
   void NoteListed(PoolWorker& worker, TaskRef task, const ActiveRun& run);
   void FinishRun(TaskRef task, RunEndKind kind, const std::string& checkpoint, MonotonicTime now);
+  void LoseForbiddenStarts(const std::vector<StartOrder>& starts, MonotonicTime now);
   void LoseRun(TaskRef task, RunLoss reason, MonotonicTime now);
   /// A run of the job has failed on the worker.
   void RecordWorkerFailure(const std::string& worker, const WorkflowJob& job, MonotonicTime now);
--- a/tests/unit/workflow/bounded_wait_test.cc
+++ b/tests/unit/workflow/bounded_wait_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "scheduler_world.h"
+#include "workflow/job_codec.h"
 #include "workflow/scheduler.h"
 
 namespace berylgauge::workflow {
@@ -219,5 +220,31 @@
   CHECK(world.RunningTasks() == 1);
 }
 
+// Guards against members of a gang that are started although one of them was given up before its start was sent.
+TEST_CASE("no member of a gang is started when the start of another is forbidden", "[wait]") {
+  const std::string forbidden_zone = GENERATE("north", "south");
+  INFO(forbidden_zone);
+  SchedulerWorld world;
+  for (const char* zone : {"north", "south"}) {
+    PlayedWorker& worker = world.AddWorker(zone);
+    worker.zone = zone;
+    worker.capacity.cpu_millis = 240;
+  }
+  world.Settle();
+  StepDefinition step = ShortStep(2);
+  step.gang = true;
+  JobIndex index;
+  index.ApplySubmission("a0", EncodeJob(SingleStepJob("a0", step)));
+  Scheduler& scheduler = world.scheduler();
+  scheduler.AddJob("a0", *index.Find("a0"), world.now(), world.unix_now_ms());
+  scheduler.Advance(world.now(), world.unix_now_ms());
+  const Batch* batch = scheduler.TakeBatch(world.now());
+  REQUIRE(batch != nullptr);
+  REQUIRE(batch->starts.size() == 2);
+  scheduler.SetLimits({.evacuated_zones = {forbidden_zone}});
+  CHECK(scheduler.OnBatchDurable(world.now()).starts.empty());
+  CHECK(scheduler.PlacedTasks() == 0);
+}
+
 }  // namespace
 }  // namespace berylgauge::workflow
