Choose workers last that give no lists

Seen by callers: a task that is placed on a worker that hangs waits for the worker's lease of 4.6 s beside free workers.

Cause: a worker that gives no lists stays eligible until its lease has lapsed, and as nothing else is placed there it often looks best; the penalty for starts without an answer needs such a start first.

A worker whose clock was last read more than 2 s ago (lists are up to 1.9 s apart) gets the same penalty. It is still taken if there is no other.

Test on the code without the fix: a silent worker is chosen last: "" == "w2"

--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -9,8 +9,9 @@
 /// other term, so that such a worker is the last choice.
 constexpr double kLastResortPenalty = 1e6;
 
-/// Added to the score of a worker that leaves a start without an answer: more than any difference in room and speed.
-constexpr double kLateStartPenalty = 5e5;
+/// Added to the score of a worker that gives no lists or leaves a start without an answer: more than any difference in
+/// room and speed.
+constexpr double kSilencePenalty = 5e5;
 
 constexpr double kMillisPerCore = 1000;
 /// Interference that is lost in the swing of the load.
@@ -126,7 +127,9 @@
 double PlacementPolicy::Score(const WorkflowStep& step, int index, const PoolWorker& worker, MonotonicTime now) const {
   const StepDefinition& definition = *step.definition;
   double score = 0;
-  if (worker.HasStartSince(now - m_options.late_start)) score += kLateStartPenalty;
+  // What is placed on a silent worker can run elsewhere only after the worker's lease.
+  const bool is_silent = worker.HasStartSince(now - m_options.late_start) || now - worker.clock_read_at > kListValidity;
+  if (is_silent) score += kSilencePenalty;
   if (!definition.data_rack.empty() && !HasLabel(worker, definition.data_rack)) score += kLastResortPenalty;
   const std::vector<std::string>& avoid = step.runtimes[static_cast<std::size_t>(index)].avoid;
   if (std::find(avoid.begin(), avoid.end(), worker.life.worker) != avoid.end()) score += 2 * kLastResortPenalty;
--- a/tests/unit/workflow/bounded_wait_test.cc
+++ b/tests/unit/workflow/bounded_wait_test.cc
@@ -246,5 +246,19 @@
   CHECK(scheduler.PlacedTasks() == 0);
 }
 
+// Guards against a task that waits for the lease of a worker that had been silent when the task was placed there.
+TEST_CASE("a silent worker is chosen last", "[wait]") {
+  const bool has_other = GENERATE(true, false);
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  if (has_other) world.AddWorker("w2").capacity.cpu_millis = 3000;
+  world.Settle();
+  Pass(world, absl::Milliseconds(2500), "w1");
+  world.worker("w1").answers_starts = false;
+  world.SubmitWithout("w1", SingleStepJob("a0", ShortStep(1)));  // goes where most is free
+  CHECK(world.PlaceOf("a0.0.0.0") == (has_other ? "w2" : ""));
+  CHECK(world.scheduler().PlacedTasks() == 1);
+}
+
 }  // namespace
 }  // namespace berylgauge::workflow
