Spare the search for the longest wait while a job is at work

Since progress of a job is counted by its runs at work, each pass of placement looked at all tasks of each waiting step to find the one that waits longest, also where the job is at work and the answer does not matter.

The time until which the job is at work is compared first. It may be earlier than the end of the patience, which costs at most one more pass.

--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -80,7 +80,7 @@
     // The expected speed is only an estimate, so it delays the first run of a job but never prevents it.
     Resources spare = demand;
     for (int i = 1; i < m_options.slow_worker_room; ++i) spare += demand;
-    const bool takes_worker = spare.FitsIn(free) && TakesAnySpeed(step, now);
+    const bool takes_worker = spare.FitsIn(free) && now >= AnySpeedFrom(step, now);
     return takes_worker ? PlacementObstacle::kNone : PlacementObstacle::kTooSlow;
   }
   if (!definition.long_running) return PlacementObstacle::kNone;
@@ -90,15 +90,9 @@
   return leaves_reserve ? PlacementObstacle::kNone : PlacementObstacle::kReserved;
 }
 
-MonotonicTime PlacementPolicy::AnySpeedFrom(const WorkflowStep& step) const {
+MonotonicTime PlacementPolicy::AnySpeedFrom(const WorkflowStep& step, MonotonicTime now) const {
   if (!step.definition->fills_idle_cpu) return InfiniteFuture();
-  return step.PatienceEnds(m_options.slow_worker_patience);
-}
-
-bool PlacementPolicy::TakesAnySpeed(const WorkflowStep& step, MonotonicTime now) const {
-  // Spares the search for the task that waits longest while the job makes progress.
-  if (!step.definition->long_running && now < step.job->IdleFor(m_options.slow_worker_patience)) return false;
-  return now >= AnySpeedFrom(step);
+  return step.PatienceEnds(m_options.slow_worker_patience, now);
 }
 
 double PlacementPolicy::FillingSpeed(const StepDefinition& definition, const PoolWorker& worker) const {
--- a/src/workflow/placement_policy.h
+++ b/src/workflow/placement_policy.h
@@ -71,9 +71,9 @@
   PlacementObstacle RoomObstacle(const WorkflowStep& step, int index, const PoolWorker& worker,
                                  MonotonicTime now) const;
 
-  /// When the step's tasks may take a worker that is slower than it should be, by what is known now; `InfiniteFuture()`
-  /// if never.
-  MonotonicTime AnySpeedFrom(const WorkflowStep& step) const;
+  /// When the step's tasks may take a worker that is slower than it should be, `InfiniteFuture()` if never; see
+  /// `WorkflowStep::PatienceEnds`.
+  MonotonicTime AnySpeedFrom(const WorkflowStep& step, MonotonicTime now) const;
 
   /// Expected speed of one more filling task, 0 to 1: what idle processors and the targets of serving tasks allow.
   double FillingSpeed(const StepDefinition& definition, const PoolWorker& worker) const;
@@ -82,7 +82,6 @@
   double IdleCpu(const PoolWorker& worker) const;
 
  private:
-  bool TakesAnySpeed(const WorkflowStep& step, MonotonicTime now) const;
   double Score(const WorkflowStep& step, int index, const PoolWorker& worker, MonotonicTime now) const;
 
   const InterferenceModel& m_interference;
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -216,8 +216,8 @@
   static bool MayTry(const WorkflowStep& step, int index);
   /// The widest access of those tasks of the step that wait.
   QuarantineAccess WidestAccessOf(const WorkflowStep& step, const QuarantineFilter& filter, MonotonicTime now) const;
-  /// When the quarantine no longer keeps the task from any worker, by what is known now.
-  MonotonicTime QuarantineEndsFor(const WorkflowStep& step, int index) const;
+  /// When the quarantine no longer keeps the task from any worker; see `WorkflowStep::PatienceEnds`.
+  MonotonicTime QuarantineEndsFor(const WorkflowStep& step, int index, MonotonicTime now) const;
   void LogLongWaits(MonotonicTime now);
   void Place(WorkflowStep& step, int index, PoolWorker& worker, int run, MonotonicTime now);
   void OrderStop(TaskRef task);
--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -47,7 +47,7 @@
   for (WorkflowStep* step : waiting) {
     const QuarantineAccess access = WidestAccessOf(*step, filter, now);
     const bool is_hopeless =
-        m_policy.AnySpeedFrom(*step) > now && std::any_of(failed.begin(), failed.end(), [&](const auto& other) {
+        m_policy.AnySpeedFrom(*step, now) > now && std::any_of(failed.begin(), failed.end(), [&](const auto& other) {
           return other.access >= access && FailsLike(*step, *other.step);
         });
     if (!is_hopeless) {
@@ -69,10 +69,10 @@
   if (step.definition->long_running) {
     m_next_retry = std::min(m_next_retry, now + m_options.placement.reserve_patience);
   }
-  const MonotonicTime any_speed_from = m_policy.AnySpeedFrom(step);
+  const MonotonicTime any_speed_from = m_policy.AnySpeedFrom(step, now);
   if (any_speed_from > now) m_next_retry = std::min(m_next_retry, any_speed_from);
   if (!filter.HasQuarantined()) return;
-  const MonotonicTime ends = QuarantineEndsFor(step, static_cast<int>(step.LongestWaitingTask()));
+  const MonotonicTime ends = QuarantineEndsFor(step, static_cast<int>(step.LongestWaitingTask()), now);
   m_next_retry = std::min(m_next_retry, ends > now ? ends : filter.NextEarlyTrial());
 }
 
@@ -115,7 +115,9 @@
   return true;
 }
 
-MonotonicTime Scheduler::QuarantineEndsFor(const WorkflowStep& step, int index) const {
+MonotonicTime Scheduler::QuarantineEndsFor(const WorkflowStep& step, int index, MonotonicTime now) const {
+  const MonotonicTime idle = step.job->IdleFor(m_options.quarantine_patience);
+  if (!step.definition->long_running && idle > now) return idle;  // spares the look at all tasks of the step
   const bool has_failed =
       std::any_of(step.tasks.begin(), step.tasks.end(), [](const TaskProgress& task) { return task.failures > 0; });
   const absl::Duration patience = has_failed ? m_options.longest_quarantine_patience : m_options.quarantine_patience;
@@ -123,16 +125,14 @@
     return step.runtimes[static_cast<std::size_t>(index)].waiting_since + patience;
   }
   // Further tasks wait for the runs of the job: their success lets workers back in.
-  return step.PatienceEnds(patience);
+  return step.PatienceEnds(patience, now);
 }
 
 QuarantineAccess Scheduler::AccessOf(const WorkflowStep& step, int index, const QuarantineFilter& filter,
                                      MonotonicTime now) const {
   if (!filter.HasQuarantined()) return QuarantineAccess::kNone;
   const std::string& service = step.job->definition.queue.service;
-  // Spares the look at all tasks of the step while the job makes progress.
-  const bool may_end = step.definition->long_running || now >= step.job->IdleFor(m_options.quarantine_patience);
-  if (may_end && now >= QuarantineEndsFor(step, index)) {
+  if (now >= QuarantineEndsFor(step, index, now)) {
     // In a full service the workers that are out get one task at a time, or they would fail most of those that wait.
     const bool is_bound = !step.definition->long_running && !filter.IsMostlyFree(service) &&
                           filter.ExtentIn(service) == QuarantineExtent::kFew;
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -92,9 +92,9 @@
                        [](const TaskProgress& task) { return task.state == TaskState::kWaiting; });
   }
   /// When a task of the step has waited for `patience` and its job has had nothing at work for as long, by what is
-  /// known now. Further runs of a job may wait while it makes progress; a task that lasts must run whatever the others
-  /// do.
-  MonotonicTime PatienceEnds(absl::Duration patience) const;
+  /// known now; a time that is still to come may be too early. Further runs of a job may wait while it makes progress;
+  /// a task that lasts must run whatever the others do.
+  MonotonicTime PatienceEnds(absl::Duration patience, MonotonicTime now) const;
 };
 
 /// A job that the owner schedules.
@@ -131,9 +131,10 @@
   bool TakesRuns() const { return !IsFinal(phase); }
 };
 
-inline MonotonicTime WorkflowStep::PatienceEnds(absl::Duration patience) const {
-  const MonotonicTime waited = runtimes[LongestWaitingTask()].waiting_since + patience;
-  return definition->long_running ? waited : std::max(waited, job->IdleFor(patience));
+inline MonotonicTime WorkflowStep::PatienceEnds(absl::Duration patience, MonotonicTime now) const {
+  const MonotonicTime idle = definition->long_running ? InfinitePast() : job->IdleFor(patience);
+  if (idle > now) return idle;  // spares the search for the task that waits longest
+  return std::max(idle, runtimes[LongestWaitingTask()].waiting_since + patience);
 }
 
 }  // namespace berylgauge::workflow
