Let the stand-in worker fail its runs, and run tasks that last

Its new fault `fail_runs_after_ms` ends runs as failed after that time, also those begun before. A task with the spec `lasts` runs until it is stopped, and is listed with 100 percent once it is at work; while runs fail none is, because being at work counts as a success of the worker.

--- a/tests/standins/leased_worker_service.cc
+++ b/tests/standins/leased_worker_service.cc
@@ -16,6 +16,9 @@
 constexpr auto kHeartbeatInterval = std::chrono::milliseconds(200);
 /// Less than the time for which a control call is waited for.
 constexpr std::int64_t kMaxDownMs = 10'000;
+constexpr std::int64_t kMaxFailAfterMs = 600'000;  // as `delay_ms` of all stand-ins
+/// Specification of a task that lasts.
+constexpr const char* kLastingSpec = "lasts";
 
 std::optional<WorkerCall> CallAt(const std::string& path) {
   if (path == "/v1/run-start") return WorkerCall::kStart;
@@ -92,11 +95,14 @@
   m_next_faults = {.draining = reader.Boolean("draining", m_faults.draining),
                    .quiet = reader.Boolean("quiet", m_faults.quiet),
                    .keep = ReadCalls(reader, "keep", m_faults.keep),
-                   .mute = ReadCalls(reader, "mute", m_faults.mute)};
+                   .mute = ReadCalls(reader, "mute", m_faults.mute),
+                   .fail_runs_after_ms = reader.Integer(
+                       "fail_runs_after_ms", {.default_value = m_faults.fail_runs_after_ms, .max = kMaxFailAfterMs})};
 }
 
 void LeasedWorkerService::ApplyFaults() {
   const std::lock_guard lock(m_mutex);
+  if (m_is_up) Update();  // what has ended by now ended under the former faults
   m_faults = m_next_faults;
   m_changed.notify_all();
 }
@@ -106,7 +112,8 @@
   return {{"draining", m_faults.draining},
           {"quiet", m_faults.quiet},
           {"keep", NamesOf(m_faults.keep)},
-          {"mute", NamesOf(m_faults.mute)}};
+          {"mute", NamesOf(m_faults.mute)},
+          {"fail_runs_after_ms", m_faults.fail_runs_after_ms}};
 }
 
 StandinResponse LeasedWorkerService::HandleControl(const StandinRequest& request) {
@@ -167,13 +174,30 @@
   m_changed.notify_all();
 }
 
+std::optional<std::string> LeasedWorkerService::EndOf(const Run& run) const {
+  const std::int64_t age = ClockMs() - run.begun_ms;
+  if (m_faults.fail_runs_after_ms > 0) {
+    if (age >= m_faults.fail_runs_after_ms) return "failed";
+    return std::nullopt;
+  }
+  if (!run.lasts && age >= m_options.work_ms) return "done";
+  return std::nullopt;
+}
+
+std::int64_t LeasedWorkerService::PercentOf(const Run& run) const {
+  // A run that is going to fail never has all of its work done.
+  const std::int64_t limit = m_faults.fail_runs_after_ms > 0 ? 99 : 100;
+  return std::min(limit, 100 * (ClockMs() - run.begun_ms) / m_options.work_ms);
+}
+
 void LeasedWorkerService::Update() {
   const bool lapsed = ClockMs() > m_life.lease_end_ms;
-  std::vector<std::string> over;
+  std::vector<std::pair<std::string, std::string>> over;
   for (const auto& [task, run] : m_life.runs) {
-    if (lapsed || ClockMs() - run.begun_ms >= m_options.work_ms) over.push_back(task);
+    const std::optional<std::string> how = lapsed ? "lapsed" : EndOf(run);
+    if (how) over.emplace_back(task, *how);
   }
-  for (const std::string& task : over) Finish(task, lapsed ? "lapsed" : "done");
+  for (const auto& [task, how] : over) Finish(task, how);
   if (!lapsed) return;
   for (End& end : m_life.ends) end.lapsed = true;
 }
@@ -277,7 +301,8 @@
   const auto present = m_life.runs.find(task);
   if (present != m_life.runs.end() && present->second.number == run) return Accepted();
   if (m_life.ended_runs.contains(task) && run <= m_life.ended_runs[task]) return Refusal(409, "old");
-  m_life.runs[task] = {.number = run, .begun_ms = ClockMs()};
+  const bool lasts = body.value("spec", "") == kLastingSpec;
+  m_life.runs[task] = {.number = run, .begun_ms = ClockMs(), .lasts = lasts};
   m_record.Add("run-start", {{"task", task}, {"run", run}});
   return Accepted();
 }
@@ -306,8 +331,7 @@
 StandinResponse LeasedWorkerService::Lists() const {
   json running = json::array();
   for (const auto& [task, run] : m_life.runs) {
-    const std::int64_t percent = std::min<std::int64_t>(100, 100 * (ClockMs() - run.begun_ms) / m_options.work_ms);
-    running.push_back(json::array({task, run.number, "", percent, 0}));
+    running.push_back(json::array({task, run.number, "", PercentOf(run), 0}));
   }
   json ended = json::array();
   for (const End& end : m_life.ends) ended.push_back(json::array({end.number, end.task, end.run, end.how, ""}));
--- a/tests/standins/leased_worker_service.h
+++ b/tests/standins/leased_worker_service.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -21,7 +22,7 @@
   std::string service = "dispatch";
   std::string zone = "zone-0";
   std::string agent;                ///< "IP:PORT" that takes the heartbeats
-  std::int64_t work_ms = 300;       ///< run time of each task
+  std::int64_t work_ms = 300;       ///< run time of each task; one that lasts is at work after it
   std::int64_t hold_max_ms = 6000;  ///< longest lease
   std::int64_t clock_ms = 0;        ///< clock at the start of the first life
 };
@@ -38,9 +39,10 @@
 
 struct LeasedWorkerFaults {
   bool draining = false;
-  bool quiet = false;         ///< no heartbeats
-  std::set<WorkerCall> keep;  ///< kept without effect and answer until they are played
-  std::set<WorkerCall> mute;  ///< carried out, without answer
+  bool quiet = false;                   ///< no heartbeats
+  std::set<WorkerCall> keep;            ///< kept without effect and answer until they are played
+  std::set<WorkerCall> mute;            ///< carried out, without answer
+  std::int64_t fail_runs_after_ms = 0;  ///< run time after which each run fails; 0: none fails
 };
 
 /// A worker of the platform: runs under one lease, with run numbers, fence tokens and a list of ends.
@@ -62,6 +64,7 @@
   struct Run {
     int number = 0;
     std::int64_t begun_ms = 0;
+    bool lasts = false;  ///< runs until it is stopped
   };
   struct End {
     std::int64_t number = 0;
@@ -91,6 +94,9 @@
   std::int64_t ClockMs() const;
   void Update();
   void Finish(const std::string& task, const std::string& how);
+  /// How a run ends now; nothing if it goes on.
+  std::optional<std::string> EndOf(const Run& run) const;
+  std::int64_t PercentOf(const Run& run) const;
 
   void Die();
   void BeginLife(std::int64_t clock_ms);
