Test the quarantine of failing workers with entries, agents and workers

Four workers with two entries now fail for 28 s, all of them or three of them with the fourth full, while a job arrives every 0.4 s. By the workers' records no job that is not done is without a run for more than 3 s, neither meanwhile nor from the recovery on, and a job submitted then is done within 4.3 s. A further test lets one of the four fail for 20 s: from a second after it is taken out it gets two trials at most, and all jobs accepted since then are done with two attempts each.

--- a/tests/process/platform_cluster.cc
+++ b/tests/process/platform_cluster.cc
@@ -20,8 +20,17 @@
 constexpr const char* kHeartbeatPort = "8166";
 constexpr int kWorkerPort = 8165;
 
-const char* const kConfig = R"({"version":1,"routes":[{"name":"checks","host":"h.example","path_prefix":"/q/",
-  "service":"dispatch","priority":0,"attempts":2,"stretch":1.5,"target_latency_ms":250}],"services":[],"limits":{}})";
+/// The operators' configuration, with one queue.
+std::string ConfigOf(const PlatformClusterOptions& options) {
+  const nlohmann::json route = {{"name", "checks"},      {"host", "h.example"},     {"path_prefix", "/q/"},
+                                {"service", "dispatch"}, {"priority", 0},           {"attempts", options.attempts},
+                                {"stretch", 1.5},        {"target_latency_ms", 250}};
+  const nlohmann::json config = {{"version", 1},
+                                 {"routes", nlohmann::json::array({route})},
+                                 {"services", nlohmann::json::array()},
+                                 {"limits", nlohmann::json::object()}};
+  return config.dump();
+}
 
 }  // namespace
 
@@ -30,7 +39,7 @@
       m_folder(std::filesystem::temp_directory_path() / ("berylgauge-platform-" + std::to_string(getpid()))) {
   std::filesystem::create_directories(m_folder);
   m_store = std::make_unique<Standin>("standin_keyed_log", std::vector<std::string>{"--address=" + AddressOf(0, 1)});
-  m_store->Control("put", {{"topic", "keyed.op"}, {"key", "config"}, {"value", kConfig}});
+  m_store->Control("put", {{"topic", "keyed.op"}, {"key", "config"}, {"value", ConfigOf(m_options)}});
   m_entries.resize(static_cast<std::size_t>(entries));
   m_agents.resize(static_cast<std::size_t>(workers));
   for (int i = 0; i < entries; ++i) StartEntry(i);
@@ -135,12 +144,14 @@
   return true;
 }
 
-std::string PlatformCluster::Violation() {
+std::vector<std::vector<nlohmann::json>> PlatformCluster::Records() {
   std::vector<std::vector<nlohmann::json>> records;
   for (const std::unique_ptr<Standin>& worker : m_workers) records.push_back(worker->Events());
-  return FindDoubleRun(records);
+  return records;
 }
 
+std::string PlatformCluster::Violation() { return FindDoubleRun(Records()); }
+
 int PlatformCluster::DoneRuns() {
   int count = 0;
   for (const std::unique_ptr<Standin>& worker : m_workers) {
--- a/tests/process/platform_cluster.h
+++ b/tests/process/platform_cluster.h
@@ -3,6 +3,7 @@
 #include <absl/time/time.h>
 
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,7 @@
   int work_ms = 300;        ///< run time of each task
   int hold_max_ms = 6000;   ///< longest lease of a worker
   int worker_clock_ms = 0;  ///< clocks of the workers at their start
+  int attempts = 2;         ///< failed runs of a task after which its job has failed
 };
 
 /// Entries and agents as on the shared platform, with stand-ins for its store and workers, on an address range of their
@@ -37,6 +39,9 @@
   std::string StateOf(int entry, const std::string& job);
   bool WaitForState(int entry, const std::string& job, const std::string& state, absl::Duration limit);
 
+  /// Events of each worker so far.
+  std::vector<std::vector<nlohmann::json>> Records();
+
   /// Tasks that ran twice at the same time or after an end as done, from what the workers recorded; empty if none.
   ///
   /// Where workers died, an end as done counts if it was noted.
