Tell which process ended by itself in the message of a test that waits

Callers saw "waited 30s for all processes to be ready" and nothing else when a process of the installation had ended by a crash or a signal from outside; whether it had, and how, could only be guessed from refused connections.

ChildProcess keeps the exit status or signal of an end that no test asked for. Cluster puts it into the message of a wait that timed out and prints it when a test fails. Violation() counts it, so that a crash fails a test that passed before. No bound is changed.

--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -2,6 +2,7 @@
 
 #include <absl/random/random.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <absl/time/clock.h>
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -93,6 +94,9 @@
 
 Cluster::~Cluster() {
   m_watch.reset();
+  if (std::uncaught_exceptions() > 0) {
+    for (const std::string& end : OwnEnds()) std::cerr << "ended by itself: " << end << "\n";
+  }
   m_entries.clear();
   m_agents.clear();
   m_workers.clear();
@@ -153,6 +157,7 @@
                          {"internal_port", kEntryPort},
                          {"operator_token_file", m_folder + "/token"},
                          {"log_url", "http://" + Join(log, kLogPort)}}}});
+  NoteOwnEnd(name, m_entries[i].get());
   m_entries[i].reset();
   if (m_watch) m_watch->Forget(i);
   const std::string path = absl::StrCat(m_folder, "/", name);
@@ -177,6 +182,7 @@
                          {"internal_port", kAgentPort},
                          {"worker_url", "http://" + Join(worker, kWorkerPort)},
                          {"entries", std::move(entries)}}}});
+  NoteOwnEnd(name, m_agents[i].get());
   m_agents[i].reset();
   const std::string path = absl::StrCat(m_folder, "/", name);
   m_agents[i] = std::make_unique<ChildProcess>(DAEMON_PROGRAM, std::vector<std::string>{path + ".json"}, path + ".log");
@@ -185,6 +191,7 @@
 std::string Cluster::NewRecord(std::vector<RecordFile>& files, std::unique_ptr<Standin>* predecessor,
                                const std::string& name, const std::string& zone) {
   if (*predecessor != nullptr) {
+    NoteOwnEnd(name, &(*predecessor)->process());
     predecessor->reset();
     for (RecordFile& file : files) {
       if (file.availability_zone == zone && file.ended_ms == 0) file.ended_ms = NowMillis();
@@ -242,7 +249,7 @@
 bool Cluster::IsAgentReady(int i) { return IsOk(Join(Ip(kAgentHost + i), kLocalPort), "/readyz"); }
 
 void Cluster::WaitReady(absl::Duration timeout) {
-  WaitFor("all processes to be ready", timeout, [this] {
+  Await("all processes to be ready", timeout, [this] {
     for (int i = 0; i < m_options.entries; ++i) {
       if (!IsEntryReady(i)) return false;
     }
@@ -265,7 +272,7 @@
 }
 
 void Cluster::WaitTakesTasks(absl::Duration timeout) {
-  WaitFor("all workers to take tasks", timeout, [this] {
+  Await("all workers to take tasks", timeout, [this] {
     for (int i = 0; i < m_options.entries; ++i) {
       const nlohmann::json status = Status(i);
       for (const nlohmann::json& worker : status["workers"]) {
@@ -364,16 +371,17 @@
 }
 
 void Cluster::WaitSucceeded(const std::string& job, int tasks, absl::Duration timeout) {
-  WaitFor(absl::StrCat(tasks, " tasks of ", job, " to succeed"), timeout,
-          [&] { return Count(job, "end", "succeeded") >= tasks; });
+  Await(absl::StrCat(tasks, " tasks of ", job, " to succeed"), timeout,
+        [&] { return Count(job, "end", "succeeded") >= tasks; });
 }
 
 void Cluster::WaitRunning(const std::string& job, int tasks, absl::Duration timeout) {
-  WaitFor(absl::StrCat(tasks, " tasks of ", job, " to run"), timeout, [&] { return Running(job) == tasks; });
+  Await(absl::StrCat(tasks, " tasks of ", job, " to run"), timeout, [&] { return Running(job) == tasks; });
 }
 
 std::string Cluster::Violation(const OrderLoad* load) {
   std::vector<std::string> violations = CheckTasks(m_worker_records, m_closed);
+  for (const std::string& end : OwnEnds()) violations.push_back("ended by itself: " + end);
   const std::vector<std::string> versions = m_watch->Violations();
   violations.insert(violations.end(), versions.begin(), versions.end());
   if (load != nullptr) {
@@ -383,6 +391,37 @@
   return violations.empty() ? "none" : absl::StrCat(violations.front(), " (", violations.size(), " violations)");
 }
 
+void Cluster::NoteOwnEnd(const std::string& name, ChildProcess* process) {
+  if (process != nullptr && !process->OwnEnd().empty()) m_own_ends.push_back(name + ": " + process->OwnEnd());
+}
+
+std::vector<std::string> Cluster::OwnEnds() {
+  std::vector<std::string> ends = m_own_ends;
+  const auto add = [&ends](const std::string& name, ChildProcess& process) {
+    if (!process.OwnEnd().empty()) ends.push_back(name + ": " + process.OwnEnd());
+  };
+  if (m_log) add("log", m_log->process());
+  for (int i = 0; i < m_options.entries; ++i) {
+    if (m_entries[i]) add(Name("entry", i), *m_entries[i]);
+  }
+  for (int i = 0; i < m_options.zones; ++i) {
+    if (m_agents[i]) add(Name("agent", i), *m_agents[i]);
+    if (m_workers[i]) add(Name("worker", i), m_workers[i]->process());
+    if (m_endpoints[i]) add(Name("endpoint", i), m_endpoints[i]->process());
+  }
+  return ends;
+}
+
+void Cluster::Await(const std::string& what, absl::Duration timeout, const std::function<bool()>& reached) {
+  try {
+    WaitFor(what, timeout, reached);
+  } catch (const std::runtime_error& error) {
+    const std::vector<std::string> ends = OwnEnds();
+    if (ends.empty()) throw;
+    throw std::runtime_error(absl::StrCat(error.what(), "; ended by itself: ", absl::StrJoin(ends, ", ")));
+  }
+}
+
 void Cluster::WaitFor(const std::string& what, absl::Duration timeout, const std::function<bool()>& reached) {
   const absl::Time deadline = absl::Now() + timeout;
   while (!reached()) {
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -123,6 +123,9 @@
   /// The first violation of a guarantee by the records, or "none". Call it at the end of each test.
   std::string Violation(const OrderLoad* load = nullptr);
 
+  /// Processes that ended although no test stopped or killed them, for example "agent-0: signal SEGV".
+  std::vector<std::string> OwnEnds();
+
   /// Waits for a state; throws with `what` after `timeout`.
   static void WaitFor(const std::string& what, absl::Duration timeout, const std::function<bool()>& reached);
 
@@ -133,6 +136,12 @@
 
  private:
   void ReserveAddresses();
+
+  /// `WaitFor`, with the processes that ended by themselves in its message.
+  void Await(const std::string& what, absl::Duration timeout, const std::function<bool()>& reached);
+
+  /// Keeps how a process ended by itself, before another one takes its place.
+  void NoteOwnEnd(const std::string& name, ChildProcess* process);
   std::string Ip(int host) const { return m_prefix + std::to_string(host); }
   void WriteSettings(const std::string& name, nlohmann::json settings);
   std::string NewRecord(std::vector<RecordFile>& files, std::unique_ptr<Standin>* predecessor, const std::string& name,
@@ -148,6 +157,7 @@
   std::vector<RecordFile> m_worker_records;
   std::vector<RecordFile> m_endpoint_records;
   std::vector<ClosedTime> m_closed;
+  std::vector<std::string> m_own_ends;  ///< of processes that were replaced
   std::unique_ptr<Standin> m_log;
   std::vector<std::unique_ptr<TcpRelay>> m_log_relays;
   std::vector<std::unique_ptr<TcpRelay>> m_worker_relays;
--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -1,5 +1,6 @@
 #include "support/child_process.h"
 
+#include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 #include <fcntl.h>
 #include <poll.h>
@@ -10,6 +11,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstring>
 #include <sstream>
 #include <stdexcept>
 
@@ -91,7 +93,7 @@
   }
 }
 
-void ChildProcess::Pause() const {
+void ChildProcess::Pause() {
   if (m_pid <= 0) return;
   Signal(SIGSTOP);
   // The signal is delivered asynchronously; the process may still answer a request before it stops.
@@ -105,7 +107,7 @@
 }
 
 int ChildProcess::Stop(absl::Duration timeout) {
-  if (m_pid <= 0) return -1;
+  if (m_pid <= 0 || TakeOwnEnd()) return -1;
   Signal(SIGTERM);
   if (!WaitForEnd(timeout)) {
     Kill();
@@ -115,11 +117,23 @@
 }
 
 void ChildProcess::Kill() {
-  if (m_pid <= 0) return;
+  if (m_pid <= 0 || TakeOwnEnd()) return;
   Signal(SIGKILL);
   WaitForEnd(absl::Seconds(10));
 }
 
+const std::string& ChildProcess::OwnEnd() {
+  if (m_pid > 0) TakeOwnEnd();
+  return m_own_end;
+}
+
+bool ChildProcess::TakeOwnEnd() {
+  if (!WaitForEnd(absl::ZeroDuration())) return false;
+  m_own_end = WIFSIGNALED(m_status) ? absl::StrCat("signal ", sigabbrev_np(WTERMSIG(m_status)))
+                                    : absl::StrCat("exit status ", WEXITSTATUS(m_status));
+  return true;
+}
+
 bool ChildProcess::WaitForEnd(absl::Duration timeout) {
   pollfd ended{.fd = m_pid_fd, .events = POLLIN, .revents = 0};
   if (poll(&ended, 1, PollMillis(absl::Now() + timeout)) <= 0) return false;
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -31,7 +31,7 @@
   std::string Address() const { return m_address + ":" + std::to_string(m_port); }
 
   /// Stops all threads of the process and returns once they have stopped.
-  void Pause() const;
+  void Pause();
 
   /// Lets a paused process go on.
   void Resume() const;
@@ -43,9 +43,15 @@
   /// Sends SIGKILL and waits for the end.
   void Kill();
 
+  /// How the process ended by itself, "exit status 1" or "signal SEGV"; empty if it runs or was stopped or killed.
+  const std::string& OwnEnd();
+
  private:
   void Signal(int signal) const;
 
+  /// Takes in the end of a process that has ended by itself; false if it is still running.
+  bool TakeOwnEnd();
+
   /// Starts the program with standard output and, if asked for, standard error connected to `output`.
   void Spawn(const std::string& program, const std::vector<std::string>& arguments, int output, bool with_errors);
 
@@ -57,6 +63,7 @@
   pid_t m_pid = -1;
   int m_pid_fd = -1;
   int m_status = 0;
+  std::string m_own_end;
   std::string m_address;
   int m_port = 0;
 };
