Do not reap a child process in Pause

The wait in ChildProcess::Pause also took in the end of a process that had ended before, without a note of it. The object kept the pid, which the system may give to another process, and sent it SIGCONT, SIGTERM or SIGKILL later.

The wait now leaves the end to WaitForEnd (WNOWAIT), so the pid stays taken until the object drops it.

Test "a child process that had ended before it was paused keeps its pid until its end is taken in", before: child_process_test.cc:60: CHECK( kill(process.pid(), 0) == 0 ) with expansion: -1 == 0 child_process_test.cc:61: "exit status 0" == "exit status 3" It passes now.

--- a/tests/process/child_process_test.cc
+++ b/tests/process/child_process_test.cc
@@ -1,6 +1,8 @@
 #include "support/child_process.h"
 
 #include <absl/time/clock.h>
+#include <signal.h>
+#include <sys/wait.h>
 
 #include <catch2/catch.hpp>
 
@@ -49,4 +51,14 @@
   REQUIRE(process.OwnEnd().empty());
 }
 
+// Guards against signals to another process that got the pid of one that had ended before it was paused.
+TEST_CASE("a child process that had ended before it was paused keeps its pid until its end is taken in") {
+  ChildProcess process("/bin/sh", {"-c", "exit 3"}, "/dev/null");
+  siginfo_t ended{};
+  REQUIRE(waitid(P_PID, static_cast<id_t>(process.pid()), &ended, WEXITED | WNOWAIT) == 0);
+  process.Pause();
+  CHECK(kill(process.pid(), 0) == 0);
+  REQUIRE(AwaitOwnEnd(process) == "exit status 3");
+}
+
 }  // namespace berylgauge
--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -97,7 +97,9 @@
   if (m_pid <= 0) return;
   Signal(SIGSTOP);
   // The signal is delivered asynchronously; the process may still answer a request before it stops.
-  waitpid(m_pid, nullptr, WUNTRACED);
+  siginfo_t stopped{};
+  // An end is left to be waited for: a pid that was waited for may be that of another process.
+  waitid(P_PID, static_cast<id_t>(m_pid), &stopped, WSTOPPED | WEXITED | WNOWAIT);
 }
 
 void ChildProcess::Resume() const { Signal(SIGCONT); }
