Block the signals that stop the daemon before its node makes threads

Callers saw an agent that was gone after it was resumed, without a line in its log, when SIGTERM or SIGINT had reached it while it was paused: no heartbeat said that it was leaving, and open requests were cut off.

Cause: the signals were blocked after the node had been made. The 64 threads of the agent's request forwarder, which its constructor starts, did not inherit the mask. The main thread is not in sigwait while the process is paused, so one of them took the signal when the process went on, with the default action. The mask is now set first; each thread inherits it.

Test "a daemon that is told to stop while it is paused stops in order", before, for the agent (the entry passed): daemon_end_test.cc:29: "signal TERM" == "exit status 0", and no event=stopping in the log daemon_end_test.cc:29: "signal INT" == "exit status 0", the same It passes now.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -3,6 +3,7 @@
 #include <signal.h>
 
 #include <cstdlib>
+#include <functional>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -67,18 +68,20 @@
   return signals;
 }
 
-/// Runs the node until a signal ends it.
-int RunNode(berylgauge::Node& node) {
+/// Makes the node and runs it until a signal ends it.
+int RunNode(const std::function<std::unique_ptr<berylgauge::Node>()>& make_node) {
+  // Before the node is made, because its threads inherit the mask: one that does not block a signal ends the program.
   const sigset_t signals = BlockSignals();
-  const berylgauge::Result<void> started = node.Start();
+  const std::unique_ptr<berylgauge::Node> node = make_node();
+  const berylgauge::Result<void> started = node->Start();
   if (!started) {
     LogEvent(LogLevel::kError, "start_failed", {{"reason", started.error().message}});
     return kExitFailed;
   }
   int received = 0;
-  while (sigwait(&signals, &received) == 0 && received == SIGHUP) node.Reload();
+  while (sigwait(&signals, &received) == 0 && received == SIGHUP) node->Reload();
   LogEvent(LogLevel::kInfo, "stopping", {{"signal", received}});
-  const bool finished = node.Shutdown();
+  const bool finished = node->Shutdown();
   LogEvent(LogLevel::kInfo, "stopped", {{"finished", finished}});
   return finished ? kExitDone : kExitFailed;
 }
@@ -94,7 +97,7 @@
     return kExitUsage;
   }
   berylgauge::InitEventLog(settings->node_id, settings->log_level);
-  return RunNode(*MakeNode(*settings));
+  return RunNode([&] { return MakeNode(*settings); });
 }
 
 int RunOnPlatform(std::string path, bool check_only) {
@@ -111,7 +114,7 @@
   }
   if (check_only) return kExitDone;
   berylgauge::InitEventLog(settings->host, LogLevel::kInfo, berylgauge::LogTarget::kStandardOutput);
-  return RunNode(*berylgauge::platform::MakePlatformNode(*settings, path));
+  return RunNode([&] { return berylgauge::platform::MakePlatformNode(*settings, path); });
 }
 
 }  // namespace
