Log the signal and the stack of a daemon that crashes

Callers saw a daemon that was gone without a line in its log after SIGSEGV and the like.

The signals of a crash now write one line event=crashed with the signal, the address of the fault and the functions on the stack, without memory allocation or a lock of the log, before the default action ends the process. An exception that nobody catches ends in SIGABRT and has its line too. A stack that has overflowed still leaves none.

Test "a daemon that crashes logs the signal and the stack", before: daemon_end_test.cc:47: REQUIRE( line != std::string::npos ) with expansion: !=, row.name := "SEGV" It passes now.

--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -12,6 +12,7 @@
 #include <mutex>
 
 #include "base/clock.h"
+#include "base/crash_log.h"
 #include "base/enum_names.h"
 #include "base/line_writer.h"
 #include "base/log_budget.h"
@@ -119,6 +120,7 @@
 }  // namespace
 
 void InitEventLog(std::string_view program, LogLevel level, LogTarget target) {
+  InitCrashLog(program, target == LogTarget::kStandardOutput ? STDOUT_FILENO : STDERR_FILENO);
   if (target == LogTarget::kStandardOutput) {
     OutputLog() = std::make_unique<StandardOutputLog>(program, level);
     return;
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -25,7 +25,8 @@
 
 enum class LogTarget { kStandardError, kStandardOutput };
 
-/// Directs log lines to `target` at `level` and above. Call it once at the start of a program.
+/// Directs log lines to `target` at `level` and above, and the line of a crash as well. Call it once at the start of a
+/// program.
 void InitEventLog(std::string_view program, LogLevel level, LogTarget target = LogTarget::kStandardError);
 
 /// Writes one line `event=NAME key=value ...`; values with spaces, quotes or control characters are quoted.
--- a/tests/process/daemon_end_test.cc
+++ b/tests/process/daemon_end_test.cc
@@ -30,4 +30,23 @@
   REQUIRE(cluster.LogOf(is_agent ? "agent-0" : "entry-0").find("event=stopping") != std::string::npos);
 }
 
+// Guards against a daemon that crashes without a line in its log.
+TEST_CASE("a daemon that crashes logs the signal and the stack") {
+  struct Row {
+    int signal;
+    std::string name;
+  };
+  const Row row = GENERATE(Row{SIGSEGV, "SEGV"}, Row{SIGABRT, "ABRT"});
+  CAPTURE(row.name);
+  Cluster cluster({.entries = 1, .zones = 1});
+  ChildProcess& agent = cluster.agent(0);
+  REQUIRE(kill(agent.pid(), row.signal) == 0);
+  CHECK(AwaitOwnEnd(agent) == "signal " + row.name);
+  const std::string log = cluster.LogOf("agent-0");
+  const std::size_t line = log.find("program=agent-0 event=crashed signal=" + row.name + " ");
+  REQUIRE(line != std::string::npos);
+  CHECK(log.find("stack=", line) != std::string::npos);
+  CHECK(cluster.Violation() == "ended by itself: agent-0: signal " + row.name + " (1 violations)");
+}
+
 }  // namespace berylgauge
