Keep the trials of the plain-log path closed to other attempts until they have a result

The limit of 2 s on a trial without a result, meant for the scheduler of the shared platform, was the default, so it held on the plain-log path as well: a batch attempt runs for minutes there, and a further trial followed every 2 s. The daemon test "a worker in quarantine gets one trial at a time" failed since: CHECK_FALSE( share.MayPlace("bad") ), !true.

--- a/src/schedule/worker_quarantine.h
+++ b/src/schedule/worker_quarantine.h
@@ -22,7 +22,7 @@
   /// of them at any time.
   absl::Duration most_out_pause = absl::Seconds(1);
   /// A trial without a result for this long no longer keeps other attempts from the worker.
-  absl::Duration longest_trial = absl::Seconds(2);
+  absl::Duration longest_trial = absl::InfiniteDuration();
 };
 
 /// How many of the workers that may take the same work are out.
@@ -43,7 +43,7 @@
   kOpen,
   kQuarantined,
   kTrialDue,      ///< one attempt may be placed
-  kTrialRunning,  ///< that attempt was placed; nothing else may be
+  kTrialRunning,  ///< that attempt was placed; nothing else may be before `longest_trial`
 };
 
 inline constexpr auto kQuarantineStateNames = MakeEnumNames<QuarantineState>({
