Count only workers that give lists in the extent of the quarantine; say what a full service is

Findings of a review. Workers with a lapsed lease counted as sound, so with four of eleven silent and five of the others out the pauses stayed long. A service with full processors and free memory counted as mostly free, so all jobs that wait could go to a worker that fails everything. task_waiting looked at all tasks of a step for each worker, and a pass with all workers out took each off its lists one by one. The log says quarantined=true or false of a placement; the state without the extent misled. No test failed before: the new row of "a failing worker takes one task at a time from a full service" passes with the former condition, too.

--- a/src/workflow/quarantine_filter.cc
+++ b/src/workflow/quarantine_filter.cc
@@ -13,7 +13,7 @@
   for (PoolWorker* worker : workers) {
     const bool is_out = quarantine.OutSince(WorkerId(worker->life.worker)) != InfiniteFuture();
     if (is_out) out.push_back(worker);
-    if (worker->condition != WorkerCondition::kReady) continue;
+    if (worker->condition != WorkerCondition::kReady || !worker->reconciled) continue;
     ServiceState& service = m_services[worker->service];
     ++service.workers;
     if (is_out) ++service.out;
@@ -26,8 +26,13 @@
     m_next_trial = std::min(m_next_trial, quarantine.TrialAt(id, now, ExtentIn(worker->service)));
     m_next_early_trial = std::min(m_next_early_trial, quarantine.TrialAt(id, now, QuarantineExtent::kMost));
   }
-  for (std::vector<PoolWorker*>& list : m_lists) list = workers;
-  for (const PoolWorker* worker : out) Close(*worker);
+  auto next_out = out.begin();
+  for (PoolWorker* worker : workers) {
+    const bool is_out = next_out != out.end() && *next_out == worker;
+    if (is_out) ++next_out;
+    const QuarantineAccess needed = is_out ? AccessNeededFor(*worker) : QuarantineAccess::kNone;
+    for (std::size_t i = Index(needed); i < std::size(m_lists); ++i) m_lists[i].push_back(worker);
+  }
 }
 
 const std::vector<PoolWorker*>& QuarantineFilter::Candidates(QuarantineAccess access) const {
@@ -37,10 +42,6 @@
 void QuarantineFilter::OnPlaced(const PoolWorker& worker) {
   if (!m_has_quarantined) return;
   m_next_trial = std::min(m_next_trial, m_quarantine.TrialAt(WorkerId(worker.life.worker), m_now));
-  Close(worker);
-}
-
-void QuarantineFilter::Close(const PoolWorker& worker) {
   for (std::size_t i = 0; i < Index(AccessNeededFor(worker)); ++i) std::erase(m_lists[i], &worker);
 }
 
@@ -53,9 +54,7 @@
 bool QuarantineFilter::IsMostlyFree(const std::string& service) const {
   const auto found = m_services.find(service);
   if (found == m_services.end()) return false;
-  const ServiceState& state = found->second;
-  return 2 * state.reserved.cpu_millis < state.capacity.cpu_millis ||
-         2 * state.reserved.memory_mb < state.capacity.memory_mb;
+  return 2 * found->second.reserved.cpu_millis < found->second.capacity.cpu_millis;
 }
 
 QuarantineAccess QuarantineFilter::AccessNeededFor(const PoolWorker& worker) const {
--- a/src/workflow/quarantine_filter.h
+++ b/src/workflow/quarantine_filter.h
@@ -17,7 +17,7 @@
 enum class QuarantineAccess {
   kNone,   ///< workers that are not in quarantine
   kTrial,  ///< also workers whose trial is due
-  kEarly,  ///< also workers whose trial would be due if most workers were out
+  kEarly,  ///< also workers whose trial would be due if most were out: for tasks that have waited for long
   kAll,    ///< all workers
 };
 
@@ -35,10 +35,10 @@
   /// A run was placed on the worker.
   void OnPlaced(const PoolWorker& worker);
 
-  /// Extent of the quarantine among the workers of the service that are ready.
+  /// Extent of the quarantine among the workers of the service that are ready and give lists.
   QuarantineExtent ExtentIn(const std::string& service) const;
 
-  /// Whether under half of the processors or under half of the memory of the service's ready workers is reserved.
+  /// Whether under half of the processors of these workers is reserved.
   bool IsMostlyFree(const std::string& service) const;
 
   bool HasQuarantined() const { return m_has_quarantined; }
@@ -56,8 +56,6 @@
     Resources reserved;
   };
 
-  /// Takes the worker off the lists that it needs more access for.
-  void Close(const PoolWorker& worker);
   static std::size_t Index(QuarantineAccess access) { return static_cast<std::size_t>(access); }
   const std::vector<PoolWorker*>& m_workers;
   const WorkerQuarantine& m_quarantine;
--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -52,7 +52,8 @@
         });
     if (!is_hopeless) {
       if (step->definition->gang) {
-        if (!PlaceGang(*step, QuarantineAccess::kNone, filter, now)) PlaceGang(*step, access, filter, now);
+        const bool is_placed = PlaceGang(*step, QuarantineAccess::kNone, filter, now);
+        if (!is_placed && access != QuarantineAccess::kNone) PlaceGang(*step, access, filter, now);
       } else {
         PlaceTasks(*step, filter, failed, now);
         UpdateWaiting(*step);
@@ -116,7 +117,7 @@
 }
 
 MonotonicTime Scheduler::QuarantineEndsFor(const WorkflowStep& step, int index, MonotonicTime now) const {
-  const MonotonicTime idle = step.job->IdleFor(m_options.quarantine_patience);
+  const MonotonicTime idle = step.job->IdleFrom(m_options.quarantine_patience);
   if (!step.definition->long_running && idle > now) return idle;  // spares the look at all tasks of the step
   const bool has_failed =
       std::any_of(step.tasks.begin(), step.tasks.end(), [](const TaskProgress& task) { return task.failures > 0; });
@@ -134,9 +135,9 @@
   const std::string& service = step.job->definition.queue.service;
   if (now >= QuarantineEndsFor(step, index, now)) {
     // In a full service the workers that are out get one task at a time, or they would fail most of those that wait.
-    const bool is_bound = !step.definition->long_running && !filter.IsMostlyFree(service) &&
-                          filter.ExtentIn(service) == QuarantineExtent::kFew;
-    return is_bound ? QuarantineAccess::kEarly : QuarantineAccess::kAll;
+    const bool is_trial_only = !step.definition->long_running && !filter.IsMostlyFree(service) &&
+                               filter.ExtentIn(service) == QuarantineExtent::kFew;
+    return is_trial_only ? QuarantineAccess::kEarly : QuarantineAccess::kAll;
   }
   return MayTry(step, index) ? QuarantineAccess::kTrial : QuarantineAccess::kNone;
 }
@@ -172,8 +173,9 @@
   for (const WorkflowStep* step : waiting) {
     const std::size_t i = step->LongestWaitingTask();
     std::map<std::string, int> workers;
+    const QuarantineAccess access = AccessOf(*step, static_cast<int>(i), filter, now);
     for (const PoolWorker* worker : m_workers.workers()) {
-      if (filter.AccessNeededFor(*worker) > AccessOf(*step, static_cast<int>(i), filter, now)) {
+      if (filter.AccessNeededFor(*worker) > access) {
         ++workers["quarantined"];
         continue;
       }
@@ -250,8 +252,8 @@
   progress.agent = worker.agent;
   step.runtimes[i].stage = RunStage::kRecording;
   m_workers.Attach(worker, {.step = &step, .index = index});
-  const QuarantineState quarantine = m_quarantine.StateOf(WorkerId(worker.life.worker), now);
-  if (quarantine != QuarantineState::kOpen) ++m_counts.trials;
+  const bool is_out = m_quarantine.OutSince(WorkerId(worker.life.worker)) != InfiniteFuture();
+  if (is_out) ++m_counts.trials;
   m_quarantine.RecordPlaced(WorkerId(worker.life.worker), now);
   const WorkflowJob& job = *step.job;
   ++step.job->placed;
@@ -263,7 +265,7 @@
             {"run", run},
             {"image", step.definition->image},
             {"worker", worker.life.worker},
-            {"quarantine", kQuarantineStateNames.NameOf(quarantine)},
+            {"quarantined", is_out},
             {"waited_ms", absl::ToInt64Milliseconds(now - step.runtimes[i].waiting_since)},
             {"free_cpu", worker.Free().cpu_millis},
             {"filling_cpu", worker.filling_cpu},
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -112,7 +112,7 @@
 
   /// When the job has had nothing at work for `patience`, by what is known now. A run that is only recorded does not
   /// count: its worker may be silent, its start lost or its pace 0.
-  MonotonicTime IdleFor(absl::Duration patience) const {
+  MonotonicTime IdleFrom(absl::Duration patience) const {
     const MonotonicTime listed = last_at_work + (placed > 0 ? std::max(patience, kListValidity) : patience);
     return std::max(listed, last_placed + kStartValidity);
   }
@@ -132,7 +132,7 @@
 };
 
 inline MonotonicTime WorkflowStep::PatienceEnds(absl::Duration patience, MonotonicTime now) const {
-  const MonotonicTime idle = definition->long_running ? InfinitePast() : job->IdleFor(patience);
+  const MonotonicTime idle = definition->long_running ? InfinitePast() : job->IdleFrom(patience);
   if (idle > now) return idle;  // spares the search for the task that waits longest
   return std::max(idle, runtimes[LongestWaitingTask()].waiting_since + patience);
 }
--- a/tests/unit/workflow/quarantine_test.cc
+++ b/tests/unit/workflow/quarantine_test.cc
@@ -65,9 +65,10 @@
   SchedulerWorld& world() { return m_world; }
   const std::string& worker(int i) const { return m_workers[static_cast<std::size_t>(i)]; }
 
-  /// Occupies the processors of all sound workers with tasks that last.
-  void FillSoundWorkers() {
+  /// Occupies the processors of all sound workers with tasks that last and need `memory_mb` each.
+  void FillSoundWorkers(std::int64_t memory_mb = 6400) {
     StepDefinition step = LastingStep(5 * (static_cast<int>(m_workers.size()) - m_failing));
+    step.demand.memory_mb = memory_mb;
     step.required_label = kSoundLabel;
     JobDefinition job = SingleStepJob("filler", step);
     m_world.Submit(job);
@@ -221,11 +222,13 @@
 // Guards against a full service whose waiting jobs lose their attempts on the one worker that has room, because it
 // fails.
 TEST_CASE("a failing worker takes one task at a time from a full service", "[quarantine]") {
+  const std::int64_t memory_mb = GENERATE(100, 6400);
+  INFO("others are full with tasks of " << memory_mb << " MB");
   FailingFleet fleet(11, 1);
   fleet.Play(absl::Seconds(5), ShortStep(6), 5);
   REQUIRE(fleet.world().scheduler().counts().quarantines == 1);
   const int failed_before = fleet.failed_runs();
-  fleet.FillSoundWorkers();
+  fleet.FillSoundWorkers(memory_mb);
   fleet.Play(absl::Seconds(20), ShortStep(6), 5);
   // A run fails after 0.3 s, the next trial may follow a second later.
   CHECK(fleet.failed_runs() - failed_before <= 20);
