--- a/tests/unit/daemon/failure_monitor_test.cc
+++ b/tests/unit/daemon/failure_monitor_test.cc
@@ -157,6 +157,18 @@
   }
 }
 
+// Guards against urgent work that waits beside idle workers, because all of them failed what they ran and were taken
+// out.
+TEST_CASE("of workers that are all in quarantine one is tried in time for urgent work", "[.known-red]") {
+  Share share;
+  for (const int job : {0, 1}) share.Fail(Share::TaskOf(job), "a");
+  for (const int job : {2, 3}) share.Fail(Share::TaskOf(job), "b");
+  REQUIRE_FALSE(share.MayPlace("a"));
+  REQUIRE_FALSE(share.MayPlace("b"));
+  share.now = share.now + absl::Milliseconds(1300);
+  CHECK((share.MayPlace("a") || share.MayPlace("b")));
+}
+
 // Guards against a faulty task that is tried for ever, and against parking the healthy tasks of its job with it.
 TEST_CASE("a task that fails on several workers is parked with the evidence", "[failures]") {
   Share share;
