Give slow workers to the next filling task when the run before it ends

A job that finds slow workers only had a pause of 2 s between two runs since: the patience was counted from the end of its last run instead of the begin of the task's wait. A job with nothing at work takes a slow worker as soon as its task has waited for 2 s, as before; the pause remains in front of workers in quarantine. The test failed before: CHECK( world.PlaceOf("b0.0.0.1") == "w1" ), "" == "w1".

--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -117,16 +117,17 @@
 }
 
 MonotonicTime Scheduler::QuarantineEndsFor(const WorkflowStep& step, int index, MonotonicTime now) const {
-  const MonotonicTime idle = step.job->IdleFrom(m_options.quarantine_patience);
-  if (!step.definition->long_running && idle > now) return idle;  // spares the look at all tasks of the step
+  const MonotonicTime at_work_until = step.job->AtWorkUntil();
+  // Further tasks wait for the runs of the job: their success lets workers back in.
+  if (!step.definition->long_running && at_work_until > now) return at_work_until;
   const bool has_failed =
       std::any_of(step.tasks.begin(), step.tasks.end(), [](const TaskProgress& task) { return task.failures > 0; });
   const absl::Duration patience = has_failed ? m_options.longest_quarantine_patience : m_options.quarantine_patience;
   if (step.definition->long_running) {
     return step.runtimes[static_cast<std::size_t>(index)].waiting_since + patience;
   }
-  // Further tasks wait for the runs of the job: their success lets workers back in.
-  return step.PatienceEnds(patience, now);
+  // From the end of the job's last run, or its tasks would fail on these workers one right after the other.
+  return std::max(step.job->last_at_work + patience, step.PatienceEnds(patience, now));
 }
 
 QuarantineAccess Scheduler::AccessOf(const WorkflowStep& step, int index, const QuarantineFilter& filter,
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -91,9 +91,9 @@
     return std::any_of(tasks.begin(), tasks.end(),
                        [](const TaskProgress& task) { return task.state == TaskState::kWaiting; });
   }
-  /// When a task of the step has waited for `patience` and its job has had nothing at work for as long, by what is
-  /// known now; a time that is still to come may be too early. Further runs of a job may wait while it makes progress;
-  /// a task that lasts must run whatever the others do.
+  /// When a task of the step has waited for `patience` and its job has nothing at work, by what is known now; a time
+  /// that is still to come may be too early. Further runs of a job may wait while it makes progress; a task that lasts
+  /// must run whatever the others do.
   MonotonicTime PatienceEnds(absl::Duration patience, MonotonicTime now) const;
 };
 
@@ -110,11 +110,11 @@
   MonotonicTime last_placed = InfinitePast();   ///< when a task was placed that has not been given up before its begin
   std::map<std::int64_t, std::vector<std::unique_ptr<WorkflowStep>>> occurrences;
 
-  /// When the job has had nothing at work for `patience`, by what is known now. A run that is only recorded does not
+  /// Until when a run of the job counts as being at work, by what is known now. A run that is only recorded does not
   /// count: its worker may be silent, its start lost or its pace 0.
-  MonotonicTime IdleFrom(absl::Duration patience) const {
-    const MonotonicTime listed = last_at_work + (placed > 0 ? std::max(patience, kListValidity) : patience);
-    return std::max(listed, last_placed + kStartValidity);
+  MonotonicTime AtWorkUntil() const {
+    if (placed == 0) return InfinitePast();
+    return std::max(last_at_work + kListValidity, last_placed + kStartValidity);
   }
 
   /// Whether one more occurrence may be created. Where many tasks wait, its first steps would wait if those of the
@@ -132,9 +132,9 @@
 };
 
 inline MonotonicTime WorkflowStep::PatienceEnds(absl::Duration patience, MonotonicTime now) const {
-  const MonotonicTime idle = definition->long_running ? InfinitePast() : job->IdleFrom(patience);
-  if (idle > now) return idle;  // spares the search for the task that waits longest
-  return std::max(idle, runtimes[LongestWaitingTask()].waiting_since + patience);
+  const MonotonicTime at_work_until = definition->long_running ? InfinitePast() : job->AtWorkUntil();
+  if (at_work_until > now) return at_work_until;  // spares the search for the task that waits longest
+  return std::max(at_work_until, runtimes[LongestWaitingTask()].waiting_since + patience);
 }
 
 }  // namespace berylgauge::workflow
--- a/tests/unit/workflow/bounded_wait_test.cc
+++ b/tests/unit/workflow/bounded_wait_test.cc
@@ -260,5 +260,19 @@
   CHECK(world.scheduler().PlacedTasks() == 1);
 }
 
+// Guards against a pause between the runs of a job that gets slow workers only.
+TEST_CASE("a filling task that has waited takes a slow worker when the run before it ends", "[scheduler]") {
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  world.Submit(SingleStepJob("a0", FillingStep(4)));  // as many as the idle processors carry
+  world.Submit(SingleStepJob("b0", FillingStep(3)));
+  world.Sleep(absl::Milliseconds(2500));
+  world.Settle();
+  REQUIRE(world.PlaceOf("b0.0.0.0") == "w1");
+  world.End("b0.0.0.0", RunEndKind::kDone);
+  world.Settle();
+  CHECK(world.PlaceOf("b0.0.0.1") == "w1");
+}
+
 }  // namespace
 }  // namespace berylgauge::workflow
