--- a/tests/unit/workflow/bounded_wait_test.cc
+++ b/tests/unit/workflow/bounded_wait_test.cc
@@ -13,22 +13,6 @@
 /// The platform accepts that a job has no run for this long while there is room.
 constexpr absl::Duration kPromisedWait = absl::Seconds(3);
 
-StepDefinition ShortStep(int tasks) {
-  return {.task_count = tasks, .demand = {.cpu_millis = 240, .memory_mb = 480}, .estimate_ms = 600};
-}
-
-StepDefinition FillingStep(int tasks) {
-  return {.task_count = tasks,
-          .demand = {.cpu_millis = 4000, .memory_mb = 1000},
-          .estimate_ms = 1000,
-          .saves_progress = true,
-          .fills_idle_cpu = true};
-}
-
-StepDefinition LastingStep(int tasks) {
-  return {.task_count = tasks, .demand = {.cpu_millis = 3200, .memory_mb = 6400}, .long_running = true};
-}
-
 /// Lets time pass in small steps, without a report of the worker `silent`.
 void Pass(SchedulerWorld& world, absl::Duration duration, const std::string& silent = {}) {
   for (absl::Duration passed = kTick; passed <= duration; passed += kTick) {
--- a/tests/unit/workflow/quarantine_test.cc
+++ b/tests/unit/workflow/quarantine_test.cc
@@ -24,22 +24,6 @@
 constexpr const char* kSoundLabel = "s";
 constexpr const char* kFailingLabel = "f";
 
-StepDefinition ShortStep(int tasks) {
-  return {.task_count = tasks, .demand = {.cpu_millis = 240, .memory_mb = 480}, .estimate_ms = 600};
-}
-
-StepDefinition FillingStep(int tasks) {
-  return {.task_count = tasks,
-          .demand = {.cpu_millis = 4000, .memory_mb = 1000},
-          .estimate_ms = 1000,
-          .saves_progress = true,
-          .fills_idle_cpu = true};
-}
-
-StepDefinition LastingStep(int tasks) {
-  return {.task_count = tasks, .demand = {.cpu_millis = 3200, .memory_mb = 6400}, .long_running = true};
-}
-
 StepDefinition GangStep(int tasks) {
   StepDefinition step = ShortStep(tasks);
   step.gang = true;
--- a/tests/unit/workflow/scheduler_world.cc
+++ b/tests/unit/workflow/scheduler_world.cc
@@ -178,6 +178,22 @@
 
 std::int64_t SchedulerWorld::unix_now_ms() const { return absl::ToInt64Milliseconds(m_now.SinceBoot()); }
 
+StepDefinition ShortStep(int tasks) {
+  return {.task_count = tasks, .demand = {.cpu_millis = 240, .memory_mb = 480}, .estimate_ms = 600};
+}
+
+StepDefinition FillingStep(int tasks) {
+  return {.task_count = tasks,
+          .demand = {.cpu_millis = 4000, .memory_mb = 1000},
+          .estimate_ms = 1000,
+          .saves_progress = true,
+          .fills_idle_cpu = true};
+}
+
+StepDefinition LastingStep(int tasks) {
+  return {.task_count = tasks, .demand = {.cpu_millis = 3200, .memory_mb = 6400}, .long_running = true};
+}
+
 JobDefinition SingleStepJob(const std::string& id, const StepDefinition& step) {
   JobDefinition job;
   job.id = id;
--- a/tests/unit/workflow/scheduler_world.h
+++ b/tests/unit/workflow/scheduler_world.h
@@ -99,6 +99,11 @@
   std::int64_t m_next_born = 1'700'000'000'000;
 };
 
+/// Tasks that run for a moment, that fill idle processors, and that last.
+StepDefinition ShortStep(int tasks);
+StepDefinition FillingStep(int tasks);
+StepDefinition LastingStep(int tasks);
+
 /// A job of one step.
 JobDefinition SingleStepJob(const std::string& id, const StepDefinition& step);
 
