--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -56,6 +56,8 @@
       m_refused_starts(metrics.GetCounter("berylgauge_agent_refused_starts_total", "Starts that were refused")),
       m_ends(metrics.GetCounter("berylgauge_agent_ends_total", "Ends that the worker listed")),
       m_hold_failures(metrics.GetCounter("berylgauge_agent_hold_failures_total", "Lists that the worker did not give")),
+      m_cut_lists(
+          metrics.GetCounter("berylgauge_agent_cut_lists_total", "Lists that may not hold all ends of the worker")),
       m_pace_changes(metrics.GetCounter("berylgauge_agent_pace_changes_total", "Changes of the pace of a run")) {}
 
 AgentNode::~AgentNode() {
@@ -176,7 +178,10 @@
 void AgentNode::OnHold(Result<HoldAnswer> answer, const WorkerLife& life, std::int64_t token, std::uint64_t number) {
   const bool is_regular = number != 0;
   if (is_regular && number == m_hold_number) m_hold_sent = false;
-  if (!IsPresent(life)) return;
+  if (!IsPresent(life)) {
+    if (answer) LogDroppedLists(*answer, life);
+    return;
+  }
   if (!answer) {
     OnHoldFailure(answer.error());
     return;
@@ -191,6 +196,18 @@
   if (is_regular) ScheduleHold(HasUnacknowledgedEnds() ? m_options.pending_pause : absl::ZeroDuration());
 }
 
+void AgentNode::LogDroppedLists(const HoldAnswer& answer, const WorkerLife& life) const {
+  const auto unread = std::count_if(answer.ends.begin(), answer.ends.end(),
+                                    [&](const RunEnd& end) { return end.number > m_last_end; });
+  LogEvent(LogLevel::kWarning, "lists_dropped",
+           {{"worker", life.worker},
+            {"born", life.born},
+            {"condition", workflow::kWorkerConditionNames.NameOf(m_condition)},
+            {"announced_born", m_announcement ? m_announcement->life.born : 0},
+            {"ends", answer.ends.size()},
+            {"unread", unread}});
+}
+
 void AgentNode::SetFence(const FencingTokens::Grant& fence) {
   const bool is_new = m_announcement && fence.life == m_announcement->life && fence.token > m_fencing_token;
   if (!is_new) return;
@@ -266,6 +283,7 @@
   if (m_lists && answer.clock_ms < m_lists->clock_ms) return;  // overtaken by a newer answer
   const bool is_first = !m_lists;
   LogSkippedEnds(answer);
+  if (!answer.has_all_ends) LogCutEnds(answer);
   std::int64_t last_end = m_last_end;
   for (const RunEnd& end : answer.ends) last_end = std::max(last_end, end.number);
   m_lists = std::move(answer);
@@ -289,6 +307,17 @@
             {"first_end", first->number}});
 }
 
+void AgentNode::LogCutEnds(const HoldAnswer& answer) const {
+  m_cut_lists.Add();
+  LogEvent(LogLevel::kWarning, "ends_cut",
+           {{"worker", m_announcement->life.worker},
+            {"born", m_announcement->life.born},
+            {"ends", answer.ends.size()},
+            {"first_end", answer.ends.front().number},
+            {"last_end", answer.ends.back().number},
+            {"acknowledged", m_acknowledged}});
+}
+
 bool AgentNode::HasUnacknowledgedEnds() const {
   return m_lists && !m_lists->ends.empty() && m_last_end > m_acknowledged;
 }
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -97,6 +97,9 @@
   HoldCall MakeHoldCall() const;
   /// Ends that the worker forgot before this process has read them, told by their numbers.
   void LogSkippedEnds(const HoldAnswer& answer) const;
+  void LogCutEnds(const HoldAnswer& answer) const;
+  /// Lists that were answered for a life that is not, or no longer, taken for the present one.
+  void LogDroppedLists(const HoldAnswer& answer, const workflow::WorkerLife& life) const;
   bool HasUnacknowledgedEnds() const;
 
   void FlushWatch();
@@ -173,6 +176,7 @@
   Counter& m_refused_starts;
   Counter& m_ends;
   Counter& m_hold_failures;
+  Counter& m_cut_lists;
   Counter& m_pace_changes;
 };
 
--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -323,17 +323,18 @@
   const std::string holder = m_options.ProcessName();
   const std::int64_t former = std::max(m_index.owner().epoch, m_fenced_epoch);
   const workflow::OwnerRecord record{.epoch = workflow::NextOwnerEpoch(former, StableHash64(holder)), .holder = holder};
+  workflow::SchedulerOptions scheduler = m_options.scheduler;
+  // A process that has ended, or has handed over, grants nothing any more.
+  if (FormerOwnerHasEnded()) scheduler.former_owner_grants = absl::ZeroDuration();
   LogEvent(LogLevel::kInfo, "owner_claim",
            {{"epoch", record.epoch},
             {"former", m_index.owner().holder},
+            {"former_grants_ms", absl::ToInt64Milliseconds(scheduler.former_owner_grants)},
             {"silence_ms", absl::ToInt64Milliseconds(m_loop.Now() - m_last_owner_sign)},
             {"position", m_progress_tail.position()}});
   auto writer = std::make_unique<LogWriter>(
       m_loop, m_log, LogWriterOptions{.partition = m_options.progress, .producer = "owner", .epoch = record.epoch});
   LogWriter& claim = *writer;
-  workflow::SchedulerOptions scheduler = m_options.scheduler;
-  // A process that has ended, or has handed over, grants nothing any more.
-  if (FormerOwnerHasEnded()) scheduler.former_owner_grants = absl::ZeroDuration();
   claim.Write(
       {{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(record)}}, m_progress_tail.position(),
       kClaimGiveUp,
--- a/src/control/worker_port.h
+++ b/src/control/worker_port.h
@@ -28,7 +28,8 @@
   std::int64_t clock_ms = 0;  ///< worker's steady clock
   std::int64_t born = 0;
   std::vector<workflow::ActiveRun> runs;
-  std::vector<workflow::RunEnd> ends;
+  std::vector<workflow::RunEnd> ends;  ///< not yet acknowledged, with the lowest numbers first
+  bool has_all_ends = true;            ///< otherwise the worker may have ends with higher numbers than those listed
 };
 
 struct StartCall {
--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -74,18 +74,30 @@
   const std::optional<TaskRef> ref = FindRun(end.task, end.run, life);
   if (!ref) {
     ++m_counts.ends_unmatched;
-    LogEvent(LogLevel::kInfo, "end_unmatched",
-             {{"task", end.task},
-              {"run", end.run},
-              {"worker", life.worker},
-              {"born", life.born},
-              {"end", kRunEndKindNames.NameOf(end.kind)}});
+    LogUnmatchedEnd(life, end);
     return;
   }
   NoteBegun(m_workers.FindLife(life), *ref);
   FinishRun(*ref, end.kind, end.checkpoint, now);
 }
 
+void Scheduler::LogUnmatchedEnd(const WorkerLife& life, const RunEnd& end) {
+  const std::optional<TaskName> name = TaskName::Parse(end.task);
+  const WorkflowStep* step = name ? FindStep(name->step) : nullptr;
+  const bool is_known = step != nullptr && name->index < static_cast<int>(step->tasks.size());
+  const TaskProgress recorded = is_known ? step->tasks[static_cast<std::size_t>(name->index)] : TaskProgress{};
+  LogEvent(LogLevel::kInfo, "end_unmatched",
+           {{"task", end.task},
+            {"run", end.run},
+            {"worker", life.worker},
+            {"born", life.born},
+            {"end", kRunEndKindNames.NameOf(end.kind)},
+            {"number", end.number},
+            {"job_known", is_known},
+            {"recorded_run", recorded.run},
+            {"recorded_worker", recorded.worker}});
+}
+
 void Scheduler::FinishRun(TaskRef task, RunEndKind kind, const std::string& checkpoint, MonotonicTime now) {
   WorkflowStep& step = *task.step;
   WorkflowJob& job = *step.job;
@@ -158,12 +170,15 @@
 void Scheduler::LoseRun(TaskRef task, RunLoss reason, MonotonicTime now) {
   WorkflowStep& step = *task.step;
   const TaskProgress& progress = step.tasks[static_cast<std::size_t>(task.index)];
+  const TaskRuntime& runtime = step.runtimes[static_cast<std::size_t>(task.index)];
   ++m_counts.ends_lost;
   LogEvent(LogLevel::kInfo, "run_lost",
            {{"task", step.TaskNameOf(task.index)},
             {"run", progress.run},
             {"worker", progress.worker},
-            {"reason", kRunLossNames.NameOf(reason)}});
+            {"reason", kRunLossNames.NameOf(reason)},
+            {"begun", runtime.has_begun},
+            {"settled", runtime.is_start_settled}});
   m_quarantine.RecordTrialAborted(WorkerId(progress.worker));
   Release(task, {}, now);
   if (step.definition->gang) SettleGang(step, task.index, RunEndKind::kLapsed, now);
