Begin an ownership only with the read of its own claim

An entry that was deposed and claimed again within the 1.2 s of a read let the read of its first claim begin the second ownership: with submissions that were older than the claim, and a second time when its own read ended, which replaced a scheduler whose batch was under way. The read now names the epoch for which it was begun.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -395,12 +395,12 @@
 }
 
 void EntryNode::BeginOwnership() {
-  if (m_owner == nullptr || m_owner->begun()) return;
-  m_submission_tail.ReadToEnd(kLookupTimeout, [this, alive = m_alive](bool complete) {
-    if (!*alive || m_owner == nullptr) return;
+  const std::int64_t epoch = m_owner->epoch();
+  m_submission_tail.ReadToEnd(kLookupTimeout, [this, epoch, alive = m_alive](bool complete) {
+    if (!*alive || !IsOwnerOf(epoch)) return;
     if (!complete) {
-      m_loop.AddTimer(m_loop.Now() + kBeginRetryPause, [this, alive] {
-        if (*alive) BeginOwnership();
+      m_loop.AddTimer(m_loop.Now() + kBeginRetryPause, [this, epoch, alive] {
+        if (*alive && IsOwnerOf(epoch)) BeginOwnership();
       });
       return;
     }
--- a/src/control/entry_node.h
+++ b/src/control/entry_node.h
@@ -116,7 +116,10 @@
   void OnClaimed(const AppendAnswer& answer, std::unique_ptr<LogWriter> writer, const workflow::OwnerRecord& record,
                  const workflow::SchedulerOptions& scheduler);
   bool FormerOwnerHasEnded() const;
+  /// Reads the submissions to their end and lets the owner begin.
   void BeginOwnership();
+  /// Whether this entry owns the decisions by the claim of that epoch.
+  bool IsOwnerOf(std::int64_t epoch) const { return m_owner != nullptr && m_owner->epoch() == epoch; }
   void EndOwnership();
   void Tick();
   void PublishMetrics();
--- a/src/control/owner_role.h
+++ b/src/control/owner_role.h
@@ -68,7 +68,7 @@
   /// Writes a record that lets another entry claim at once; `done` is called when it is stored or failed.
   void HandOver(std::function<void()> done);
 
-  bool begun() const { return m_scheduler != nullptr; }
+  std::int64_t epoch() const { return m_options.record.epoch; }
   const workflow::Scheduler* scheduler() const { return m_scheduler.get(); }
 
  private:
