Wait for every former owner that may still grant leases

What callers could see: a task that runs at two workers, or is started again after it was done.

An owner now says in its record that no owner before it can grant leases: at once if it did not have to wait for one, else 4.5 s after its claim. Only the end of such an owner spares its successor the wait. Records without the field, of a former version, count as not sole.

The table and the entries' test fail on the old code: it has no such field, and with `has_ended` alone as the condition the row "it has ended, one before it may act" gives 0 instead of 4500 ms.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -322,10 +322,14 @@
   m_progress_tail.Pause();
   const std::string holder = m_options.ProcessName();
   const std::int64_t former = std::max(m_index.owner().epoch, m_fenced_epoch);
-  const workflow::OwnerRecord record{.epoch = workflow::NextOwnerEpoch(former, StableHash64(holder)), .holder = holder};
   workflow::SchedulerOptions scheduler = m_options.scheduler;
-  // A process that has ended, or has handed over, grants nothing any more.
-  if (FormerOwnerHasEnded()) scheduler.former_owner_grants = absl::ZeroDuration();
+  workflow::OwnerRecord recorded = m_index.owner();
+  // Nobody has claimed before, unless the record cannot be read.
+  if (recorded.epoch == 0) recorded.is_sole = m_index.corrupt_records() == 0;
+  scheduler.former_owner_grants = GrantsOfFormerOwners(recorded, FormerOwnerHasEnded(), scheduler.former_owner_grants);
+  const workflow::OwnerRecord record{.epoch = workflow::NextOwnerEpoch(former, StableHash64(holder)),
+                                     .holder = holder,
+                                     .is_sole = scheduler.former_owner_grants == absl::ZeroDuration()};
   LogEvent(LogLevel::kInfo, "owner_claim",
            {{"epoch", record.epoch},
             {"former", m_index.owner().holder},
--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -72,6 +72,8 @@
       m_index(index),
       m_writer(std::move(writer)),
       m_fencing_tokens(m_options.record.epoch),
+      m_claimed_at(loop.Now()),
+      m_is_sole_recorded(m_options.record.is_sole),
       m_signed_at(loop.Now()),
       m_alive(std::make_shared<bool>(true)) {}
 
@@ -222,14 +224,18 @@
     if (batch != nullptr) {
       std::vector<KeyedRecord> records;
       for (const auto& [key, value] : batch->records) records.push_back({.key = key, .value = value});
+      const workflow::OwnerRecord record = RecordAsOf(now);
+      if (record.is_sole && !m_is_sole_recorded) {
+        records.push_back({.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(record)});
+        m_is_sole_recorded = true;
+      }
       Write(std::move(records), WriteKind::kBatch);
     } else if (m_handing_over) {
-      workflow::OwnerRecord record = m_options.record;
+      workflow::OwnerRecord record = RecordAsOf(now);
       record.holder.clear();
       Write({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(record)}}, WriteKind::kHandOver);
     } else if (now - m_signed_at >= m_options.sign_interval) {
-      Write({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(m_options.record)}},
-            WriteKind::kSignOfLife);
+      Write({{.key = std::string(workflow::kOwnerKey), .value = EncodeOwner(RecordAsOf(now))}}, WriteKind::kSignOfLife);
     }
   }
   const MonotonicTime next = m_scheduler != nullptr ? m_scheduler->NextDeadline(now) : InfiniteFuture();
@@ -271,6 +277,12 @@
   Kick();
 }
 
+workflow::OwnerRecord OwnerRole::RecordAsOf(MonotonicTime now) const {
+  workflow::OwnerRecord record = m_options.record;
+  record.is_sole = record.is_sole || now - m_claimed_at > m_options.scheduler.former_owner_grants;
+  return record;
+}
+
 bool OwnerRole::IsValid(MonotonicTime now) const {
   return !m_deposed && !m_handing_over && now - m_writer->proven_at() <= m_options.validity;
 }
--- a/src/control/owner_role.h
+++ b/src/control/owner_role.h
@@ -83,6 +83,7 @@
   void ScheduleRun(MonotonicTime at);
   void Write(std::vector<KeyedRecord> records, WriteKind kind);
   void OnWritten(const AppendAnswer& answer, WriteKind kind);
+  workflow::OwnerRecord RecordAsOf(MonotonicTime now) const;
   bool IsValid(MonotonicTime now) const;
   /// Whether a cancellation that was acknowledged long ago may be unknown here.
   bool HasOldSubmissions(MonotonicTime now) const;
@@ -109,6 +110,8 @@
   std::unique_ptr<workflow::Scheduler> m_scheduler;
   FencingTokens m_fencing_tokens;
   absl::flat_hash_map<std::string, std::unique_ptr<AgentLink>> m_links;
+  const MonotonicTime m_claimed_at;
+  bool m_is_sole_recorded;  ///< see `OwnerRecord::is_sole`
   MonotonicTime m_signed_at;
   bool m_run_deferred = false;
   bool m_deposed = false;
--- a/src/control/ownership_policy.h
+++ b/src/control/ownership_policy.h
@@ -3,6 +3,7 @@
 #include <absl/time/time.h>
 
 #include "base/monotonic_time.h"
+#include "workflow/owner_record.h"
 
 namespace berylgauge::control {
 
@@ -26,6 +27,13 @@
   MonotonicTime last_sign;       ///< when the last record of the owner was read
 };
 
+/// How long owners before a claimant may go on granting leases after its claim, at most `longest`. `owner` is the
+/// recorded one; `has_ended` says that its process has ended or has handed over.
+inline absl::Duration GrantsOfFormerOwners(const workflow::OwnerRecord& owner, bool has_ended, absl::Duration longest) {
+  // An owner before the recorded one may be cut off from the store and not know that it was replaced.
+  return has_ended && owner.is_sole ? absl::ZeroDuration() : longest;
+}
+
 /// Decides when an entry claims the ownership. Safety does not depend on it: the store accepts one claim at a time.
 class OwnershipPolicy {
  public:
--- a/src/workflow/owner_record.cc
+++ b/src/workflow/owner_record.cc
@@ -24,12 +24,16 @@
   return ((epoch >> kSaltBits) << kSaltBits) | std::min(life_number, kMaxLifeNumber);
 }
 
-std::string EncodeOwner(const OwnerRecord& owner) { return ToCbor(nlohmann::json::array({owner.epoch, owner.holder})); }
+std::string EncodeOwner(const OwnerRecord& owner) {
+  return ToCbor(nlohmann::json::array({owner.epoch, owner.holder, owner.is_sole}));
+}
 
 Result<OwnerRecord> DecodeOwner(std::string_view bytes) {
   return ReadCbor<OwnerRecord>(bytes, "owner record", [](const nlohmann::json& document) {
     return OwnerRecord{.epoch = ReadInteger<std::int64_t>(document.at(0), 0, kMaxExactInteger),
-                       .holder = document.at(1).get<std::string>()};
+                       .holder = document.at(1).get<std::string>(),
+                       // Records of a former version have no such field.
+                       .is_sole = document.size() > 2 && document.at(2).get<bool>()};
   });
 }
 
--- a/src/workflow/owner_record.h
+++ b/src/workflow/owner_record.h
@@ -12,6 +12,7 @@
 struct OwnerRecord {
   std::int64_t epoch = 0;  ///< rises with each claim; see `NextOwnerEpoch`
   std::string holder;      ///< host and incarnation of the entry; empty after a planned hand-over
+  bool is_sole = false;    ///< no owner before this one can still grant leases
 
   friend bool operator==(const OwnerRecord&, const OwnerRecord&) = default;
 };
--- a/tests/unit/control/entry_node_test.cc
+++ b/tests/unit/control/entry_node_test.cc
@@ -172,6 +172,44 @@
   CHECK(WaitUntil(world.loop(), absl::Milliseconds(650), [&] { return restarted.IsOwner(); }));
 }
 
+struct FormerOwnersRow {
+  const char* name;
+  bool has_ended;
+  bool is_sole;
+  absl::Duration grants;
+};
+
+// Guards against runs at two workers: an owner was cut off from the store and still granted leases when its successor
+// ended, and the next one took the end of that successor for the end of all (issue 28).
+TEST_CASE("a claimant waits for every former owner that may still grant leases", "[entry]") {
+  constexpr absl::Duration kLongest = absl::Milliseconds(4500);
+  const FormerOwnersRow row =
+      GENERATE(FormerOwnersRow{"the recorded owner is silent", false, true, absl::Milliseconds(4500)},
+               FormerOwnersRow{"it has ended, one before it may act", true, false, absl::Milliseconds(4500)},
+               FormerOwnersRow{"it has ended and was the only one", true, true, absl::ZeroDuration()});
+  INFO(row.name);
+  const workflow::OwnerRecord owner{.epoch = 1, .holder = "e1.1", .is_sole = row.is_sole};
+  CHECK(GrantsOfFormerOwners(owner, row.has_ended, kLongest) == row.grants);
+}
+
+// Guards against the same with entries: only the owner of a first claim, or one that has acted for as long as former
+// ones may grant leases, says that it is the only one.
+TEST_CASE("an owner that has just replaced another one does not count as the only one", "[entry]") {
+  EntryWorld world;
+  EntryNode& first = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return first.IsOwner(); }));
+  EntryNode& second = world.Add("e2");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return second.index().owner().is_sole; }));
+  world.loop().RunSync([&] { world.FaultsOf(0).is_cut = true; });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return second.IsOwner(); }));
+  world.loop().RunSync([&] { CHECK(!second.index().owner().is_sole); });
+  world.Kill(1);
+  EntryNode& third = world.Add("e2");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return third.IsOwner(); }));
+  world.loop().RunSync([&] { CHECK(!third.index().owner().is_sole); });
+  CHECK(WaitUntil(world.loop(), absl::Seconds(8), [&] { return third.index().owner().is_sole; }));
+}
+
 // Guards against 410 for a job that exists, from an entry that the store does not serve.
 TEST_CASE("an unknown job is reported as unknown only if the store was asked", "[entry]") {
   struct Row {
--- a/tests/unit/workflow/owner_record_test.cc
+++ b/tests/unit/workflow/owner_record_test.cc
@@ -1,6 +1,9 @@
 #include "workflow/owner_record.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "base/cbor_document.h"
 
 namespace berylgauge::workflow {
 namespace {
@@ -23,10 +26,17 @@
 }
 
 TEST_CASE("an owner record is read back as written", "[owner]") {
-  const OwnerRecord record{.epoch = std::int64_t{1} << 40, .holder = "edge-1.abc"};
+  const OwnerRecord record{.epoch = std::int64_t{1} << 40, .holder = "edge-1.abc", .is_sole = GENERATE(true, false)};
   CHECK(DecodeOwner(EncodeOwner(record)) == record);
   CHECK(!DecodeOwner("x"));
 }
 
+// Guards against an owner of a former version that counts as the only one that can grant leases.
+TEST_CASE("an owner record without the field is not of a sole owner", "[owner]") {
+  const Result<OwnerRecord> record = DecodeOwner(ToCbor(nlohmann::json::array({5, "edge-1.abc"})));
+  REQUIRE(record.has_value());
+  CHECK(!record->is_sole);
+}
+
 }  // namespace
 }  // namespace berylgauge::workflow
