--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -454,6 +454,29 @@
   CHECK(world.PhaseOf("a0") == JobPhase::kDone);
 }
 
+// Guards against a second run of a gang that is done: the end of one member stands for all, and the lists of the other
+// members' workers, which name neither their runs nor ends of them, come first (issue 28).
+TEST_CASE("a gang is done by the end of one member, whichever worker reports first", "[scheduler]") {
+  const std::string late = GENERATE("", "w1", "w2");
+  INFO("late: " << late);
+  SchedulerWorld world;
+  for (const char* name : {"w1", "w2"}) world.AddWorker(name).capacity.cpu_millis = 500;
+  StepDefinition step = ShortStep(2);
+  step.demand.cpu_millis = 500;
+  step.gang = true;
+  world.Submit(SingleStepJob("a0", step));
+  REQUIRE(world.RunningTasks() == 2);
+  world.Sleep(absl::Seconds(1));
+  const std::string ended = world.PlaceOf("a0.0.0.0");
+  world.End("a0.0.0.0", RunEndKind::kDone);
+  world.worker(ended == "w1" ? "w2" : "w1").runs.clear();
+  world.SettleWithout(late);
+  world.Settle();
+  CHECK(world.PhaseOf("a0") == JobPhase::kDone);
+  for (const char* task : {"a0.0.0.0", "a0.0.0.1"}) CHECK(world.StartsOf(task) == 1);
+  CHECK(world.violations().empty());
+}
+
 // Guards against a gang that is spread over racks, which makes it slower, although one rack has room for it.
 TEST_CASE("a gang that wants one rack gets one", "[scheduler]") {
   SchedulerWorld world;
