--- a/tests/unit/platform/decode_test.cc
+++ b/tests/unit/platform/decode_test.cc
@@ -1,6 +1,9 @@
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
 
 #include "platform/http_keyed_log.h"
 #include "platform/http_worker_port.h"
@@ -166,5 +169,23 @@
   CHECK(!ParsePlatformSettings("x"));
 }
 
+/// Lists of a worker with the ends of those numbers.
+std::string ListsWithEnds(const std::vector<std::int64_t>& numbers) {
+  nlohmann::json ended = nlohmann::json::array();
+  for (const std::int64_t number : numbers) {
+    ended.push_back(nlohmann::json::array({number, "00000000000000a1.0.0." + std::to_string(number), 1, "done", ""}));
+  }
+  return nlohmann::json{{"clock_ms", 7}, {"born", 5}, {"running", nlohmann::json::array()}, {"ended", ended}}.dump();
+}
+
+// Guards against ends that are acknowledged unread: the owner takes them in the order of the list and names the highest
+// number (issue 28).
+TEST_CASE("ends are read in the order of their numbers", "[platform]") {
+  const Result<control::HoldAnswer> answer = DecodeHold(ListsWithEnds({3, 1, 2}));
+  REQUIRE(answer.has_value());
+  REQUIRE(answer->ends.size() == 3);
+  for (std::size_t i = 0; i < 3; ++i) CHECK(answer->ends[i].number == static_cast<std::int64_t>(i) + 1);
+}
+
 }  // namespace
 }  // namespace berylgauge::platform
