Take no run for absent from a list of ends that was cut

The worker returns at most 500 ends at a time.

The port now says whether a list of ends is whole: it is if it has fewer entries than the platform allows. Considered: to read the rest at once (not possible, the page follows `last_seen`, so the first ends must be durable); to bound the ends by placing less on such a worker (keeps the fault for other limits).

--- a/src/control/agent_messages.cc
+++ b/src/control/agent_messages.cc
@@ -21,7 +21,7 @@
 using workflow::WorkerReport;
 
 /// Version of the messages; processes of different versions refuse each other's.
-constexpr int kFormat = 3;
+constexpr int kFormat = 4;
 
 /// An hour of added latency; the model's estimates are far below.
 constexpr double kMaxMsPerCore = 3'600'000;
@@ -54,21 +54,37 @@
   return {.worker = row.at(0).get<std::string>(), .born = ReadCount<std::int64_t>(row.at(1))};
 }
 
+json EndsToJson(const std::vector<RunEnd>& ends) {
+  json rows = json::array();
+  for (const RunEnd& end : ends) {
+    rows.push_back(json::array({end.number, end.task, end.run, static_cast<int>(end.kind), end.checkpoint}));
+  }
+  return rows;
+}
+
+std::vector<RunEnd> EndsFromJson(const json& rows) {
+  std::vector<RunEnd> ends;
+  for (const json& end : rows) {
+    ends.push_back({.number = ReadCount<std::int64_t>(end.at(0)),
+                    .task = end.at(1).get<std::string>(),
+                    .run = ReadCount<int>(end.at(2)),
+                    .kind = ReadEnum(end.at(3), RunEndKind::kAlone),
+                    .checkpoint = end.at(4).get<std::string>()});
+  }
+  return ends;
+}
+
 json ReportToJson(const WorkerReport& report) {
   json runs = json::array();
   for (const ActiveRun& run : report.runs) {
     runs.push_back(json::array({run.task, run.run, run.checkpoint, run.percent, run.measured}));
   }
-  json ends = json::array();
-  for (const RunEnd& end : report.ends) {
-    ends.push_back(json::array({end.number, end.task, end.run, static_cast<int>(end.kind), end.checkpoint}));
-  }
   const Resources& capacity = report.capacity;
   return json::array({report.agent_incarnation, LifeToJson(report.life), static_cast<int>(report.condition),
                       report.service, report.zone, report.labels,
                       json::array({capacity.cpu_millis, capacity.memory_mb, capacity.accelerators}),
-                      report.remaining_ms, report.worker_clock_ms, report.has_runs, std::move(runs), std::move(ends),
-                      report.rack, LifeToJson(report.announced)});
+                      report.remaining_ms, report.worker_clock_ms, report.has_runs, std::move(runs),
+                      EndsToJson(report.ends), report.rack, LifeToJson(report.announced), report.has_all_ends});
 }
 
 WorkerReport ReportFromJson(const json& row) {
@@ -92,15 +108,10 @@
                            .percent = ReadCount<int>(run.at(3)),
                            .measured = ReadCount<std::int64_t>(run.at(4))});
   }
-  for (const json& end : row.at(11)) {
-    report.ends.push_back({.number = ReadCount<std::int64_t>(end.at(0)),
-                           .task = end.at(1).get<std::string>(),
-                           .run = ReadCount<int>(end.at(2)),
-                           .kind = ReadEnum(end.at(3), RunEndKind::kAlone),
-                           .checkpoint = end.at(4).get<std::string>()});
-  }
+  report.ends = EndsFromJson(row.at(11));
   row.at(12).get_to(report.rack);
   report.announced = LifeFromJson(row.at(13));
+  row.at(14).get_to(report.has_all_ends);
   return report;
 }
 
--- a/src/control/agent_messages.h
+++ b/src/control/agent_messages.h
@@ -71,8 +71,8 @@
   struct Stopped {
     std::string task;
     int run = 0;
-    /// Whether the worker's lists, or those of its next life, tell what became of the run; else it is not there and
-    /// never will be.
+    /// Whether the worker's lists, the rest of a list that was cut, or the lists of its next life tell what became of
+    /// the run; else it is not there and never will be.
     bool end_listed = false;
   };
   /// Whether the agent has had an answer of the worker since it was started. Otherwise nothing was done, and nothing is
--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -197,8 +197,8 @@
 }
 
 void AgentNode::LogDroppedLists(const HoldAnswer& answer, const WorkerLife& life) const {
-  const auto unread = std::count_if(answer.ends.begin(), answer.ends.end(),
-                                    [&](const RunEnd& end) { return end.number > m_last_end; });
+  const auto unread =
+      std::count_if(answer.ends.begin(), answer.ends.end(), [&](const RunEnd& end) { return end.number > m_last_end; });
   LogEvent(LogLevel::kWarning, "lists_dropped",
            {{"worker", life.worker},
             {"born", life.born},
@@ -388,6 +388,7 @@
   for (const RunEnd& end : m_lists->ends) {
     if (end.number > acknowledged) report.ends.push_back(end);
   }
+  report.has_all_ends = m_lists->has_all_ends;
   const bool is_first = request.known_version == 0 || request.known_incarnation != m_options.incarnation;
   if (!is_first && m_loop.Now() - m_runs_sent_at < m_options.runs_interval) return answer;
   m_runs_sent_at = m_loop.Now();
@@ -607,10 +608,13 @@
     bool is_running = false;
     bool end_listed = false;
     if (answer) {
+      // The end may stand behind those that are listed.
+      end_listed = !answer->has_all_ends;
       is_running = std::any_of(answer->runs.begin(), answer->runs.end(),
                                [&](const ActiveRun& run) { return run.task == call.task && run.run == call.run; });
-      end_listed = std::any_of(answer->ends.begin(), answer->ends.end(),
-                               [&](const RunEnd& end) { return end.task == call.task && end.run == call.run; });
+      end_listed = end_listed || std::any_of(answer->ends.begin(), answer->ends.end(), [&](const RunEnd& end) {
+                     return end.task == call.task && end.run == call.run;
+                   });
       TakeLists(std::move(*answer));
     }
     if (!answer || is_running) {
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -66,7 +66,7 @@
   if (!report.has_runs) return;
   if (!worker.reconciled) {
     CompareRuns(worker, report, now);
-    worker.reconciled = true;
+    worker.reconciled = report.has_all_ends;
     m_placement_due = true;
   } else {
     NoteProgress(worker, report, now);
@@ -204,6 +204,7 @@
       if (!task.step->job->TakesRuns()) to_stop.push_back(task);
       continue;
     }
+    if (!report.has_all_ends) continue;  // its end may stand behind those that are listed
     if (runtime.stage == RunStage::kCarriedOver) {
       // The fence token of the present life keeps every call for the former one from having an effect any more.
       not_begun.push_back(task);
@@ -242,9 +243,9 @@
     }
     const auto found = listed.find(task.step->TaskNameOf(task.index));
     if (found == listed.end() || found->second->run != progress.run) {
-      if (runtime.stage == RunStage::kRunning && runtime.started_clock_ms < report.worker_clock_ms) {
-        missing.push_back(task);
-      }
+      const bool must_be_listed = runtime.stage == RunStage::kRunning && report.has_all_ends &&
+                                  runtime.started_clock_ms < report.worker_clock_ms;
+      if (must_be_listed) missing.push_back(task);
       continue;
     }
     const ActiveRun& run = *found->second;
--- a/src/workflow/worker_report.h
+++ b/src/workflow/worker_report.h
@@ -49,6 +49,7 @@
   bool has_runs = false;             ///< `runs` is the whole list as of `worker_clock_ms`
   std::vector<ActiveRun> runs;
   std::vector<RunEnd> ends;  ///< not yet acknowledged
+  bool has_all_ends = true;  ///< otherwise the worker may have ends with higher numbers than those in `ends`
 };
 
 }  // namespace berylgauge::workflow
--- a/tests/unit/control/agent_node_test.cc
+++ b/tests/unit/control/agent_node_test.cc
@@ -37,6 +37,7 @@
   HoldCall newest_hold;
   int paces = 0;
   int holds = 0;
+  std::size_t most_listed_ends = 500;
   bool lists_nothing = false;  ///< lists have no answer
   bool keeps_answers = false;  ///< lists are read now and answered by `AnswerKept`
   std::int64_t lease_end_ms = 0;
@@ -56,6 +57,8 @@
     for (const auto& [task, run] : runs) {
       answer.runs.push_back({.task = task, .run = run, .checkpoint = {}, .percent = 50, .measured = measured[task]});
     }
+    answer.has_all_ends = ends.size() <= most_listed_ends;
+    if (!answer.has_all_ends) answer.ends.resize(most_listed_ends);
     if (keeps_answers) {
       m_kept.emplace_back(std::move(callback), std::move(answer));
       return;
@@ -418,6 +421,37 @@
   CHECK(answer->stops.at(0).end_listed == runs);
 }
 
+/// Ends with the numbers from 1 on, of which the last one is that of the first run of the task of `StartTask`.
+std::vector<workflow::RunEnd> EndsUpToTheTask(std::int64_t count) {
+  std::vector<workflow::RunEnd> ends;
+  for (std::int64_t number = 1; number < count; ++number) {
+    ends.push_back({.number = number, .task = "b.0.0." + std::to_string(number), .run = 1, .kind = RunEndKind::kDone});
+  }
+  ends.push_back({.number = count, .task = "a.0.0.0", .run = 1, .kind = RunEndKind::kDone});
+  return ends;
+}
+
+// Guards against a second run of a task that is done: its end stood behind the last one that the worker lists at a
+// time, and the answer to a stop said that the run is not there (issue 28).
+TEST_CASE("a run is not absent while its end may stand behind those that are listed", "[agent]") {
+  AgentWorld world;
+  world.Announce();
+  world.loop().RunSync([&] {
+    world.worker().most_listed_ends = 2;
+    world.worker().ends = EndsUpToTheTask(3);
+  });
+  const std::optional<OrdersAnswer> cut = world.StopTask(5);
+  REQUIRE(cut.has_value());
+  CHECK(cut->stops.at(0).end_listed);
+  CHECK(!world.Watch({.epoch = 5, .life = {}})->report.has_all_ends);
+  world.loop().RunSync([&] { world.worker().most_listed_ends = 500; });
+  REQUIRE(world.StopTask(5).has_value());
+  const std::optional<WatchAnswer> whole = world.Watch({.epoch = 5, .life = {}});
+  REQUIRE(whole.has_value());
+  CHECK(whole->report.has_all_ends);
+  CHECK(whole->report.ends.size() == 3);
+}
+
 // Guards against lost work that is noticed only when its lease lapses.
 TEST_CASE("a worker whose port refuses connections is reported as gone", "[agent]") {
   AgentWorld world;
@@ -731,9 +765,11 @@
   CHECK(read->fence.token == 77);
   WatchAnswer report{.version = 1, .report = {}};
   report.report.announced = {.worker = "w", .born = 9};
+  report.report.has_all_ends = false;
   const Result<WatchAnswer> read_report = DecodeWatchAnswer(EncodeWatchAnswer(report));
   REQUIRE(read_report.has_value());
   CHECK(read_report->report.announced == report.report.announced);
+  CHECK(!read_report->report.has_all_ends);
   OrdersAnswer started;
   started.starts = {{.task = "t", .run = 1, .answer = {.is_settled = true}}};
   const Result<OrdersAnswer> read_started = DecodeOrdersAnswer(EncodeOrdersAnswer(started));
--- a/tests/unit/platform/decode_test.cc
+++ b/tests/unit/platform/decode_test.cc
@@ -178,6 +178,17 @@
   return nlohmann::json{{"clock_ms", 7}, {"born", 5}, {"running", nlohmann::json::array()}, {"ended", ended}}.dump();
 }
 
+// Guards against a list of ends that was cut and counts as whole, so that a run whose end is not in it counts as absent
+// (issue 28).
+TEST_CASE("a list of ends is whole only if it is shorter than the platform allows", "[platform]") {
+  const std::int64_t count = GENERATE(0, 499, 500);
+  std::vector<std::int64_t> numbers;
+  for (std::int64_t number = 1; number <= count; ++number) numbers.push_back(number);
+  const Result<control::HoldAnswer> answer = DecodeHold(ListsWithEnds(numbers));
+  REQUIRE(answer.has_value());
+  CHECK(answer->has_all_ends == (count < 500));
+}
+
 // Guards against ends that are acknowledged unread: the owner takes them in the order of the list and names the highest
 // number (issue 28).
 TEST_CASE("ends are read in the order of their numbers", "[platform]") {
--- a/tests/unit/workflow/scheduler_world.cc
+++ b/tests/unit/workflow/scheduler_world.cc
@@ -84,7 +84,9 @@
                       .worker_clock_ms = absl::ToInt64Milliseconds(m_now.SinceBoot()),
                       .has_runs = true,
                       .runs = {},
-                      .ends = worker.ends};
+                      .ends = worker.ends,
+                      .has_all_ends = worker.ends.size() <= worker.most_listed_ends};
+  if (!report.has_all_ends) report.ends.resize(worker.most_listed_ends);
   for (const auto& [task, run] : worker.runs) {
     const auto percent = worker.percents.find(task);
     const auto measured = worker.measured.find(task);
