Let a worker have left only when its lists are answered

What callers saw, or could see: a task that is started again after a run of it had ended as done just before its worker left. The message of leaving and the answer that lists the end come on different connections, and the agent's process may handle the message first. It then reported the worker as gone, the owner gave all its runs up (`worker-gone`), and the answer with the end was dropped. With no disruption near, an end counts as noted 100 ms after a worker has listed it.

After the message of leaving the agent makes no further call for lists and starts nothing; it reports the worker as gone when each call under way was answered or has failed, at most 1.6 s later, in one report with the ends that were listed.

Failed before: "a worker has left only after the calls for its lists are answered" (gone at once, 0 ends instead of 1).

--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -78,6 +78,7 @@
   }
   if (!m_announcement || announcement.life != m_announcement->life) BeginLife(announcement);
   m_announcement = announcement;
+  m_is_leaving = false;
   SetCondition(announcement.draining ? WorkerCondition::kDraining : WorkerCondition::kReady, "announcement");
 }
 
@@ -94,6 +95,8 @@
   m_pending_starts.clear();
   m_pace = workflow::PaceController();
   m_condition = WorkerCondition::kGone;
+  ++m_lives;
+  m_holds_under_way = 0;
   m_hold_sent = false;  // a call to the former life may be without an answer for long
   ++m_hold_number;
 }
@@ -103,7 +106,15 @@
   // A message that does not say when its life began may be a delayed one of a former life. A worker announces that it
   // drains before it leaves, so such a message counts if the present life has done so.
   const bool is_present = life.born == 0 ? m_announcement->draining : m_announcement->life.born == life.born;
-  if (is_present) SetCondition(WorkerCondition::kGone, "leave");
+  if (!is_present || m_condition == WorkerCondition::kGone) return;
+  // Answers on other connections may arrive after this message and list what ended just before it.
+  m_is_leaving = true;
+  SetCondition(WorkerCondition::kDraining, "leave");
+  EndLeave();
+}
+
+void AgentNode::EndLeave() {
+  if (m_is_leaving && m_holds_under_way == 0) SetCondition(WorkerCondition::kGone, "leave");
 }
 
 void AgentNode::SetCondition(WorkerCondition condition, const char* reason) {
@@ -159,7 +170,7 @@
 }
 
 void AgentNode::SendHold(bool is_regular) {
-  if (!m_announcement || m_condition == WorkerCondition::kGone || m_fencing_token == 0) return;
+  if (!m_announcement || m_condition == WorkerCondition::kGone || m_is_leaving || m_fencing_token == 0) return;
   HoldCall call = MakeHoldCall();
   if (is_regular) {
     m_hold_sent = true;
@@ -168,11 +179,20 @@
       call.wait = IsPacing() ? m_options.paced_hold_wait : m_options.hold_wait;
     }
   }
-  m_worker.Hold(call, call.wait + m_options.call_timeout,
-                [this, life = call.life, token = call.fencing_token, number = is_regular ? m_hold_number : 0,
-                 alive = m_alive](Result<HoldAnswer> answer) {
-                  if (*alive) OnHold(std::move(answer), life, token, number);
-                });
+  CallHold(call, [this, life = call.life, token = call.fencing_token, number = is_regular ? m_hold_number : 0](
+                     Result<HoldAnswer> answer) { OnHold(std::move(answer), life, token, number); });
+}
+
+void AgentNode::CallHold(const HoldCall& call, absl::AnyInvocable<void(Result<HoldAnswer>)> callback) {
+  ++m_holds_under_way;
+  m_worker.Hold(
+      call, call.wait + m_options.call_timeout,
+      [this, lives = m_lives, callback = std::move(callback), alive = m_alive](Result<HoldAnswer> answer) mutable {
+        if (!*alive) return;
+        if (lives == m_lives) --m_holds_under_way;
+        callback(std::move(answer));
+        EndLeave();
+      });
 }
 
 void AgentNode::OnHold(Result<HoldAnswer> answer, const WorkerLife& life, std::int64_t token, std::uint64_t number) {
@@ -597,8 +617,7 @@
     FinishStop(*attempt, true);  // the lists of the next life, or those that its next owner gets, show the run
     return;
   }
-  m_worker.Hold(MakeHoldCall(), m_options.call_timeout, [this, attempt, alive = m_alive](Result<HoldAnswer> answer) {
-    if (!*alive) return;
+  CallHold(MakeHoldCall(), [this, attempt](Result<HoldAnswer> answer) {
     const StopCall& call = attempt->call;
     if (answer && answer->born != call.life.born && IsPresent(call.life)) OnOtherLife(*answer);
     if (IsOver(call.life, attempt->epoch)) {
@@ -618,7 +637,7 @@
       TakeLists(std::move(*answer));
     }
     if (!answer || is_running) {
-      m_loop.AddTimer(m_loop.Now() + m_options.retry_pause, [this, attempt, alive] {
+      m_loop.AddTimer(m_loop.Now() + m_options.retry_pause, [this, attempt, alive = m_alive] {
         if (*alive) ResolveStop(attempt);
       });
       return;
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -79,7 +79,11 @@
   void SetCondition(workflow::WorkerCondition condition, const char* reason);
   void NoteChange();
 
+  /// The worker has left once each call for its lists was answered or has failed.
+  void EndLeave();
+
   void ScheduleHold(absl::Duration delay);
+  void CallHold(const HoldCall& call, absl::AnyInvocable<void(Result<HoldAnswer>)> callback);
   void SendHold(bool is_regular);
   /// Answer to a call for that life with that token. `number` is that of a regular call, else 0.
   void OnHold(Result<HoldAnswer> answer, const workflow::WorkerLife& life, std::int64_t token, std::uint64_t number);
@@ -155,6 +159,9 @@
   absl::flat_hash_map<RunKey, std::weak_ptr<StartAttempt>> m_pending_starts;
   int m_refused_calls = 0;
 
+  std::uint64_t m_lives = 0;  ///< lives announced so far
+  bool m_is_leaving = false;  ///< the present life has said that it leaves
+  int m_holds_under_way = 0;  ///< calls for lists of the present life without an answer
   bool m_hold_sent = false;
   std::uint64_t m_hold_number = 0;  ///< of the newest regular call for lists
   EventLoop::TimerId m_hold_timer;
