Report ends that were read after their life is over

What callers saw, or could see: a task that is started again after a run of it had ended as done. An agent forgot the ends that it had read when its worker was replaced, and reported nothing of a worker that had gone to a new owner, because that worker never answers a call with the new token. The owner gave the runs up (`other-life`, `former-lease-lapsed`).

An end that was listed holds whatever became of the worker. The agent keeps the ends that no owner has acknowledged for 15 s after their life and reports them beside the present life; the owner applies those that match a placed run, in the worker and life that the record names, and ignores the others. Lists that are answered late for a past life are kept in the same way. Nothing is concluded from what they do not name. Messages between entries and agents have a new format.

--- a/src/control/agent_messages.cc
+++ b/src/control/agent_messages.cc
@@ -11,6 +11,7 @@
 
 using nlohmann::json;
 using workflow::ActiveRun;
+using workflow::PastEnds;
 using workflow::RunEnd;
 using workflow::RunEndKind;
 using workflow::StartOrder;
@@ -79,12 +80,16 @@
   for (const ActiveRun& run : report.runs) {
     runs.push_back(json::array({run.task, run.run, run.checkpoint, run.percent, run.measured}));
   }
+  json past_ends = json::array();
+  for (const PastEnds& past : report.past_ends) {
+    past_ends.push_back(json::array({LifeToJson(past.life), EndsToJson(past.ends)}));
+  }
   const Resources& capacity = report.capacity;
-  return json::array({report.agent_incarnation, LifeToJson(report.life), static_cast<int>(report.condition),
-                      report.service, report.zone, report.labels,
-                      json::array({capacity.cpu_millis, capacity.memory_mb, capacity.accelerators}),
-                      report.remaining_ms, report.worker_clock_ms, report.has_runs, std::move(runs),
-                      EndsToJson(report.ends), report.rack, LifeToJson(report.announced), report.has_all_ends});
+  return json::array(
+      {report.agent_incarnation, LifeToJson(report.life), static_cast<int>(report.condition), report.service,
+       report.zone, report.labels, json::array({capacity.cpu_millis, capacity.memory_mb, capacity.accelerators}),
+       report.remaining_ms, report.worker_clock_ms, report.has_runs, std::move(runs), EndsToJson(report.ends),
+       report.rack, LifeToJson(report.announced), report.has_all_ends, std::move(past_ends)});
 }
 
 WorkerReport ReportFromJson(const json& row) {
@@ -112,6 +117,9 @@
   row.at(12).get_to(report.rack);
   report.announced = LifeFromJson(row.at(13));
   row.at(14).get_to(report.has_all_ends);
+  for (const json& past : row.at(15)) {
+    report.past_ends.push_back({.life = LifeFromJson(past.at(0)), .ends = EndsFromJson(past.at(1))});
+  }
   return report;
 }
 
--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -18,6 +18,9 @@
 
 namespace {
 
+/// Lives of the worker of which ends are kept.
+constexpr std::size_t kMaxPastLives = 4;
+
 /// Traits kept of tasks that are not listed, because their starts are under way.
 constexpr std::size_t kSpareTraits = 64;
 
@@ -85,6 +88,7 @@
 void AgentNode::BeginLife(const WorkerAnnouncement& announcement) {
   LogEvent(LogLevel::kInfo, "worker_life",
            {{"worker", announcement.life.worker}, {"born", announcement.life.born}, {"zone", announcement.zone}});
+  KeepUnacknowledgedEnds();
   m_lists.reset();
   m_fencing_token = 0;
   m_is_confirmed = false;
@@ -199,7 +203,7 @@
   const bool is_regular = number != 0;
   if (is_regular && number == m_hold_number) m_hold_sent = false;
   if (!IsPresent(life)) {
-    if (answer) LogDroppedLists(*answer, life);
+    if (answer && answer->born == life.born) KeepPastLists(std::move(*answer), life);
     return;
   }
   if (!answer) {
@@ -216,10 +220,44 @@
   if (is_regular) ScheduleHold(HasUnacknowledgedEnds() ? m_options.pending_pause : absl::ZeroDuration());
 }
 
-void AgentNode::LogDroppedLists(const HoldAnswer& answer, const WorkerLife& life) const {
+void AgentNode::KeepPastLists(HoldAnswer answer, const WorkerLife& life) {
+  LogPastLists(answer, life);
+  if (m_announcement && m_announcement->life == life) {
+    TakeLists(std::move(answer));
+  } else {
+    KeepPastEnds(life, answer.ends);
+  }
+}
+
+void AgentNode::KeepUnacknowledgedEnds() {
+  if (!m_announcement || !m_lists) return;
+  std::vector<RunEnd> ends;
+  std::copy_if(m_lists->ends.begin(), m_lists->ends.end(), std::back_inserter(ends),
+               [&](const RunEnd& end) { return end.number > m_acknowledged; });
+  KeepPastEnds(m_announcement->life, std::move(ends));
+}
+
+void AgentNode::KeepPastEnds(const WorkerLife& life, std::vector<RunEnd> ends) {
+  if (ends.empty()) return;
+  m_past_ends.push_back({.kept_until = m_loop.Now() + m_options.past_ends_kept, .past = {life, std::move(ends)}});
+  if (m_past_ends.size() > kMaxPastLives) m_past_ends.erase(m_past_ends.begin());
+  NoteChange();
+}
+
+std::vector<workflow::PastEnds> AgentNode::PastEndsToReport() {
+  std::erase_if(m_past_ends, [&](const KeptEnds& kept) { return kept.kept_until <= m_loop.Now(); });
+  std::vector<workflow::PastEnds> ends;
+  for (const KeptEnds& kept : m_past_ends) ends.push_back(kept.past);
+  // A worker that has gone answers no further call, so its life is never confirmed to a new owner.
+  const bool is_over = !IsWorkerKnown() && m_condition == WorkerCondition::kGone;
+  if (is_over && m_lists && !m_lists->ends.empty()) ends.push_back({m_announcement->life, m_lists->ends});
+  return ends;
+}
+
+void AgentNode::LogPastLists(const HoldAnswer& answer, const WorkerLife& life) const {
   const auto unread =
       std::count_if(answer.ends.begin(), answer.ends.end(), [&](const RunEnd& end) { return end.number > m_last_end; });
-  LogEvent(LogLevel::kWarning, "lists_dropped",
+  LogEvent(LogLevel::kInfo, "past_lists",
            {{"worker", life.worker},
             {"born", life.born},
             {"condition", workflow::kWorkerConditionNames.NameOf(m_condition)},
@@ -393,6 +431,7 @@
   WatchAnswer answer{.version = m_version, .report = {}};
   workflow::WorkerReport& report = answer.report;
   report.agent_incarnation = m_options.incarnation;
+  report.past_ends = PastEndsToReport();
   if (m_announcement) report.announced = m_announcement->life;
   if (!IsWorkerKnown()) return answer;
   report.life = m_announcement->life;
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -41,6 +41,9 @@
   /// A start that has no answer for this time is given up and left to the owner's stop. Half the platform's bound for
   /// cancellations, because the owner may have no way to tell this agent of one.
   absl::Duration start_limit = absl::Milliseconds(1500);
+  /// Ends of a past life are reported for this long: until a new owner has claimed (under 3 s) and regards workers that
+  /// it cannot reach as empty (9.2 s after that).
+  absl::Duration past_ends_kept = absl::Seconds(15);
 };
 
 /// The logic of an agent: carries the owner's orders to its worker and the worker's lists to the owner.
@@ -102,8 +105,12 @@
   /// Ends that the worker forgot before this process has read them, told by their numbers.
   void LogSkippedEnds(const HoldAnswer& answer) const;
   void LogCutEnds(const HoldAnswer& answer) const;
-  /// Lists that were answered for a life that is not, or no longer, taken for the present one.
-  void LogDroppedLists(const HoldAnswer& answer, const workflow::WorkerLife& life) const;
+  void LogPastLists(const HoldAnswer& answer, const workflow::WorkerLife& life) const;
+  /// Lists of a life that has left or has a successor: the ends in them are reported all the same.
+  void KeepPastLists(HoldAnswer answer, const workflow::WorkerLife& life);
+  void KeepUnacknowledgedEnds();
+  void KeepPastEnds(const workflow::WorkerLife& life, std::vector<workflow::RunEnd> ends);
+  std::vector<workflow::PastEnds> PastEndsToReport();
   bool HasUnacknowledgedEnds() const;
 
   void FlushWatch();
@@ -159,6 +166,12 @@
   absl::flat_hash_map<RunKey, std::weak_ptr<StartAttempt>> m_pending_starts;
   int m_refused_calls = 0;
 
+  struct KeptEnds {
+    MonotonicTime kept_until;
+    workflow::PastEnds past;
+  };
+  std::vector<KeptEnds> m_past_ends;  ///< oldest first
+
   std::uint64_t m_lives = 0;  ///< lives announced so far
   bool m_is_leaving = false;  ///< the present life has said that it leaves
   int m_holds_under_way = 0;  ///< calls for lists of the present life without an answer
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -160,6 +160,8 @@
   std::optional<TaskRef> FindRun(const std::string& task, int run, const WorkerLife& life);
 
   void ApplyEnd(const WorkerLife& life, const RunEnd& end, MonotonicTime now);
+  /// Ends that hold although their life is over.
+  void ApplyPastEnds(const PastEnds& past, MonotonicTime now);
   void LogUnmatchedEnd(const WorkerLife& life, const RunEnd& end);
   /// A worker has shown that the present run of the task is, or was, carried out.
   void NoteBegun(PoolWorker* worker, TaskRef task);
--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -81,6 +81,17 @@
   FinishRun(*ref, end.kind, end.checkpoint, now);
 }
 
+void Scheduler::ApplyPastEnds(const PastEnds& past, MonotonicTime now) {
+  for (const RunEnd& end : past.ends) {
+    const std::optional<TaskRef> ref = FindRun(end.task, end.run, past.life);
+    if (!ref) continue;  // taken before: such ends are reported for a while
+    LogEvent(LogLevel::kInfo, "past_end_applied",
+             {{"task", end.task}, {"run", end.run}, {"worker", past.life.worker}, {"born", past.life.born}});
+    NoteBegun(m_workers.FindLife(past.life), *ref);
+    FinishRun(*ref, end.kind, end.checkpoint, now);
+  }
+}
+
 void Scheduler::LogUnmatchedEnd(const WorkerLife& life, const RunEnd& end) {
   const std::optional<TaskName> name = TaskName::Parse(end.task);
   const WorkflowStep* step = name ? FindStep(name->step) : nullptr;
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -22,6 +22,7 @@
 }  // namespace
 
 void Scheduler::OnReport(const std::string& agent, const WorkerReport& report, MonotonicTime now) {
+  for (const PastEnds& past : report.past_ends) ApplyPastEnds(past, now);
   if (report.life.worker.empty()) {
     // The agent waits for the first lists of a life, so orders for a former one would have no effect.
     if (PoolWorker* known = m_workers.Find(agent)) known->reconciled = false;
--- a/src/workflow/worker_report.h
+++ b/src/workflow/worker_report.h
@@ -33,6 +33,14 @@
   friend bool operator==(const WorkerLife&, const WorkerLife&) = default;
 };
 
+/// Ends that a worker listed in one life and that may not be known to the owner.
+struct PastEnds {
+  WorkerLife life;
+  std::vector<RunEnd> ends;
+
+  friend bool operator==(const PastEnds&, const PastEnds&) = default;
+};
+
 /// What an agent says of the worker beside it.
 struct WorkerReport {
   Incarnation agent_incarnation = 0;
@@ -50,6 +58,9 @@
   std::vector<ActiveRun> runs;
   std::vector<RunEnd> ends;  ///< not yet acknowledged
   bool has_all_ends = true;  ///< otherwise the worker may have ends with higher numbers than those in `ends`
+  /// Ends that were listed in a life that is over, or that has not answered with the owner's fence token. They hold
+  /// whatever became of the worker, but say nothing of its other runs.
+  std::vector<PastEnds> past_ends;
 };
 
 }  // namespace berylgauge::workflow
--- a/tests/unit/control/agent_node_test.cc
+++ b/tests/unit/control/agent_node_test.cc
@@ -479,6 +479,53 @@
   CHECK(answer->report.ends.at(0).task == "a.0.0.0");
 }
 
+/// Lets the agent read one end, of a task that is done.
+void ReadOneEnd(AgentWorld& world) {
+  world.Announce();
+  world.loop().RunSync([&] { world.worker().ends = EndsUpToTheTask(1); });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] {
+    std::size_t ends = 0;
+    world.agent().OnWatch({.epoch = 5, .life = {}},
+                          [&](std::optional<WatchAnswer> answer) { ends = answer ? answer->report.ends.size() : 0; });
+    return ends == 1;
+  }));
+}
+
+struct PastLifeRow {
+  const char* name;
+  bool has_next_life;
+  std::int64_t epoch;
+};
+
+// Guards against a second run of a task whose end the agent has read, because its worker has left or was replaced
+// before an owner took note of that (issue 28).
+TEST_CASE("ends that were read are reported after their life", "[agent]") {
+  const PastLifeRow row = GENERATE(PastLifeRow{"the worker has left, another owner", false, 9},
+                                   PastLifeRow{"the worker has a successor, same owner", true, 5},
+                                   PastLifeRow{"the worker has a successor, another owner", true, 9});
+  INFO(row.name);
+  AgentWorld world;
+  ReadOneEnd(world);
+  world.loop().RunSync([&] {
+    if (row.has_next_life) {
+      world.worker().Restart(2000);
+      world.agent().OnAnnouncement({.life = {.worker = "w2", .born = 2000}, .sequence = 1, .service = "s"});
+    } else {
+      world.agent().OnLeave(world.life());
+    }
+  });
+  std::optional<WatchAnswer> answer;
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] {
+    world.agent().OnWatch({.epoch = row.epoch, .life = {}},
+                          [&](std::optional<WatchAnswer> given) { answer = std::move(given); });
+    return answer && !answer->report.past_ends.empty();
+  }));
+  CHECK(answer->report.life.worker.empty());
+  REQUIRE(answer->report.past_ends.size() == 1);
+  CHECK(answer->report.past_ends.at(0).life == world.life());
+  CHECK(answer->report.past_ends.at(0).ends == EndsUpToTheTask(1));
+}
+
 // Guards against lost work that is noticed only when its lease lapses.
 TEST_CASE("a worker whose port refuses connections is reported as gone", "[agent]") {
   AgentWorld world;
@@ -799,10 +846,13 @@
   WatchAnswer report{.version = 1, .report = {}};
   report.report.announced = {.worker = "w", .born = 9};
   report.report.has_all_ends = false;
+  report.report.past_ends = {
+      {.life = {.worker = "v", .born = 8}, .ends = {{.number = 3, .task = "t", .run = 2, .kind = RunEndKind::kDone}}}};
   const Result<WatchAnswer> read_report = DecodeWatchAnswer(EncodeWatchAnswer(report));
   REQUIRE(read_report.has_value());
   CHECK(read_report->report.announced == report.report.announced);
   CHECK(!read_report->report.has_all_ends);
+  CHECK(read_report->report.past_ends == report.report.past_ends);
   OrdersAnswer started;
   started.starts = {{.task = "t", .run = 1, .answer = {.is_settled = true}}};
   const Result<OrdersAnswer> read_started = DecodeOrdersAnswer(EncodeOrdersAnswer(started));
--- a/tests/unit/workflow/scheduler_world.cc
+++ b/tests/unit/workflow/scheduler_world.cc
@@ -85,7 +85,8 @@
                       .has_runs = true,
                       .runs = {},
                       .ends = worker.ends,
-                      .has_all_ends = worker.ends.size() <= worker.most_listed_ends};
+                      .has_all_ends = worker.ends.size() <= worker.most_listed_ends,
+                      .past_ends = worker.past_ends};
   if (!report.has_all_ends) report.ends.resize(worker.most_listed_ends);
   for (const auto& [task, run] : worker.runs) {
     const auto percent = worker.percents.find(task);
--- a/tests/unit/workflow/scheduler_world.h
+++ b/tests/unit/workflow/scheduler_world.h
@@ -29,6 +29,7 @@
   std::vector<RunEnd> ends;
   std::int64_t last_end = 0;
   std::size_t most_listed_ends = 500;
+  std::vector<PastEnds> past_ends;
   bool answers_starts = true;                    ///< otherwise starts have no answer and no effect
   StartRefusal refusal = StartRefusal::kNone;    ///< answer to starts
   std::map<std::string, std::int64_t> measured;  ///< as in `ActiveRun`, by task; 0 if absent
