Play lists that are cut and workers that leave in the interleaving test

Workers of the world list two ends at a time, and leave in a planned way with ends that only their agent has read; such an end counts as noted unless the agent is cut off or started again before it has told an owner.

--- a/tests/unit/workflow/interleaving_test.cc
+++ b/tests/unit/workflow/interleaving_test.cc
@@ -18,6 +18,8 @@
   int late_starts = 0;
   int repeated_starts = 0;
   int strayed_starts = 0;
+  int cut_lists = 0;
+  int past_ends = 0;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     InterleavingWorld world(seed, Breakage::kNone);
     for (int i = 0; i < kSteps; ++i) world.Step();
@@ -29,6 +31,8 @@
     late_starts += world.late_starts();
     repeated_starts += world.repeated_starts();
     strayed_starts += world.strayed_starts();
+    cut_lists += world.cut_lists();
+    past_ends += world.past_ends();
   }
   // Otherwise the faults would not have been met.
   CHECK(runs_done > 1000);
@@ -36,6 +40,8 @@
   CHECK(late_starts > 100);
   CHECK(repeated_starts > 100);
   CHECK(strayed_starts > 100);
+  CHECK(cut_lists > 100);
+  CHECK(past_ends > 30);
 }
 
 struct BreakageRow {
@@ -54,7 +60,9 @@
                BreakageRow{"an unknown worker counts as another life", Breakage::kUnknownIsOtherLife},
                BreakageRow{"tokens do not tell lives apart", Breakage::kTokenOfOwnerOnly},
                BreakageRow{"ends are acknowledged with numbers of a former life", Breakage::kAcknowledgeFormerLife},
-               BreakageRow{"orders go to a life that has answered nothing", Breakage::kOrdersBeforeFirstList});
+               BreakageRow{"orders go to a life that has answered nothing", Breakage::kOrdersBeforeFirstList},
+               BreakageRow{"a list of ends that was cut counts as whole", Breakage::kCutListIsWhole},
+               BreakageRow{"ends of a worker that has left are forgotten", Breakage::kForgetReadEnds});
   INFO(row.name);
   bool noticed = false;
   for (std::uint64_t seed = 1; seed <= kSeeds && !noticed; ++seed) {
--- a/tests/unit/workflow/interleaving_world.cc
+++ b/tests/unit/workflow/interleaving_world.cc
@@ -29,6 +29,10 @@
 constexpr int kDownSteps = 20;
 /// Calls are carried out this late at most, in steps.
 constexpr int kLateSteps = 60;
+/// A worker whose agent has reported within this time was not cut off for long.
+constexpr absl::Duration kCalm = absl::Seconds(1);
+/// A worker lists at most so many ends at a time.
+constexpr std::size_t kListedEnds = 2;
 /// The clock of a life begins below this.
 constexpr int kFirstClockMs = 2000;
 
@@ -136,6 +140,8 @@
     m_lose_batch = true;
   } else if (event < 66) {
     RestartAgent();
+  } else if (event < 72) {
+    LeaveWorker();
   }
 }
 
@@ -179,6 +185,7 @@
     worker.former_owner_until = m_now + kFormerOwnerGrants;
     worker.former_epoch = m_epoch - 1;
     worker.cut_until = std::max(worker.cut_until, m_now + absl::Seconds(5 + Random(8)));
+    UnnotePastEnds(worker);
   }
 }
 
@@ -189,8 +196,27 @@
   if (Random(3) > 0) worker.born_at = m_now + (1 + Random(kDownSteps)) * kTick;
 }
 
+void InterleavingWorld::LeaveWorker() {
+  Worker& worker = AnyWorker();
+  Agent& agent = worker.agent;
+  const bool is_known = worker.is_up && agent.is_confirmed && !agent.is_other && agent.life == worker.life;
+  if (!is_known) return;
+  if (!worker.ends.empty()) agent.past_ends.push_back({.life = worker.life, .ends = worker.ends});
+  // After a longer cut an owner may have given the runs up.
+  const bool is_calm = IsConnected(worker) && m_now - worker.reported_at <= kCalm;
+  for (const RunEnd& end : worker.ends) {
+    if (!is_calm) break;
+    if (end.kind == RunEndKind::kDone && end.number > worker.void_ends) agent.listed_done.insert(end.task);
+  }
+  Die(worker);
+  worker.has_left = true;
+  worker.born_at = m_now + (1 + Random(kDownSteps)) * kTick;
+  agent.is_gone = true;
+}
+
 void InterleavingWorld::RestartAgent() {
   Worker& worker = AnyWorker();
+  UnnotePastEnds(worker);
   const Incarnation incarnation = worker.agent.incarnation + 1;
   worker.agent = {};
   worker.agent.incarnation = incarnation;
@@ -202,7 +228,11 @@
   }
 }
 
-void InterleavingWorld::CutWorker() { AnyWorker().cut_until = m_now + absl::Milliseconds(500 + 100 * Random(80)); }
+void InterleavingWorld::CutWorker() {
+  Worker& worker = AnyWorker();
+  worker.cut_until = m_now + absl::Milliseconds(500 + 100 * Random(80));
+  UnnotePastEnds(worker);
+}
 
 // ---- Agents
 
@@ -210,6 +240,8 @@
   if (!worker.is_up || m_now < worker.announced_at || worker.agent.life == worker.life) return;
   const Agent former = std::exchange(worker.agent, {});
   worker.agent.incarnation = former.incarnation;
+  worker.agent.past_ends = former.past_ends;
+  worker.agent.listed_done = former.listed_done;
   worker.agent.life = worker.life;
   if (m_breakage == Breakage::kAcknowledgeFormerLife) worker.agent.last_seen = former.last_seen;
   TokenFor(worker, epoch);
@@ -226,11 +258,13 @@
 
 void InterleavingWorld::TakeTurn(Worker& worker) {
   worker.former_owner_until = m_now;  // agents refuse an owner after they have heard of a newer one
+  NotePastEnds(worker);
   Hear(worker, m_epoch);
   Agent& agent = worker.agent;
-  if (agent.life.worker.empty()) return;
-  if (agent.is_other) {
-    m_scheduler->OnReport(worker.host, {}, m_now);
+  if (agent.life.worker.empty() || agent.is_other) {
+    WorkerReport report;
+    if (m_breakage != Breakage::kForgetReadEnds) report.past_ends = agent.past_ends;
+    m_scheduler->OnReport(worker.host, report, m_now);
     return;
   }
   if (!worker.is_up && agent.is_confirmed && Random(3) == 0) agent.is_gone = true;
@@ -282,6 +316,7 @@
   report.service = "s";
   report.zone = "z";
   report.capacity = worker.capacity;
+  if (m_breakage != Breakage::kForgetReadEnds) report.past_ends = worker.agent.past_ends;
   if (condition == WorkerCondition::kGone) {
     m_scheduler->OnReport(worker.host, report, m_now);
     return;
@@ -292,15 +327,41 @@
   if (worker.has_own_token) {
     for (const auto& [task, run] : worker.runs) report.runs.push_back({.task = task, .run = run, .checkpoint = {}});
     report.ends = worker.ends;
+    if (!ListsAllEnds(worker)) {
+      ++m_cut_lists;
+      report.ends.resize(kListedEnds);
+      report.has_all_ends = m_breakage == Breakage::kCutListIsWhole;
+    }
     worker.lease_end_ms = std::max(worker.lease_end_ms, report.worker_clock_ms + kLeaseMs);
   }
   m_scheduler->OnReport(worker.host, report, m_now);
   worker.is_reported = true;
+  worker.reported_at = m_now;
   worker.is_given_up = false;
   if (m_breakage != Breakage::kAcknowledgeBeforeDurable) return;
   Acknowledge(worker, m_scheduler->FindWorker(worker.host)->ends_applied);
 }
 
+void InterleavingWorld::NotePastEnds(const Worker& worker) {
+  for (const std::string& task : worker.agent.listed_done) {
+    if (m_noted_tasks.insert(task).second) ++m_past_ends;
+  }
+}
+
+void InterleavingWorld::UnnotePastEnds(Worker& worker) {
+  for (const std::string& task : worker.agent.listed_done) m_noted_tasks.erase(task);
+  worker.agent.listed_done.clear();
+}
+
+bool InterleavingWorld::ListsAllEnds(const Worker& worker) const { return worker.ends.size() <= kListedEnds; }
+
+bool InterleavingWorld::IsEndListed(const Worker& worker, const StopOrder& order) const {
+  const std::size_t listed = std::min(worker.ends.size(), kListedEnds);
+  const bool is_listed = std::any_of(worker.ends.begin(), worker.ends.begin() + static_cast<std::ptrdiff_t>(listed),
+                                     [&](const RunEnd& end) { return end.task == order.task && end.run == order.run; });
+  return is_listed || (!ListsAllEnds(worker) && m_breakage != Breakage::kCutListIsWhole);
+}
+
 StartAnswer InterleavingWorld::CallStart(Worker& worker, const StartOrder& order, std::int64_t until_ms) {
   if (worker.life.worker != order.life.worker) {
     worker.agent.is_other = true;
@@ -355,7 +416,8 @@
   worker.born_at = m_now;
   worker.first_clock_ms = 1 + Random(kFirstClockMs);
   worker.life.born = m_next_born++;
-  if (worker.tokened_born > 0 && Random(5) == 0) worker.life.worker = "w" + std::to_string(m_next_id++);
+  const bool has_other_id = worker.tokened_born > 0 && Random(5) == 0;
+  if (has_other_id || std::exchange(worker.has_left, false)) worker.life.worker = "w" + std::to_string(m_next_id++);
   worker.announced_at = m_now + Random(kAnnouncementSteps + 1) * kTick;
 }
 
@@ -556,10 +618,7 @@
       later.push_back(order);
       continue;
     }
-    const bool is_listed = std::any_of(worker.ends.begin(), worker.ends.end(), [&](const RunEnd& end) {
-      return end.task == order.task && end.run == order.run;
-    });
-    m_scheduler->OnStopAnswer(order.task, order.run, order.life, is_listed, m_now);
+    m_scheduler->OnStopAnswer(order.task, order.run, order.life, IsEndListed(worker, order), m_now);
   }
   for (StopOrder& order : later) m_stops.push_back(std::move(order));
 }
--- a/tests/unit/workflow/interleaving_world.h
+++ b/tests/unit/workflow/interleaving_world.h
@@ -27,11 +27,13 @@
   kTokenOfOwnerOnly,          ///< tokens do not tell the lives of a worker apart
   kAcknowledgeFormerLife,     ///< calls to a life carry the last end that was noted in the former one
   kOrdersBeforeFirstList,     ///< a life gets orders before it has answered a call
+  kCutListIsWhole,            ///< a run counts as absent although its end may stand behind those that are listed
+  kForgetReadEnds,            ///< agents forget the ends of a worker that has left
 };
 
 /// An owner, its successors, agents and workers with the platform's rules, under faults at random: cuts, restarts, lost
-/// owners, lost batches, agents and workers that are started again, calls that are carried out seconds late or by the
-/// next life of a worker, clocks that are slow.
+/// owners, lost batches, agents and workers that are started again, workers that leave, lists of ends that are cut,
+/// calls that are carried out seconds late or by the next life of a worker, clocks that are slow.
 ///
 /// Each step lasts 100 ms. Everything follows from the seed.
 class InterleavingWorld {
@@ -51,6 +53,10 @@
   int repeated_starts() const { return m_repeated_starts; }
   /// Starts for a life that the next life of the worker carried out.
   int strayed_starts() const { return m_strayed_starts; }
+  /// Reports with a list of ends that was cut.
+  int cut_lists() const { return m_cut_lists; }
+  /// Ends as done that a worker listed just before it left.
+  int past_ends() const { return m_past_ends; }
 
  private:
   /// Fencing token of a call.
@@ -86,12 +92,15 @@
     std::int64_t last_seen = 0;
     std::int64_t until_ms = 0;
     std::set<std::pair<std::string, int>> unanswered;  ///< starts with a call without an answer
+    std::vector<PastEnds> past_ends;                   ///< read from workers that have left
+    std::set<std::string> listed_done;                 ///< tasks done by `past_ends`, with no fault of the agent since
   };
   struct Worker {
     std::string host;
     Agent agent;
     WorkerLife life;
     bool is_up = true;
+    bool has_left = false;  ///< in a planned way; the next worker has another id
     MonotonicTime born_at;  ///< if it is down, of its next life
     std::int64_t first_clock_ms = 0;
     double clock_rate = 1;
@@ -103,6 +112,7 @@
     Token highest_token;
     bool has_own_token = false;  ///< a call that was meant for this life was carried out
     bool is_reported = false;    ///< an owner knows of this life
+    MonotonicTime reported_at;   ///< last, to any owner
     bool is_given_up = false;    ///< the lease has lapsed at an owner since the last report
     std::int64_t lease_end_ms = 0;
     std::map<std::string, int> runs;
@@ -131,6 +141,7 @@
   void EndRun(RunEndKind kind);
   void ReplaceOwner();
   void RestartWorker();
+  void LeaveWorker();
   void RestartAgent();
   void CutWorker();
 
@@ -142,6 +153,13 @@
   void Report(Worker& worker, WorkerCondition condition);
   StartAnswer CallStart(Worker& worker, const StartOrder& order, std::int64_t until_ms);
   bool CallStop(Worker& worker, const StopOrder& order);
+  /// What a worker had listed when it left counts as noted, unless a fault keeps its agent from passing it on.
+  void NotePastEnds(const Worker& worker);
+  void UnnotePastEnds(Worker& worker);
+  /// Whether the worker lists all its ends at a time.
+  bool ListsAllEnds(const Worker& worker) const;
+  /// Whether the worker's lists show the end of the run, or may do so once earlier ends are acknowledged.
+  bool IsEndListed(const Worker& worker, const StopOrder& order) const;
   /// Whether the agent may call the worker for that life.
   bool IsPresent(const Worker& worker, const WorkerLife& life) const {
     return worker.agent.life == life && worker.agent.is_confirmed && !worker.agent.is_other;
@@ -214,6 +232,8 @@
   int m_late_starts = 0;
   int m_repeated_starts = 0;
   int m_strayed_starts = 0;
+  int m_cut_lists = 0;
+  int m_past_ends = 0;
   std::vector<std::string> m_violations;
 };
 
