Let the stand-in worker cut its lists, answer late and leave

- returns at most 500 ends at a time, the lowest numbers first, always;
- leaves with `POST /control/leave`: draining, the message of leaving, then the end of all that runs;
- holds answers that list an end back while the fault `late_lists` is set, also over the leave;
- records each hold that begins to wait, each end when an answer lists it first, and the leave.

The check of the records knows when an end of a worker that left counts: it was acknowledged, or listed 100 ms before the worker left. Where no worker left nothing changes: seven new rows, all former ones as they were.

--- a/tests/process/run_truth.cc
+++ b/tests/process/run_truth.cc
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace berylgauge {
@@ -11,6 +12,9 @@
 
 using nlohmann::json;
 
+/// An end counts as noted when its worker has gone on for this long after it listed it.
+constexpr std::int64_t kNotedAfterMs = 100;
+
 struct WorkerEvent {
   std::size_t worker = 0;
   std::int64_t time_ms = 0;
@@ -18,14 +22,29 @@
   std::string task;  ///< empty if the event belongs to none
   int run = 0;
   bool done = false;
-  bool noted = false;  ///< an end that was noted later
+  bool noted = false;      ///< an end that was acknowledged later
+  bool lost_left = false;  ///< an end that its worker, when it left, had listed too late or never
 };
 
+bool IsOf(const json& event, const char* kind, const json& end) {
+  return event.at("kind") == kind && event.at("task") == end.at("task") && event.at("run") == end.at("run");
+}
+
 bool IsNoted(const std::vector<json>& events, std::size_t end) {
   for (std::size_t i = end + 1; i < events.size() && events[i].at("kind") != "death"; ++i) {
+    if (IsOf(events[i], "noted", events[end])) return true;
+  }
+  return false;
+}
+
+bool IsLostByLeaving(const std::vector<json>& events, std::size_t end) {
+  std::optional<std::int64_t> listed_ms;
+  for (std::size_t i = end + 1; i < events.size(); ++i) {
     const json& event = events[i];
-    if (event.at("kind") != "noted") continue;
-    if (event.at("task") == events[end].at("task") && event.at("run") == events[end].at("run")) return true;
+    if (IsOf(event, "noted", events[end])) return false;
+    if (IsOf(event, "listed", events[end]) && !listed_ms) listed_ms = event.at("time_ms");
+    if (event.at("kind") != "left") continue;
+    return !listed_ms || event.at("time_ms").get<std::int64_t>() < *listed_ms + kNotedAfterMs;
   }
   return false;
 }
@@ -42,7 +61,8 @@
                         .task = event.value("task", ""),
                         .run = event.value("run", 0),
                         .done = event.value("how", "") == "done",
-                        .noted = event.at("kind") == "run-end" && IsNoted(events, i)});
+                        .noted = event.at("kind") == "run-end" && IsNoted(events, i),
+                        .lost_left = event.at("kind") == "run-end" && IsLostByLeaving(events, i)});
     }
   }
   std::stable_sort(merged.begin(), merged.end(),
@@ -59,7 +79,7 @@
   std::map<std::string, std::multiset<std::size_t>> running;  // workers, by task
   std::set<std::string> done;
   for (const WorkerEvent& event : events) {
-    if (event.kind == "death") {
+    if (event.kind == "death" || event.kind == "left") {
       for (auto& [task, workers] : running) workers.erase(event.worker);
     } else if (event.kind == "run-start") {
       std::multiset<std::size_t>& workers = running[event.task];
@@ -71,7 +91,7 @@
       std::multiset<std::size_t>& workers = running[event.task];
       const auto found = workers.find(event.worker);
       if (found != workers.end()) workers.erase(found);
-      if (event.done && (event.noted || !any_death)) done.insert(event.task);
+      if (event.done && (event.noted || (!any_death && !event.lost_left))) done.insert(event.task);
     }
   }
   return "";
--- a/tests/process/run_truth_test.cc
+++ b/tests/process/run_truth_test.cc
@@ -14,6 +14,10 @@
 json Noted(int time_ms, int run) {
   return {{"kind", "noted"}, {"time_ms", time_ms}, {"task", "t"}, {"run", run}, {"how", "done"}};
 }
+json Listed(int time_ms, int run) {
+  return {{"kind", "listed"}, {"time_ms", time_ms}, {"task", "t"}, {"run", run}, {"how", "done"}};
+}
+json Left(int time_ms) { return {{"kind", "left"}, {"time_ms", time_ms}, {"born", 1}}; }
 json Death(int time_ms) { return {{"kind", "death"}, {"time_ms", time_ms}, {"born", 1}}; }
 
 struct Row {
@@ -53,6 +57,28 @@
           true,
           {Start(10, 1), End(20, 1, "done"), Noted(60, 1)},
           {Start(40, 2), Death(50)}},
+      Row{"after a worker left that ran it", false, {Start(10, 1), Left(20)}, {Start(30, 2)}},
+      Row{"before a worker leaves that runs it", true, {Start(10, 1), Left(30)}, {Start(20, 2)}},
+      Row{"after an end that a worker that left never listed",
+          false,
+          {Start(10, 1), End(20, 1, "done"), Left(300)},
+          {Start(400, 2)}},
+      Row{"after an end that was listed right before its worker left",
+          false,
+          {Start(10, 1), End(20, 1, "done"), Listed(30, 1), Left(129)},
+          {Start(400, 2)}},
+      Row{"after an end that was listed 100 ms before its worker left",
+          true,
+          {Start(10, 1), End(20, 1, "done"), Listed(30, 1), Left(130)},
+          {Start(400, 2)}},
+      Row{"after an end that was noted right before its worker left",
+          true,
+          {Start(10, 1), End(20, 1, "done"), Listed(30, 1), Noted(40, 1), Left(50)},
+          {Start(400, 2)}},
+      Row{"after an end of a worker that stays while another one leaves",
+          true,
+          {Start(10, 1), End(20, 1, "done")},
+          {Left(30), Start(400, 2)}},
       Row{"noted in another life", false, {Start(10, 1), End(20, 1, "done"), Death(30), Noted(60, 1)}, {Start(40, 2)}});
   INFO(row.name);
   const std::string found = FindDoubleRun({row.first, row.second});
--- a/tests/standins/leased_worker_service.cc
+++ b/tests/standins/leased_worker_service.cc
@@ -17,6 +17,8 @@
 /// Less than the time for which a control call is waited for.
 constexpr std::int64_t kMaxDownMs = 10'000;
 constexpr std::int64_t kMaxFailAfterMs = 600'000;  // as `delay_ms` of all stand-ins
+constexpr std::size_t kMaxListedEnds = 500;
+constexpr int kLeaveAttempts = 5;
 /// Specification of a task that lasts.
 constexpr const char* kLastingSpec = "lasts";
 
@@ -96,6 +98,7 @@
                    .quiet = reader.Boolean("quiet", m_faults.quiet),
                    .keep = ReadCalls(reader, "keep", m_faults.keep),
                    .mute = ReadCalls(reader, "mute", m_faults.mute),
+                   .late_lists = reader.Boolean("late_lists", m_faults.late_lists),
                    .fail_runs_after_ms = reader.Integer(
                        "fail_runs_after_ms", {.default_value = m_faults.fail_runs_after_ms, .max = kMaxFailAfterMs})};
 }
@@ -109,27 +112,31 @@
 
 json LeasedWorkerService::Faults() const {
   const std::lock_guard lock(m_mutex);
-  return {{"draining", m_faults.draining},
-          {"quiet", m_faults.quiet},
-          {"keep", NamesOf(m_faults.keep)},
-          {"mute", NamesOf(m_faults.mute)},
-          {"fail_runs_after_ms", m_faults.fail_runs_after_ms}};
+  return {{"draining", m_faults.draining},     {"quiet", m_faults.quiet},
+          {"keep", NamesOf(m_faults.keep)},    {"mute", NamesOf(m_faults.mute)},
+          {"late_lists", m_faults.late_lists}, {"fail_runs_after_ms", m_faults.fail_runs_after_ms}};
 }
 
 StandinResponse LeasedWorkerService::HandleControl(const StandinRequest& request) {
   const bool is_rebirth = request.path == "/control/rebirth";
-  if (!is_rebirth && request.path != "/control/play-kept") return StandinService::HandleControl(request);
+  const bool is_leave = request.path == "/control/leave";
+  if (!is_rebirth && !is_leave && request.path != "/control/play-kept") return StandinService::HandleControl(request);
   const json document = json::parse(request.body, nullptr, false);
   if (document.is_discarded()) return StandinResponse::Error(400, "not JSON");
   JsonErrors errors;
   JsonObjectReader reader(document, "$", errors);
   const std::int64_t down_ms = is_rebirth ? reader.Integer("down_ms", {.default_value = 0, .max = kMaxDownMs}) : 0;
-  const std::set<WorkerCall> calls = ReadCalls(reader, is_rebirth ? "play_kept" : "kinds", {});
+  const std::set<WorkerCall> calls =
+      is_leave ? std::set<WorkerCall>{} : ReadCalls(reader, is_rebirth ? "play_kept" : "kinds", {});
   const std::set<WorkerCall> keep = is_rebirth ? ReadCalls(reader, "keep", {}) : std::set<WorkerCall>{};
   reader.Finish();
   if (!errors.empty()) return StandinResponse::Error(400, errors.ToFailure().message);
   std::unique_lock lock(m_mutex);
-  if (!m_is_up) return StandinResponse::Error(409, "the worker is down");
+  if (!m_is_up || m_is_leaving) return StandinResponse::Error(409, "the worker is down or leaves");
+  if (is_leave) {
+    if (!Leave(lock)) return StandinResponse::Error(502, "the agent does not answer");
+    return StandinResponse::Json({{"born", m_life.born}});
+  }
   if (is_rebirth) {
     Die();
     m_faults.keep = keep;
@@ -163,6 +170,25 @@
   m_changed.notify_all();
 }
 
+bool LeasedWorkerService::Leave(std::unique_lock<std::mutex>& lock) {
+  m_is_leaving = true;
+  m_faults.draining = true;
+  m_changed.wait(lock, [this] { return m_stopped || !m_is_telling; });  // a heartbeat must not arrive after the message
+  const auto tell = [&](const std::string& message, const json& body) {
+    for (int i = 0; i < kLeaveAttempts && !m_stopped; ++i) {
+      if (TellAgent(message, body, lock)) return true;
+    }
+    return false;
+  };
+  const bool is_told = tell("heartbeat", MakeHeartbeat()) && tell("leave", {{"born", m_life.born}});
+  Update();
+  m_record.Add("left", {{"born", m_life.born}});
+  m_life.runs.clear();
+  m_is_up = false;
+  m_changed.notify_all();
+  return is_told;
+}
+
 std::int64_t LeasedWorkerService::ClockMs() const { return MonotonicMillis() - m_life.clock_zero_ms + 1; }
 
 void LeasedWorkerService::Finish(const std::string& task, const std::string& how) {
@@ -224,18 +250,37 @@
   std::unique_lock lock(m_mutex);
   if (!m_is_up) return {.closed = true};
   if (m_faults.keep.contains(*call)) return Keep(*call, request, lock);
-  const std::int64_t born = m_life.born;
   StandinResponse answer = CarryOut(*call, request);
-  if (*call == WorkerCall::kHold && answer.status == 200) {
-    const std::chrono::milliseconds wait(json::parse(request.body).value("wait_ms", std::int64_t{0}));
-    m_changed.wait_for(lock, wait, [&] { return m_stopped || !IsIn(born) || !m_life.ends.empty(); });
-    if (!IsIn(born)) return {.closed = true};
-    answer = Lists();
-  }
+  if (*call == WorkerCall::kHold && answer.status == 200) return AnswerHold(request, lock);
   if (m_faults.mute.contains(*call)) return {.closed = true};
   return answer;
 }
 
+StandinResponse LeasedWorkerService::AnswerHold(const StandinRequest& request, std::unique_lock<std::mutex>& lock) {
+  const std::int64_t born = m_life.born;
+  const std::chrono::milliseconds wait(json::parse(request.body).value("wait_ms", std::int64_t{0}));
+  m_record.Add("hold", {{"wait_ms", wait.count()}});
+  m_changed.wait_for(lock, wait, [&] { return m_stopped || !IsIn(born) || !m_life.ends.empty(); });
+  if (!IsIn(born) || m_faults.mute.contains(WorkerCall::kHold)) return {.closed = true};
+  StandinResponse answer = Lists();
+  NoteListed();
+  const auto is_dead = [&] { return !IsIn(born) && !m_is_leaving; };
+  if (!m_life.ends.empty()) {
+    m_changed.wait(lock, [&] { return m_stopped || !m_faults.late_lists || is_dead(); });
+  }
+  if (is_dead()) return {.closed = true};
+  return answer;
+}
+
+void LeasedWorkerService::NoteListed() {
+  for (std::size_t i = 0; i < std::min(kMaxListedEnds, m_life.ends.size()); ++i) {
+    End& end = m_life.ends[i];
+    if (end.listed) continue;
+    end.listed = true;
+    m_record.Add("listed", {{"task", end.task}, {"run", end.run}, {"how", end.how}});
+  }
+}
+
 StandinResponse LeasedWorkerService::Keep(WorkerCall call, const StandinRequest& request,
                                           std::unique_lock<std::mutex>& lock) {
   const std::int64_t number = ++m_last_kept;
@@ -334,34 +379,47 @@
     running.push_back(json::array({task, run.number, "", PercentOf(run), 0}));
   }
   json ended = json::array();
-  for (const End& end : m_life.ends) ended.push_back(json::array({end.number, end.task, end.run, end.how, ""}));
+  for (const End& end : m_life.ends) {
+    if (ended.size() == kMaxListedEnds) break;
+    ended.push_back(json::array({end.number, end.task, end.run, end.how, ""}));
+  }
   return StandinResponse::Json(
       {{"clock_ms", ClockMs()}, {"born", m_life.born}, {"running", std::move(running)}, {"ended", std::move(ended)}});
 }
 
 // ---- Heartbeats
 
+json LeasedWorkerService::MakeHeartbeat() {
+  return {{"service", m_options.service},
+          {"zone", m_options.zone},
+          {"state", m_faults.draining ? "draining" : "ready"},
+          {"labels", {"a", "r0"}},
+          {"capacity", {{"cpu", 16000}, {"mem_mb", 64000}, {"gpu", 0}}},
+          {"born", m_life.born},
+          {"seq", ++m_life.heartbeats}};
+}
+
+bool LeasedWorkerService::TellAgent(const std::string& message, const json& body, std::unique_lock<std::mutex>& lock) {
+  m_is_telling = true;
+  lock.unlock();
+  const Result<HttpResponse> answer =
+      m_http.Call({.method = "POST",
+                   .url = "http://" + m_options.agent + "/v1/instances/" + m_options.id + "/" + message,
+                   .headers = {{"content-type", "application/json"}},
+                   .body = body.dump()},
+                  absl::Seconds(1));
+  lock.lock();
+  m_is_telling = false;
+  m_changed.notify_all();
+  return answer && answer->status / 100 == 2;
+}
+
 void LeasedWorkerService::SendHeartbeats() {
   std::unique_lock lock(m_mutex);
   while (!m_stopped) {
-    if (m_is_up && !m_faults.quiet) {
-      const json body = {{"service", m_options.service},
-                         {"zone", m_options.zone},
-                         {"state", m_faults.draining ? "draining" : "ready"},
-                         {"labels", {"a", "r0"}},
-                         {"capacity", {{"cpu", 16000}, {"mem_mb", 64000}, {"gpu", 0}}},
-                         {"born", m_life.born},
-                         {"seq", ++m_life.heartbeats}};
-      lock.unlock();
-      const std::string text = body.dump();
+    if (m_is_up && !m_is_leaving && !m_faults.quiet) {
       // An agent that is away is told again with the next heartbeat.
-      static_cast<void>(
-          m_http.Call({.method = "POST",
-                       .url = "http://" + m_options.agent + "/v1/instances/" + m_options.id + "/heartbeat",
-                       .headers = {{"content-type", "application/json"}},
-                       .body = text},
-                      absl::Seconds(1)));
-      lock.lock();
+      static_cast<void>(TellAgent("heartbeat", MakeHeartbeat(), lock));
     }
     if (!m_stopped) m_changed.wait_for(lock, kHeartbeatInterval);
   }
--- a/tests/standins/leased_worker_service.h
+++ b/tests/standins/leased_worker_service.h
@@ -42,12 +42,13 @@
   bool quiet = false;                   ///< no heartbeats
   std::set<WorkerCall> keep;            ///< kept without effect and answer until they are played
   std::set<WorkerCall> mute;            ///< carried out, without answer
+  bool late_lists = false;              ///< answers that list an end are sent when the fault is over
   std::int64_t fail_runs_after_ms = 0;  ///< run time after which each run fails; 0: none fails
 };
 
 /// A worker of the platform: runs under one lease, with run numbers, fence tokens and a list of ends.
 ///
-/// It can die and be born again under its id while the process goes on.
+/// It can die and be born again under its id, or leave in a planned way, while the process goes on.
 class LeasedWorkerService final : public StandinService {
  public:
   LeasedWorkerService(LeasedWorkerOptions options, EventRecord& record);
@@ -72,6 +73,7 @@
     int run = 0;
     std::string how;
     bool lapsed = false;  ///< the lease has lapsed since
+    bool listed = false;  ///< in the answer to a hold
   };
   /// What a life knows; the next one begins with nothing of it.
   struct Life {
@@ -99,6 +101,8 @@
   std::int64_t PercentOf(const Run& run) const;
 
   void Die();
+  /// Says that it drains, then that it leaves, and ends; false if nobody takes the messages.
+  bool Leave(std::unique_lock<std::mutex>& lock);
   void BeginLife(std::int64_t clock_ms);
   bool IsIn(std::int64_t born) const { return m_is_up && m_life.born == born; }
 
@@ -110,6 +114,9 @@
   StandinResponse Start(const nlohmann::json& body);
   StandinResponse StopRun(const nlohmann::json& body);
   StandinResponse Hold(const nlohmann::json& body);
+  /// Waits for an end, and makes the answer to a hold that was accepted.
+  StandinResponse AnswerHold(const StandinRequest& request, std::unique_lock<std::mutex>& lock);
+  void NoteListed();
   StandinResponse Lists() const;
   StandinResponse Accepted() const;
   StandinResponse Refusal(int status, const std::string& reason) const;
@@ -117,6 +124,9 @@
 
   void RunTimer();
   void SendHeartbeats();
+  /// Sends a message about the worker to its agent; false without a 2xx answer.
+  bool TellAgent(const std::string& message, const nlohmann::json& body, std::unique_lock<std::mutex>& lock);
+  nlohmann::json MakeHeartbeat();
 
   const LeasedWorkerOptions m_options;
   EventRecord& m_record;
@@ -124,6 +134,8 @@
   std::condition_variable m_changed;
   Life m_life;
   bool m_is_up = true;
+  bool m_is_leaving = false;
+  bool m_is_telling = false;  ///< a message to the agent is under way
   std::vector<KeptCall> m_kept;
   std::int64_t m_last_kept = 0;
   LeasedWorkerFaults m_faults;
