Test with processes that 700 tasks whose ends can't be recorded run once

What callers saw: a task is started again after a run of it ended as done, and that end is acknowledged later. The store takes no appends for 3 s while 700 tasks on one worker end.

--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -262,5 +262,32 @@
   CHECK(cluster.DoneRuns() == rebirth.done_runs);
 }
 
+constexpr std::size_t kManyTasks = 700;
+constexpr const char* kManySmallTasks = R"({"spec":"s","steps":[{"count":700,"cpu":10,"mem_mb":1,"est_ms":100}]})";
+constexpr int kNeverFailMs = 600'000;
+
+/// Lets no run end until `EndRuns`.
+void WithholdEnds(Standin& worker) { worker.SetFaults({{"fail_runs_after_ms", kNeverFailMs}}); }
+void EndRuns(Standin& worker) { worker.SetFaults({{"fail_runs_after_ms", 0}}); }
+
+// Guards against a run that is taken for absent because a worker returns at most 500 ends at a time (issue 28).
+TEST_CASE("many tasks end once although their ends can't be recorded") {
+  PlatformCluster cluster(1, 1, {.work_ms = 100});
+  Standin& worker = cluster.worker(0);
+  WithholdEnds(worker);
+  REQUIRE(cluster.Call(0, "POST", "/q/" + std::string(kJob), kManySmallTasks).status == 200);
+  worker.WaitForEvents("run-start", kManyTasks, kLimit);
+  cluster.store().SetFaults({{"outage", "unavailable"}});
+  EndRuns(worker);
+  worker.WaitForEvents("run-end", kManyTasks, kLimit);
+  absl::SleepFor(absl::Seconds(3));
+  cluster.store().SetFaults({{"outage", "none"}});
+  CHECK(cluster.WaitForState(0, kJob, "done", kLimit));
+  const std::string violation = cluster.Violation();
+  INFO(violation);
+  CHECK(violation.empty());
+  CHECK(cluster.DoneRuns() == kManyTasks);
+}
+
 }  // namespace
 }  // namespace berylgauge
