Keep a submission from being stored after its job was removed

What callers saw, or could see: a whole job run a second time after it was done. An entry that is cut off from the store repeats its append of a submission until the store answers, however long that takes, and then sends those that waited behind it.

An append of submissions is now sent for at most 5 s. What has waited for 5 s without being sent is refused. The limit also holds for a process that stood still.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -193,6 +193,10 @@
       {{.key = job.id, .value = EncodeJob(accepted)}},
       [this, alive = m_alive, id = job.id, callback = std::move(callback)](AppendOutcome outcome) mutable {
         if (!*alive) return;
+        if (outcome == AppendOutcome::kUnknown) {
+          callback(SubmitOutcome::kUnknown);
+          return;
+        }
         const bool stored = outcome == AppendOutcome::kStored;
         (stored ? m_accepted : m_refused).Add();
         callback(stored ? SubmitOutcome::kAccepted : SubmitOutcome::kRefused);
--- a/src/control/entry_node.h
+++ b/src/control/entry_node.h
@@ -54,6 +54,7 @@
 enum class SubmitOutcome {
   kAccepted,
   kRefused,  ///< the job was not stored and never will be
+  kUnknown,  ///< the job was stored or never will be
 };
 
 enum class CancelOutcome {
--- a/src/control/log_writer.cc
+++ b/src/control/log_writer.cc
@@ -5,6 +5,7 @@
 
 #include "base/doubling_delay.h"
 #include "base/event_log.h"
+#include "workflow/record_keys.h"
 
 namespace berylgauge::control {
 namespace {
@@ -25,7 +26,11 @@
 }  // namespace
 
 LogWriter::LogWriter(EventLoop& loop, KeyedLog& log, LogWriterOptions options)
-    : m_loop(loop), m_log(log), m_options(std::move(options)), m_alive(std::make_shared<bool>(true)) {}
+    : m_loop(loop),
+      m_log(log),
+      m_options(std::move(options)),
+      m_epoch(m_options.epoch),
+      m_alive(std::make_shared<bool>(true)) {}
 
 LogWriter::~LogWriter() {
   *m_alive = false;
@@ -37,17 +42,42 @@
   m_busy = true;
   m_call = {.partition = m_options.partition,
             .records = std::move(records),
-            .producer = {.name = m_options.producer, .epoch = m_options.epoch, .sequence = m_sequence},
+            .producer = {.name = m_options.producer, .epoch = m_epoch, .sequence = m_sequence},
             .expected_end = expected_end};
   m_give_up_at.reset();
   if (give_up_after) m_give_up_at = m_loop.Now() + *give_up_after;
+  m_send_until.reset();
+  if (give_up_after && m_options.send_limit) m_send_until = m_loop.Now() + *m_options.send_limit;
   m_callback = std::move(callback);
   m_may_be_stored = false;
+  m_is_fencing = false;
   m_tries = 0;
   Send();
 }
 
+void LogWriter::Fence() {
+  LogEvent(LogLevel::kWarning, "store_append_abandoned",
+           {{"topic", m_options.partition.topic},
+            {"partition", m_options.partition.number},
+            {"sequence", m_sequence},
+            {"records", m_call.records.size()}});
+  m_is_fencing = true;
+  m_sequence = 0;
+  m_call.records = {{.key = std::string(workflow::kProbeKey), .value = {}}};
+  m_call.producer.epoch = ++m_epoch;
+  m_call.producer.sequence = m_sequence;
+  m_call.expected_end.reset();
+}
+
 void LogWriter::Send() {
+  // Also after a process that stood still: what the batch says may have been removed by now.
+  if (!m_is_fencing && m_send_until && m_loop.Now() >= *m_send_until) {
+    if (!m_may_be_stored) {
+      Finish({.outcome = AppendOutcome::kNothingDone, .detail = "not stored in time"});
+      return;
+    }
+    Fence();
+  }
   ++m_tries;
   const std::uint64_t attempt = ++m_attempt;
   const MonotonicTime sent = m_loop.Now();
@@ -98,7 +128,12 @@
     ++m_sequence;
     m_proven_at = sent;
   }
+  Finish(std::move(answer));
+}
+
+void LogWriter::Finish(AppendAnswer answer) {
   m_busy = false;
+  if (m_is_fencing && answer.outcome == AppendOutcome::kStored) answer.outcome = AppendOutcome::kUnknown;
   Callback callback = std::move(m_callback);
   callback(std::move(answer));
 }
--- a/src/control/log_writer.h
+++ b/src/control/log_writer.h
@@ -19,23 +19,26 @@
   LogPartition partition;
   std::string producer;
   std::int64_t epoch = 1;
+  /// A batch that may be given up is sent no later than this after `Write`.
+  std::optional<absl::Duration> send_limit;
 };
 
 /// Appends batches to one partition, one at a time, each exactly once.
 ///
-/// An append without an answer is repeated with the same sequence number until its outcome is known. Used on the loop's
-/// thread.
+/// An append without an answer is repeated with the same sequence number until its outcome is known, or until the limit
+/// in the options: then a higher epoch keeps it from being stored later. Used on the loop's thread.
 class LogWriter {
  public:
   /// `kStored`, `kFenced`, `kOutOfSequence`, `kMoved` and `kRejected` are final. `kNothingDone` means that the batch
-  /// was given up after `give_up_after` and will never be stored.
+  /// was given up after `give_up_after` and will never be stored. `kUnknown` means that it was stored before the limit
+  /// in the options, or never will be.
   using Callback = absl::AnyInvocable<void(AppendAnswer)>;
 
   LogWriter(EventLoop& loop, KeyedLog& log, LogWriterOptions options);
   ~LogWriter();
 
   /// Not to be called while another batch is under way. With `give_up_after`, a batch of which no append can have had
-  /// an effect is given up once that time has passed; without, it is repeated for ever.
+  /// an effect is given up once that time has passed; without, it is repeated for ever, whatever the limit.
   void Write(std::vector<KeyedRecord> records, std::optional<std::int64_t> expected_end,
              std::optional<absl::Duration> give_up_after, Callback callback);
 
@@ -49,6 +52,9 @@
 
  private:
   void Send();
+  /// Replaces the batch by a record without effect under a higher epoch.
+  void Fence();
+  void Finish(AppendAnswer answer);
   void OnAnswer(AppendAnswer answer, MonotonicTime sent, std::uint64_t attempt);
   absl::Duration Timeout() const;
 
@@ -58,9 +64,12 @@
   bool m_busy = false;
   AppendCall m_call;
   std::optional<MonotonicTime> m_give_up_at;
+  std::optional<MonotonicTime> m_send_until;
   Callback m_callback;
   bool m_may_be_stored = false;  ///< an append of the present batch had no answer
+  bool m_is_fencing = false;
   int m_tries = 0;
+  std::int64_t m_epoch;
   std::int64_t m_sequence = 0;
   std::uint64_t m_attempt = 0;
   absl::Duration m_usual_latency = absl::Milliseconds(5);
--- a/src/control/submission_queue.cc
+++ b/src/control/submission_queue.cc
@@ -6,17 +6,28 @@
 #include "workflow/record_keys.h"
 
 namespace berylgauge::control {
+namespace {
+
+LogWriterOptions WithLimit(LogWriterOptions writer, absl::Duration send_limit) {
+  writer.send_limit = send_limit;
+  return writer;
+}
+
+}  // namespace
 
 SubmissionQueue::SubmissionQueue(EventLoop& loop, KeyedLog& log, LogWriterOptions writer,
                                  const SubmissionQueueOptions& options)
-    : m_loop(loop), m_options(options), m_writer(loop, log, std::move(writer)), m_alive(std::make_shared<bool>(true)) {}
+    : m_loop(loop),
+      m_options(options),
+      m_writer(loop, log, WithLimit(std::move(writer), options.send_limit)),
+      m_alive(std::make_shared<bool>(true)) {}
 
 void SubmissionQueue::Add(std::vector<KeyedRecord> records, Callback callback) {
   if (m_waiting.size() >= m_options.max_waiting || IsRefusing(m_loop.Now())) {
     m_loop.Defer([callback = std::move(callback)]() mutable { callback(AppendOutcome::kNothingDone); });
     return;
   }
-  m_waiting.push_back({.records = std::move(records), .callback = std::move(callback)});
+  m_waiting.push_back({.records = std::move(records), .callback = std::move(callback), .added_at = m_loop.Now()});
   if (m_flush_deferred || m_writer.is_busy()) return;
   // At the end of the turn, so that requests that arrived together share an append.
   m_flush_deferred = true;
@@ -31,8 +42,18 @@
   return m_writer.failing_since() && now - *m_writer.failing_since() >= m_options.refuse_after_failing;
 }
 
+void SubmissionQueue::DropLate() {
+  while (!m_waiting.empty() && m_loop.Now() - m_waiting.front().added_at >= m_options.send_limit) {
+    Item late = std::move(m_waiting.front());
+    m_waiting.pop_front();
+    late.callback(AppendOutcome::kNothingDone);
+  }
+}
+
 void SubmissionQueue::Flush() {
-  if (m_writer.is_busy() || m_waiting.empty()) return;
+  if (m_writer.is_busy()) return;
+  DropLate();
+  if (m_waiting.empty()) return;
   std::vector<KeyedRecord> records;
   std::size_t bytes = 0;
   while (!m_waiting.empty() && records.size() < m_options.max_batch_records && bytes < m_options.max_batch_bytes) {
@@ -55,13 +76,14 @@
         LogLevel::kWarning, "submissions_not_stored",
         {{"items", m_sent.size()}, {"outcome", kAppendOutcomeNames.NameOf(answer.outcome)}, {"reason", answer.detail}});
   }
+  const bool is_known = answer.outcome != AppendOutcome::kUnknown;
+  const AppendOutcome outcome = stored || !is_known ? answer.outcome : AppendOutcome::kNothingDone;
   std::vector<Item> sent = std::exchange(m_sent, {});
+  std::deque<Item> waiting;
   // While the store refuses, those that wait would only be refused one give-up time later.
-  if (!stored) {
-    for (Item& item : m_waiting) sent.push_back(std::move(item));
-    m_waiting.clear();
-  }
-  for (Item& item : sent) item.callback(stored ? AppendOutcome::kStored : AppendOutcome::kNothingDone);
+  if (!stored) waiting.swap(m_waiting);
+  for (Item& item : sent) item.callback(outcome);
+  for (Item& item : waiting) item.callback(AppendOutcome::kNothingDone);
   if (m_writer.failing_since()) {
     Probe();
     return;
--- a/src/control/submission_queue.h
+++ b/src/control/submission_queue.h
@@ -24,13 +24,16 @@
   absl::Duration give_up_after = absl::Milliseconds(700);
   /// Submissions are refused at once while the store has refused appends for this long.
   absl::Duration refuse_after_failing = absl::Milliseconds(700);
+  /// Nothing is sent to the store later than this after it was added: another entry may have accepted the job again,
+  /// and its records are removed some time after its end.
+  absl::Duration send_limit = absl::Seconds(5);
 };
 
 /// Joins what the requests of an entry write to the submissions partition into batches.
 class SubmissionQueue {
  public:
   /// `kStored`, or `kNothingDone` if the records were not stored and never will be. While neither is certain, the
-  /// callback is not called.
+  /// callback is not called; `kUnknown` is given once the records are stored or never will be.
   using Callback = absl::AnyInvocable<void(AppendOutcome)>;
 
   SubmissionQueue(EventLoop& loop, KeyedLog& log, LogWriterOptions writer, const SubmissionQueueOptions& options = {});
@@ -46,9 +49,11 @@
   struct Item {
     std::vector<KeyedRecord> records;
     Callback callback;
+    MonotonicTime added_at;
   };
 
   void Flush();
+  void DropLate();
   void OnWritten(const AppendAnswer& answer);
   /// Repeats an append without effect until the store takes it: submissions are refused meanwhile, so none of them
   /// would show that the store is back.
--- a/tests/unit/control/entry_node_test.cc
+++ b/tests/unit/control/entry_node_test.cc
@@ -37,6 +37,8 @@
 /// Entries on one store, each with its own way to it.
 class EntryWorld {
  public:
+  absl::Duration retention = absl::Seconds(130);  ///< of finished jobs, at entries that are added from now on
+
   ~EntryWorld() {
     m_loop.RunSync([&] { m_entries.clear(); });
     m_loop.RunSync([] {});  // deferred destruction
@@ -56,7 +58,8 @@
                            .operators = MakePartition("keyed.op", 0),
                            .members = MakePartition("keyed.members", 0),
                            .ownership = {.silence = absl::Milliseconds(700),
-                                         .stagger = absl::Milliseconds(50) * static_cast<int>(m_entries.size())}}));
+                                         .stagger = absl::Milliseconds(50) * static_cast<int>(m_entries.size())},
+                           .scheduler = {.retention = retention}}));
       m_entries.back()->Start();
     });
     return *m_entries.back();
@@ -269,6 +272,49 @@
   CHECK(WaitUntil(world.loop(), absl::Seconds(10), [&] { return !second.index().PhaseOf(job).has_value(); }));
 }
 
+// Guards against a second run of a whole job: an entry that is cut off repeats its append of the submission until the
+// store is back, which another entry has accepted meanwhile; the job has ended and its records are removed (issue 28).
+TEST_CASE("a submission is not stored after its job was removed", "[entry]") {
+  const std::string id = "00000000000000aa";
+  EntryWorld world;
+  world.retention = absl::Milliseconds(500);
+  PlayedAgent agent(world.loop());
+  EntryNode& owner = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return owner.IsOwner(); }));
+  EntryNode& other = world.Add("e2");
+  world.AddAgent("a1", agent.port());
+  absl::SleepFor(absl::Milliseconds(300));
+
+  std::optional<SubmitOutcome> first;
+  std::optional<SubmitOutcome> waiting;
+  const auto submit_at = [&](EntryNode& entry, const std::string& job, std::optional<SubmitOutcome>& outcome) {
+    world.loop().RunSync([&] { entry.Submit(SmallJob(job), [&](SubmitOutcome given) { outcome = given; }); });
+  };
+  world.loop().RunSync([&] { world.FaultsOf(1).is_cut = true; });
+  submit_at(other, id, first);
+  const std::string waiting_id = "00000000000000bb";
+  submit_at(other, waiting_id, waiting);  // while the append of the first is under way
+  std::optional<SubmitOutcome> repeated;
+  for (const std::string& job : {id, waiting_id}) {
+    repeated.reset();
+    submit_at(owner, job, repeated);
+    REQUIRE(WaitUntil(world.loop(), absl::Seconds(2), [&] { return repeated == SubmitOutcome::kAccepted; }));
+    REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return agent.HasStarted(job + ".0.0.0"); }));
+    world.loop().RunSync([&] { agent.EndDone(job + ".0.0.0"); });
+    REQUIRE(WaitUntil(world.loop(), absl::Seconds(9), [&] { return !owner.index().PhaseOf(job).has_value(); }));
+  }
+  absl::SleepFor(absl::Seconds(5));  // longer than an append is repeated
+  world.loop().RunSync([&] { world.FaultsOf(1).is_cut = false; });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return first.has_value() && waiting.has_value(); }));
+  CHECK(first == SubmitOutcome::kUnknown);
+  CHECK(waiting == SubmitOutcome::kRefused);
+  absl::SleepFor(absl::Seconds(2));
+  world.loop().RunSync([&] {
+    CHECK(agent.orders().size() == 2);  // one start of each job
+    CHECK(!owner.index().PhaseOf(id).has_value());
+  });
+}
+
 // Guards against starts for a job whose cancellation another entry has acknowledged, by an owner whose appends succeed
 // while its reads of the submissions have no answer (UNASKED).
 TEST_CASE("an owner starts nothing while it may not know of a cancellation", "[entry]") {
--- a/tests/unit/control/log_writer_test.cc
+++ b/tests/unit/control/log_writer_test.cc
@@ -61,6 +61,43 @@
   loop.RunSync([&] { queue.reset(); });
 }
 
+// Guards against an append that the store carries out after a submission was given up, and against a queue that takes
+// nothing more after that (issue 28).
+TEST_CASE("an append without an answer is kept from being stored after its limit", "[log]") {
+  EventLoop loop;
+  MemoryStore store;
+  MemoryKeyedLog log(loop, store);
+  log.faults.is_cut = true;
+  std::optional<AppendOutcome> first;
+  std::optional<AppendOutcome> second;
+  std::unique_ptr<SubmissionQueue> queue;
+  loop.RunSync([&] {
+    queue = std::make_unique<SubmissionQueue>(loop, log, LogWriterOptions{.partition = kPartition, .producer = "p"},
+                                              SubmissionQueueOptions{.send_limit = absl::Milliseconds(300)});
+    queue->Add({{.key = "a", .value = "1"}}, [&](AppendOutcome outcome) { first = outcome; });
+  });
+  absl::SleepFor(absl::Milliseconds(800));
+  loop.RunSync([&] {
+    CHECK(!first.has_value());
+    log.faults.is_cut = false;
+  });
+  REQUIRE(WaitUntil(loop, absl::Seconds(5), [&] { return first.has_value(); }));
+  CHECK(first == AppendOutcome::kUnknown);
+  const AppendCall late{.partition = kPartition,
+                        .records = {{.key = "a", .value = "1"}},
+                        .producer = {.name = "p", .epoch = 1, .sequence = 0},
+                        .expected_end = {}};
+  loop.RunSync([&] {
+    CHECK(store.Append(late).outcome == AppendOutcome::kFenced);
+    queue->Add({{.key = "b", .value = "1"}}, [&](AppendOutcome outcome) { second = outcome; });
+  });
+  REQUIRE(WaitUntil(loop, absl::Seconds(2), [&] { return second.has_value(); }));
+  CHECK(second == AppendOutcome::kStored);
+  CHECK(store.Get(kPartition).newest.count("a") == 0);
+  CHECK(store.Get(kPartition).newest.count("b") == 1);
+  loop.RunSync([&] { queue.reset(); });
+}
+
 struct TailWorld {
   EventLoop loop;
   MemoryStore store;
