Forget an ended job only when the removal of its submission was read

What callers saw, or could see: a whole job run a second time after it was done. If the job's retention is over while it reads, an earlier page still has the submission; the removal is stored, the owner forgets the job and removes its summary, and then takes the submission of that page for a new job. It was told of removals by the answer to the append, which says nothing of what its reader has seen, and was not told of those that its reader read.

The owner now forgets the job, and removes its summary, when its reader is at the end and the submission is no longer there. A page or a read that is older than the removal can then not follow, because later calls begin behind it. An owner that is lost before that leaves the summary, which its successor removes.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -76,7 +76,11 @@
           {.partition = m_options.submissions, .wait = kSubmissionWait, .min_interval = m_options.follower_interval},
           {.on_record = [this](const KeyedRecord& record) { OnSubmissionRecord(record); },
            .on_reset = [this] { m_index.ClearSubmissions(); },
-           .on_end = [this] { ConsiderClaim(); }}),
+           .on_end =
+               [this] {
+                 NoteRemovals();
+                 ConsiderClaim();
+               }}),
       m_progress_tail(
           loop, log,
           {.partition = m_options.progress, .wait = kProgressWait, .min_interval = m_options.follower_interval},
@@ -391,7 +395,7 @@
                                       [this, alive = m_alive, job](AppendOutcome outcome) {
                                         if (!*alive) return;
                                         if (outcome == AppendOutcome::kStored) {
-                                          if (m_owner != nullptr) m_owner->OnSubmissionRemoved(job);
+                                          if (m_owner != nullptr) m_removed_jobs.push_back(job);
                                           return;
                                         }
                                         // It stays in the store until an owner starts anew and retires it again.
@@ -418,7 +422,22 @@
   });
 }
 
+void EntryNode::NoteRemovals() {
+  if (m_owner == nullptr) return;
+  std::vector<std::string> unread;
+  for (std::string& job : std::exchange(m_removed_jobs, {})) {
+    const workflow::JobIndex::Job* known = m_index.Find(job);
+    if (known != nullptr && !known->definition.empty()) {
+      unread.push_back(std::move(job));
+    } else {
+      m_owner->OnSubmissionRemoved(job);
+    }
+  }
+  m_removed_jobs = std::move(unread);
+}
+
 void EntryNode::EndOwnership() {
+  m_removed_jobs.clear();
   m_is_owner.Set(0);
   m_last_owner_sign = m_loop.Now();
   m_submission_tail.SetMinInterval(m_options.follower_interval);
--- a/src/control/entry_node.h
+++ b/src/control/entry_node.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/metrics.h"
@@ -122,6 +123,9 @@
   /// Whether this entry owns the decisions by the claim of that epoch.
   bool IsOwnerOf(std::int64_t epoch) const { return m_owner != nullptr && m_owner->epoch() == epoch; }
   void EndOwnership();
+  /// Tells the owner which submissions were removed, once that was read: until then an older record of one may be read,
+  /// and nothing but the owner's memory says that its job has ended.
+  void NoteRemovals();
   void Tick();
   void PublishMetrics();
 
@@ -138,6 +142,7 @@
   OwnershipPolicy m_ownership;
   MonotonicTime m_last_owner_sign;
   SubmissionQueue m_submissions;
+  std::vector<std::string> m_removed_jobs;  ///< at the owner: stored, and not yet read
   PartitionTail m_submission_tail;
   PartitionTail m_progress_tail;
   PartitionTail m_operator_tail;
--- a/tests/unit/control/entry_node_test.cc
+++ b/tests/unit/control/entry_node_test.cc
@@ -103,6 +103,15 @@
     });
   }
 
+  void DropHistory() {
+    m_loop.RunSync([&] { m_store.DropHistory(); });
+  }
+
+  /// Whether the key has a value in the store. On the loop's thread.
+  bool IsStored(const LogPartition& partition, const std::string& key) {
+    return m_store.Get(partition).newest.contains(key);
+  }
+
   /// Enters the address of an agent in the store.
   void AddAgent(const std::string& host, int port) {
     m_loop.RunSync([&] {
@@ -315,6 +324,40 @@
   });
 }
 
+// Guards against a second run of a whole job: its owner reads the submissions anew, in pages that are no snapshot, and
+// the page with the job is older than the removal of its records (issue 28).
+TEST_CASE("a job that is removed while its submission is read again is not run again", "[entry]") {
+  const std::string id = "00000000000000aa";
+  const LogPartition submissions = MakePartition("keyed.work", 0);
+  EntryWorld world;
+  world.retention = absl::Seconds(4);
+  PlayedAgent agent(world.loop());
+  EntryNode& owner = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return owner.IsOwner(); }));
+  world.AddAgent("a1", agent.port());
+  for (const char* key : {"b", "c", "d"}) world.Write(submissions, key, "of another writer");
+  world.loop().RunSync([&] { owner.Submit(SmallJob(id), [](SubmitOutcome) {}); });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return agent.HasStarted(id + ".0.0.0"); }));
+  world.loop().RunSync([&] { agent.EndDone(id + ".0.0.0"); });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(2),
+                    [&] { return owner.index().PhaseOf(id) == workflow::JobPhase::kDone; }));
+
+  world.loop().RunSync([&] { world.FaultsOf(0).silent_reads = submissions; });
+  absl::SleepFor(absl::Seconds(1));  // the read that is under way is answered
+  world.Write(submissions, "e", "of another writer");
+  world.DropHistory();
+  world.loop().RunSync([&] {
+    world.FaultsOf(0).holds_later_pages = true;
+    world.FaultsOf(0).silent_reads.reset();
+  });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(9), [&] { return !world.IsStored(submissions, id); }));
+  absl::SleepFor(absl::Milliseconds(500));  // the owner has an answer to its removal
+  world.loop().RunSync([&] { world.FaultsOf(0).holds_later_pages = false; });
+  CHECK(WaitUntil(world.loop(), absl::Seconds(5), [&] { return owner.index().Find(id) == nullptr; }));
+  absl::SleepFor(absl::Seconds(1));
+  world.loop().RunSync([&] { CHECK(agent.orders().size() == 1); });
+}
+
 // Guards against starts for a job whose cancellation another entry has acknowledged, by an owner whose appends succeed
 // while its reads of the submissions have no answer (UNASKED).
 TEST_CASE("an owner starts nothing while it may not know of a cancellation", "[entry]") {
--- a/tests/unit/control/memory_keyed_log.cc
+++ b/tests/unit/control/memory_keyed_log.cc
@@ -68,7 +68,11 @@
     });
     return;
   }
-  m_loop.AddTimer(m_loop.Now() + kLatency, [this, partition, after, callback = std::move(callback)]() mutable {
+  m_loop.AddTimer(m_loop.Now() + kLatency, [this, partition, after, timeout, callback = std::move(callback)]() mutable {
+    if (faults.holds_later_pages && !after.empty()) {
+      ReadNewest(partition, after, timeout, std::move(callback));
+      return;
+    }
     // Two records a page, so that paging is exercised.
     constexpr std::size_t kPageSize = 2;
     const MemoryStore::Partition& content = m_store.Get(partition);
--- a/tests/unit/control/memory_keyed_log.h
+++ b/tests/unit/control/memory_keyed_log.h
@@ -16,6 +16,7 @@
   int lost_answers = 0;                      ///< so many appends are carried out and not answered
   bool is_cut = false;                       ///< no call arrives, and none is answered
   std::optional<LogPartition> silent_reads;  ///< reads of this partition are not answered
+  bool holds_later_pages = false;            ///< pages of newest records after the first are read and answered later
 };
 
 /// One process's way to the store. Used on the loop's thread.
