--- a/tests/unit/platform/decode_test.cc
+++ b/tests/unit/platform/decode_test.cc
@@ -147,6 +147,25 @@
   CHECK(!DecodeStart({.status = 409, .headers = {}, .body = "{}"}));
 }
 
+struct StartStatusRow {
+  int status;
+  Verdict verdict;
+};
+
+// Guards against a second run of a task whose start has begun although its answer says otherwise: only a status that
+// the worker gives for a call without effect is proof of that (issue 28).
+TEST_CASE("a start with an unknown status may have run", "[platform]") {
+  const StartStatusRow row =
+      GENERATE(StartStatusRow{400, Verdict::kNotRun}, StartStatusRow{404, Verdict::kNotRun},
+               StartStatusRow{409, Verdict::kNotRun}, StartStatusRow{204, Verdict::kMayHaveRun},
+               StartStatusRow{500, Verdict::kMayHaveRun}, StartStatusRow{502, Verdict::kMayHaveRun},
+               StartStatusRow{504, Verdict::kMayHaveRun});
+  CAPTURE(row.status);
+  const auto answer = DecodeStart({.status = row.status, .headers = {}, .body = "{}"});
+  REQUIRE(!answer.has_value());
+  CHECK(answer.error().verdict == row.verdict);
+}
+
 // Guards against leases that the platform shortens unseen, and jobs that are forgotten too early elsewhere.
 TEST_CASE("the scheduler keeps to the platform's bounds", "[platform]") {
   PlatformSettings settings{.job_retention_ms = 300'000};
