Try workers of the plain-log path each second while most are out

What callers saw: when all workers had failed two or three jobs each, no task was placed on any of them for a minute, and for up to 30 minutes after failed trials, beside idle workers.

Cause: the failure monitor asked the quarantine without saying how many workers are out, so the pause of a single faulty worker held for a fleet with a common cause.

The entry now tells its monitor which workers could take attempts (heard, reconciled, not drained), and the monitor counts how many of these are out. While most are, a trial is due a second after the last failure that counted. A placement at such a time is a trial at every entry, whatever that entry hears, so the worker still gets one attempt at a time. A trial that fails while most are out does not double the pause: otherwise a fault of 30 s would leave the last half of the workers out for half an hour. On the shared platform nothing changes; the extent of a failure is an argument that it does not give.

Evidence: before, `daemon_test "[.known-red]"` failed with CHECK( (share.MayPlace("a") || share.MayPlace("b")) ), false. With the extent read as "few", four of the tests here fail: that one, "trials are early only while most of the available workers are out" (3 of 7 rows), "an early trial is one attempt and does not double the pause", "an early trial counts at an entry that hears of other workers". With the change the 11 tests of "[failures]" pass. The known-red test is a normal one now; its assertion is unchanged, but the share is told that its two workers can take attempts, as an entry is by heartbeats. The world of the share property test tells its monitors the same.

--- a/src/daemon/entry/entry_node.cc
+++ b/src/daemon/entry/entry_node.cc
@@ -214,6 +214,7 @@
     LogEvent(LogLevel::kWarning, "worker_silent", {{"worker", worker.value()}});
     const absl::MutexLock lock(&m_placer_mutex);
     m_placer.RemoveWorker(worker);
+    m_failures.RecordAvailable(worker, false);
   }
 }
 
@@ -222,6 +223,7 @@
   WorkerView view = m_config->state().Read([&](const ConfigState& config) { return WorkerViewOf(entry, config); });
   {
     const absl::MutexLock lock(&m_placer_mutex);
+    m_failures.RecordAvailable(heartbeat.worker, !view.drained && !view.suspected);
     view.quarantined = !m_failures.MayPlace(heartbeat.worker, now);
     m_placer.UpsertWorker(view);
   }
--- a/src/daemon/entry/failure_monitor.cc
+++ b/src/daemon/entry/failure_monitor.cc
@@ -40,6 +40,7 @@
   const auto first = std::upper_bound(events.begin(), events.end(), seen,
                                       [](Offset offset, const TaskEvent& event) { return offset < event.offset; });
   for (auto it = first; it != events.end(); ++it) Apply(*it, now);
+  if (first != events.end()) m_extent.reset();
   seen = std::max(seen, jobs.offset());
 }
 
@@ -64,7 +65,9 @@
 
 void FailureMonitor::ApplyPlaced(const TaskEvent& event, MonotonicTime now) {
   m_trial_decided.erase(event.worker);
-  if (m_attribution.quarantine().StateOf(event.worker, now) != QuarantineState::kTrialDue) return;
+  // The owner may have heard of other workers than this entry, so the extent here must not decide.
+  const QuarantineState state = m_attribution.quarantine().StateOf(event.worker, now, QuarantineExtent::kMost);
+  if (state != QuarantineState::kTrialDue) return;
   m_attribution.quarantine().RecordPlaced(event.worker, now);
   m_trials[event.worker] = {.task = event.task, .attempt = event.attempt};
 }
@@ -78,25 +81,42 @@
     m_attribution.RecordSuccess(job, event.task, event.worker);
     return;
   }
-  const bool trial_running = m_attribution.quarantine().StateOf(event.worker, now) == QuarantineState::kTrialRunning;
+  const bool trial_running = StateOf(event.worker, now) == QuarantineState::kTrialRunning;
   if (event.outcome != AttemptOutcome::kFailed) {
     if (is_trial && trial_running) m_attribution.quarantine().RecordTrialAborted(event.worker);
     return;
   }
   // Attempts that were placed before the quarantine must not decide the trial.
   if (trial_running && !is_trial) return;
-  m_attribution.RecordFailure(job, {.key = key, .worker = event.worker, .detail = event.detail, .at = now});
+  m_attribution.RecordFailure(job, {.key = key, .worker = event.worker, .detail = event.detail, .at = now}, Extent());
+}
+
+void FailureMonitor::RecordAvailable(const WorkerId& worker, bool available) {
+  const bool changed = available ? m_available.insert(worker).second : m_available.erase(worker) > 0;
+  if (changed) m_extent.reset();
+}
+
+QuarantineExtent FailureMonitor::Extent() const {
+  if (!m_extent) {
+    m_extent = QuarantineExtentOf(m_attribution.quarantine().CountOut(m_available), m_available.size());
+  }
+  return *m_extent;
+}
+
+QuarantineState FailureMonitor::StateOf(const WorkerId& worker, MonotonicTime now) const {
+  return m_attribution.quarantine().StateOf(worker, now, Extent());
 }
 
 void FailureMonitor::RecordDecided(const WorkerId& worker, MonotonicTime now) {
-  if (m_attribution.quarantine().StateOf(worker, now) == QuarantineState::kTrialDue) m_trial_decided[worker] = now;
+  if (StateOf(worker, now) == QuarantineState::kTrialDue) m_trial_decided[worker] = now;
 }
 
 bool FailureMonitor::MayPlace(const WorkerId& worker, MonotonicTime now) const {
-  if (!m_attribution.quarantine().MayPlace(worker, now)) return false;
+  const QuarantineState state = StateOf(worker, now);
+  if (state == QuarantineState::kOpen) return true;
+  if (state != QuarantineState::kTrialDue) return false;
   const auto decided = m_trial_decided.find(worker);
-  if (decided == m_trial_decided.end() || now - decided->second >= kTrialDecisionTimeout) return true;
-  return m_attribution.quarantine().StateOf(worker, now) != QuarantineState::kTrialDue;
+  return decided == m_trial_decided.end() || now - decided->second >= kTrialDecisionTimeout;
 }
 
 bool FailureMonitor::MayRetry(const JobId& job, MonotonicTime now) const {
--- a/src/daemon/entry/failure_monitor.h
+++ b/src/daemon/entry/failure_monitor.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "base/ids.h"
@@ -27,6 +29,9 @@
   /// Takes in what was folded into a share since the last call for it.
   void Observe(int share, const JobsState& jobs, MonotonicTime now);
 
+  /// Whether the worker could take attempts if it were not in quarantine. This entry hears that from its agent.
+  void RecordAvailable(const WorkerId& worker, bool available);
+
   /// An owner in this entry has decided to place an attempt on the worker. Until the placement is folded, nothing else
   /// may be placed on a worker whose trial is due.
   void RecordDecided(const WorkerId& worker, MonotonicTime now);
@@ -50,9 +55,15 @@
   void ApplyPlaced(const TaskEvent& event, MonotonicTime now);
   void ApplyEnded(const JobId& job, const TaskEvent& event, MonotonicTime now);
 
+  /// Extent of the quarantine among the available workers.
+  QuarantineExtent Extent() const;
+  QuarantineState StateOf(const WorkerId& worker, MonotonicTime now) const;
+
   const absl::Duration m_longest_delay;
   FailureAttribution m_attribution;
-  std::map<int, Offset> m_seen;                        ///< offset observed last, by share
+  std::map<int, Offset> m_seen;  ///< offset observed last, by share
+  absl::flat_hash_set<WorkerId> m_available;
+  mutable std::optional<QuarantineExtent> m_extent;    ///< nothing if it has to be counted again
   absl::flat_hash_map<WorkerId, AttemptKey> m_trials;  ///< attempt that is the trial of a worker in quarantine
   absl::flat_hash_map<WorkerId, MonotonicTime> m_trial_decided;  ///< not folded yet
 };
--- a/src/schedule/failure_attribution.cc
+++ b/src/schedule/failure_attribution.cc
@@ -5,7 +5,7 @@
 FailureAttribution::FailureAttribution(WorkerQuarantineOptions quarantine, JobBackoffOptions backoff)
     : m_quarantine(quarantine), m_backoff(backoff) {}
 
-FailureSuspect FailureAttribution::RecordFailure(const JobId& job, const JobFailure& failure) {
+FailureSuspect FailureAttribution::RecordFailure(const JobId& job, const JobFailure& failure, QuarantineExtent extent) {
   const QuarantineState state = m_quarantine.StateOf(failure.worker, failure.at);
   if (m_backoff.IsSuspect(job)) {
     // The failure of a faulty job says nothing about the worker, so a trial with it is repeated with another job.
@@ -14,7 +14,7 @@
     return FailureSuspect::kJob;
   }
   if (state != QuarantineState::kOpen) {
-    m_quarantine.RecordFailure(failure.worker, job, failure.at);
+    m_quarantine.RecordFailure(failure.worker, job, failure.at, extent);
     return FailureSuspect::kWorker;
   }
   if (m_quarantine.RecordFailure(failure.worker, job, failure.at)) {
--- a/src/schedule/failure_attribution.h
+++ b/src/schedule/failure_attribution.h
@@ -29,7 +29,9 @@
  public:
   explicit FailureAttribution(WorkerQuarantineOptions quarantine = {}, JobBackoffOptions backoff = {});
 
-  FailureSuspect RecordFailure(const JobId& job, const JobFailure& failure);
+  /// `extent` is that of the workers in quarantine at present.
+  FailureSuspect RecordFailure(const JobId& job, const JobFailure& failure,
+                               QuarantineExtent extent = QuarantineExtent::kFew);
   void RecordSuccess(const JobId& job, const TaskId& task, const WorkerId& worker);
 
   WorkerQuarantine& quarantine() { return m_quarantine; }
--- a/src/schedule/worker_quarantine.cc
+++ b/src/schedule/worker_quarantine.cc
@@ -10,14 +10,15 @@
 
 WorkerQuarantine::WorkerQuarantine(WorkerQuarantineOptions options) : m_options(options) {}
 
-bool WorkerQuarantine::RecordFailure(const WorkerId& worker, const JobId& job, MonotonicTime now) {
+bool WorkerQuarantine::RecordFailure(const WorkerId& worker, const JobId& job, MonotonicTime now,
+                                     QuarantineExtent extent) {
   Record& record = m_records[worker];
   record.failed_jobs.insert(job);
   if (record.quarantined) {
     // Attempts that were placed before the quarantine may still fail; only trials count.
     if (!record.trial_running) return false;
     record.trial_running = false;
-    record.pause = std::min(record.pause * 2, m_options.longest_pause);
+    if (extent == QuarantineExtent::kFew) record.pause = std::min(record.pause * 2, m_options.longest_pause);
     record.paused_since = now;
     return true;
   }
@@ -80,6 +81,12 @@
   return state == QuarantineState::kOpen || state == QuarantineState::kTrialDue;
 }
 
+std::size_t WorkerQuarantine::CountOut(const absl::flat_hash_set<WorkerId>& workers) const {
+  return static_cast<std::size_t>(std::count_if(m_records.begin(), m_records.end(), [&](const auto& item) {
+    return item.second.quarantined && workers.contains(item.first);
+  }));
+}
+
 MonotonicTime WorkerQuarantine::OutSince(const WorkerId& worker) const {
   const auto found = m_records.find(worker);
   return found != m_records.end() && found->second.quarantined ? found->second.out_since : InfiniteFuture();
--- a/src/schedule/worker_quarantine.h
+++ b/src/schedule/worker_quarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
 
 #include <cstddef>
@@ -61,8 +62,10 @@
   explicit WorkerQuarantine(WorkerQuarantineOptions options = {});
 
   /// An attempt failed by itself; stops, evictions and lost workers are no failures. Returns true if the worker is
-  /// taken out by this, or stays out because its trial failed.
-  bool RecordFailure(const WorkerId& worker, const JobId& job, MonotonicTime now);
+  /// taken out by this, or stays out because its trial failed. A trial that fails while most workers are out says
+  /// little about this one, so its pause doubles only for `kFew`.
+  bool RecordFailure(const WorkerId& worker, const JobId& job, MonotonicTime now,
+                     QuarantineExtent extent = QuarantineExtent::kFew);
 
   /// An attempt succeeded, or a service replica has become ready. Returns true if this ends a quarantine.
   bool RecordSuccess(const WorkerId& worker);
@@ -83,6 +86,8 @@
   QuarantineState StateOf(const WorkerId& worker, MonotonicTime now,
                           QuarantineExtent extent = QuarantineExtent::kFew) const;
   bool MayPlace(const WorkerId& worker, MonotonicTime now, QuarantineExtent extent = QuarantineExtent::kFew) const;
+  /// How many of the workers are out.
+  std::size_t CountOut(const absl::flat_hash_set<WorkerId>& workers) const;
   /// When the worker was taken out; `InfiniteFuture()` if it is not out.
   MonotonicTime OutSince(const WorkerId& worker) const;
   /// When the next attempt may be placed on a worker to which none may be now; `InfiniteFuture()` for any other.
--- a/tests/unit/daemon/failure_monitor_test.cc
+++ b/tests/unit/daemon/failure_monitor_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "state/batch.h"
 #include "state/jobs_state.h"
@@ -69,6 +70,11 @@
     End(task, AttemptOutcome::kFailed, detail);
   }
 
+  void SetAvailable(const std::string& worker, bool available) {
+    first.RecordAvailable(WorkerId(worker), available);
+    second.RecordAvailable(WorkerId(worker), available);
+  }
+
   bool MayPlace(const std::string& worker) const {
     // Both entries have folded the same, so they have to agree.
     CHECK(first.MayPlace(WorkerId(worker), now) == second.MayPlace(WorkerId(worker), now));
@@ -158,9 +164,10 @@
 }
 
 // Guards against urgent work that waits beside idle workers, because all of them failed what they ran and were taken
-// out.
-TEST_CASE("of workers that are all in quarantine one is tried in time for urgent work", "[.known-red]") {
+// out (issue 28).
+TEST_CASE("of workers that are all in quarantine one is tried in time for urgent work", "[failures]") {
   Share share;
+  for (const char* worker : {"a", "b"}) share.SetAvailable(worker, true);
   for (const int job : {0, 1}) share.Fail(Share::TaskOf(job), "a");
   for (const int job : {2, 3}) share.Fail(Share::TaskOf(job), "b");
   REQUIRE_FALSE(share.MayPlace("a"));
@@ -169,6 +176,78 @@
   CHECK((share.MayPlace("a") || share.MayPlace("b")));
 }
 
+struct ExtentRow {
+  const char* name;
+  std::vector<std::string> available;
+  std::vector<std::string> leave;  ///< of these, after "a" and "b" were taken out
+  bool tried_early;
+};
+
+// Guards against trials that wait for the pause although most of the workers that could take work are out, and against
+// early trials beside workers that are enough (issue 28).
+TEST_CASE("trials are early only while most of the available workers are out", "[failures]") {
+  const auto row = GENERATE(values<ExtentRow>({
+      {"none heard", {}, {}, false},
+      {"all out", {"a", "b"}, {}, true},
+      {"two of three out", {"a", "b", "c"}, {}, true},
+      {"half out", {"a", "b", "c", "d"}, {}, false},
+      {"others than those out", {"c", "d"}, {}, false},
+      {"the sound ones leave", {"a", "b", "c", "d"}, {"c", "d"}, true},
+      {"those out leave", {"a", "b", "c"}, {"a", "b"}, false},
+  }));
+  INFO(row.name);
+  Share share;
+  for (const std::string& worker : row.available) share.SetAvailable(worker, true);
+  for (const int job : {0, 1}) share.Fail(Share::TaskOf(job), "a");
+  for (const int job : {2, 3}) share.Fail(Share::TaskOf(job), "b");
+  for (const std::string& worker : row.leave) share.SetAvailable(worker, false);
+  CHECK_FALSE(share.MayPlace("a"));
+  share.now = share.now + absl::Seconds(1);
+  CHECK(share.MayPlace("a") == row.tried_early);
+  share.now = share.now + kQuarantine.first_pause;
+  CHECK(share.MayPlace("a"));
+}
+
+// Guards against an early trial that lets all tasks onto the worker, and against long pauses of workers that failed
+// early trials, after the common cause is gone (issue 28).
+TEST_CASE("an early trial is one attempt and does not double the pause", "[failures]") {
+  Share share;
+  for (const char* worker : {"a", "b", "c"}) share.SetAvailable(worker, true);
+  for (const int job : {0, 1}) share.Fail(Share::TaskOf(job), "a");
+  for (const int job : {2, 3}) share.Fail(Share::TaskOf(job), "b");
+  for (int trial = 0; trial < 5; ++trial) {
+    share.now = share.now + absl::Seconds(1);
+    REQUIRE(share.MayPlace("a"));
+    share.first.RecordDecided(WorkerId("a"), share.now);
+    CHECK_FALSE(share.first.MayPlace(WorkerId("a"), share.now));
+    share.Place(Share::TaskOf(4), "a");
+    CHECK_FALSE(share.MayPlace("a"));
+    share.End(Share::TaskOf(4), AttemptOutcome::kFailed);
+    CHECK_FALSE(share.MayPlace("a"));
+  }
+  for (const char* worker : {"d", "e"}) share.SetAvailable(worker, true);
+  share.now = share.now + kQuarantine.first_pause - absl::Seconds(1);
+  CHECK_FALSE(share.MayPlace("a"));
+  share.now = share.now + absl::Seconds(1);
+  CHECK(share.MayPlace("a"));
+}
+
+// Guards against entries that disagree for good on a trial, because they hear of different workers (issue 28).
+TEST_CASE("an early trial counts at an entry that hears of other workers", "[failures]") {
+  Share share;
+  share.first.RecordAvailable(WorkerId("a"), true);
+  for (const char* worker : {"a", "b", "c"}) share.second.RecordAvailable(WorkerId(worker), true);
+  for (const int job : {0, 1}) share.Fail(Share::TaskOf(job), "a");
+  share.now = share.now + absl::Seconds(1);
+  CHECK(share.first.MayPlace(WorkerId("a"), share.now));
+  CHECK_FALSE(share.second.MayPlace(WorkerId("a"), share.now));
+  share.Place(Share::TaskOf(2), "a");
+  share.now = share.now + kQuarantine.first_pause;
+  CHECK_FALSE(share.MayPlace("a"));
+  share.End(Share::TaskOf(2), AttemptOutcome::kSucceeded);
+  CHECK(share.MayPlace("a"));
+}
+
 // Guards against a faulty task that is tried for ever, and against parking the healthy tasks of its job with it.
 TEST_CASE("a task that fails on several workers is parked with the evidence", "[failures]") {
   Share share;
--- a/tests/unit/daemon/share_world.cc
+++ b/tests/unit/daemon/share_world.cc
@@ -260,6 +260,7 @@
   entry.last_heard[model.id] = m_now;
   const WorkerDirectory::Entry known{.last = heartbeat, .liveness = WorkerLiveness::kLive, .last_heard = m_now};
   WorkerView view = WorkerViewOf(known, m_config);
+  entry.failures->RecordAvailable(model.id, !view.drained && !view.suspected);
   view.quarantined = !entry.failures->MayPlace(model.id, m_now);
   entry.placer->UpsertWorker(view);
 }
