Test with processes that a task whose worker leaves runs once

What callers saw: a task is started again after a run of it ended as done right before its worker left. Its end was in an answer that the agent dropped after the message of leaving, or that it had read and did not report to the next owner.

Three rows: the answer arrives after the message of leaving; before it while the owner hands over; after it while the owner hands over. The end is listed at least 120 ms before the worker leaves.

--- a/tests/process/platform_cluster.cc
+++ b/tests/process/platform_cluster.cc
@@ -118,6 +118,13 @@
   process = std::make_unique<ChildProcess>(DAEMON_PROGRAM, std::vector<std::string>{"--platform", path}, path + ".log");
 }
 
+int PlatformCluster::LoggedByEntry(int i, const std::string& event) const {
+  std::ifstream log(m_folder + "/edge-" + std::to_string(i) + ".json.log");
+  int count = 0;
+  for (std::string line; std::getline(log, line);) count += line.find(event) != std::string::npos ? 1 : 0;
+  return count;
+}
+
 HttpResponse PlatformCluster::Call(int entry, const std::string& method, const std::string& path,
                                    const std::string& body) {
   const Result<HttpResponse> answer =
--- a/tests/process/platform_cluster.h
+++ b/tests/process/platform_cluster.h
@@ -34,6 +34,9 @@
   Standin& store() { return *m_store; }
   Standin& worker(int i) { return *m_workers[static_cast<std::size_t>(i)]; }
 
+  /// Events of this name that an entry has logged.
+  int LoggedByEntry(int i, const std::string& event) const;
+
   /// Sends a client's request to an entry; status 0 if there is no answer.
   HttpResponse Call(int entry, const std::string& method, const std::string& path, const std::string& body = {});
   std::string StateOf(int entry, const std::string& job);
@@ -44,7 +47,7 @@
 
   /// Tasks that ran twice at the same time or after an end as done, from what the workers recorded; empty if none.
   ///
-  /// Where workers died, an end as done counts if it was noted.
+  /// Where workers died or left, an end as done counts if it was taken note of (run_truth.h).
   std::string Violation();
   /// Runs that ended as done.
   int DoneRuns();
--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -1,6 +1,7 @@
 #include <absl/time/clock.h>
 
 #include <catch2/catch.hpp>
+#include <future>
 #include <set>
 #include <string>
 #include <vector>
@@ -289,5 +290,92 @@
   CHECK(cluster.DoneRuns() == kManyTasks);
 }
 
+constexpr const char* kOneTask = R"({"spec":"s","steps":[{"count":1,"cpu":500,"mem_mb":100,"est_ms":300}]})";
+/// After this time an end that a worker has listed counts as noted.
+constexpr absl::Duration kNotedAfter = absl::Milliseconds(120);
+
+/// Runs a task at one of two workers until an end as done is listed in an answer that is still on its way. Returns the
+/// worker.
+int ListEndInLateAnswer(PlatformCluster& cluster) {
+  for (int i = 0; i < 2; ++i) WithholdEnds(cluster.worker(i));
+  REQUIRE(cluster.Call(0, "POST", "/q/" + std::string(kJob), kOneTask).status == 200);
+  const absl::Time limit = absl::Now() + kLimit;
+  while (EventsOf(cluster, 2, "run-start").empty()) {
+    REQUIRE(absl::Now() < limit);
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  const int runner = cluster.worker(0).Events("run-start").empty() ? 1 : 0;
+  EndRuns(cluster.worker(1 - runner));
+  Standin& worker = cluster.worker(runner);
+  absl::SleepFor(absl::Milliseconds(200));  // longer than the work
+  worker.SetFaults({{"late_lists", true}});
+  worker.WaitForEvents("hold", worker.Events("hold").size() + 1, kLimit);  // a call that has just begun to wait
+  EndRuns(worker);
+  worker.WaitForEvents("listed", 1, kLimit);
+  absl::SleepFor(kNotedAfter);
+  return runner;
+}
+
+void LeaveBeforeTheAnswer(PlatformCluster& cluster) {
+  Standin& worker = cluster.worker(ListEndInLateAnswer(cluster));
+  worker.Control("leave", nlohmann::json::object());
+  worker.SetFaults({{"late_lists", false}});
+}
+
+/// Stops the owner of two entries and returns when it has handed over.
+std::future<int> StopOwner(PlatformCluster& cluster) {
+  const int owner = cluster.LoggedByEntry(1, "owner_begins") > 0 ? 1 : 0;
+  std::future<int> end = std::async(std::launch::async, [&cluster, owner] {
+    cluster.entry(owner).Stop();
+    return owner;
+  });
+  const absl::Time limit = absl::Now() + kLimit;
+  while (cluster.LoggedByEntry(owner, "owner_handed_over") == 0) {
+    REQUIRE(absl::Now() < limit);
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  return end;
+}
+
+void LeaveAfterTheAnswerToAFormerOwner(PlatformCluster& cluster) {
+  Standin& worker = cluster.worker(ListEndInLateAnswer(cluster));
+  worker.SetFaults({{"keep", {"hold"}}});  // the next owner's call comes too late
+  std::future<int> end = StopOwner(cluster);
+  worker.SetFaults({{"late_lists", false}});
+  worker.Control("leave", nlohmann::json::object());
+  cluster.StartEntry(end.get());
+}
+
+void LeaveBeforeTheAnswerToAFormerOwner(PlatformCluster& cluster) {
+  Standin& worker = cluster.worker(ListEndInLateAnswer(cluster));
+  worker.Control("leave", nlohmann::json::object());
+  std::future<int> end = StopOwner(cluster);
+  worker.SetFaults({{"late_lists", false}});
+  cluster.StartEntry(end.get());
+}
+
+struct Leaving {
+  const char* name;
+  int entries;
+  void (*strike)(PlatformCluster&);
+};
+
+// Guards against an end that is lost with its worker although its agent was told, or is about to be told, of it (issue
+// 28).
+TEST_CASE("a task is done once although its worker leaves") {
+  const Leaving leaving =
+      GENERATE(Leaving{"before the answer that lists the end arrives", 1, &LeaveBeforeTheAnswer},
+               Leaving{"after the answer to a former owner", 2, &LeaveAfterTheAnswerToAFormerOwner},
+               Leaving{"before the answer to a former owner", 2, &LeaveBeforeTheAnswerToAFormerOwner});
+  INFO(leaving.name);
+  PlatformCluster cluster(leaving.entries, 2, {.work_ms = 100});
+  leaving.strike(cluster);
+  CHECK(cluster.WaitForState(0, kJob, "done", kLimit));
+  const std::string violation = cluster.Violation();
+  INFO(violation);
+  CHECK(violation.empty());
+  CHECK(cluster.DoneRuns() == 1);
+}
+
 }  // namespace
 }  // namespace berylgauge
