Play a time at which all workers of the plain-log path fail

The unit test of the failure monitor can't show that the entry tells it which workers there are. With entries, agents and stand-ins, three workers fail every task for 8 s while 40 jobs arrive; then a job of 12 tasks has to be done within 20 s.

--- a/tests/process/worker_failure_test.cc
+++ b/tests/process/worker_failure_test.cc
@@ -1,3 +1,5 @@
+#include <absl/time/clock.h>
+
 #include <catch2/catch.hpp>
 
 #include "process/cluster.h"
@@ -39,4 +41,21 @@
   REQUIRE(cluster.Violation() == "none");
 }
 
+// Guards against tasks that wait for a minute beside idle workers, because all of them failed what they ran and were
+// taken out (issue 28).
+TEST_CASE("all workers fail every task for a while") {
+  const ClusterOptions options;
+  Cluster cluster(options);
+  cluster.WaitTakesTasks();
+  for (int i = 0; i < options.zones; ++i) cluster.worker(i).SetFaults({{"fail_tasks", true}});
+  for (int i = 0; i < 40; ++i) {
+    cluster.Submit(i % 2, 1, {{"run_ms", 100}});
+    absl::SleepFor(absl::Milliseconds(200));
+  }
+  for (int i = 0; i < options.zones; ++i) cluster.worker(i).SetFaults({{"fail_tasks", false}});
+  const std::string later = cluster.Submit(1, 12, {{"run_ms", 500}});
+  cluster.WaitSucceeded(later, 12, absl::Seconds(20));
+  REQUIRE(cluster.Violation() == "none");
+}
+
 }  // namespace berylgauge
