Let a new owner reckon with a young life's lease of the former one

What callers saw, or could see: two runs of a task at once, for about a second. A worker was started again under its id, and a call for its former life, which names a time on the former clock, gave the next one the longest lease. The owner knew that, but was replaced after the first report of that life. Its successor met the life for the first time, took 4.5 s for the longest lease (`lease-lapsed` when the worker was cut off) and started the run elsewhere, while the worker ran it on.

A life that an owner meets first counts as one that may have been started again, unless its clock, which begins with the life, is past twice the longest lease. This assumes that calls for a former life have their effect within the longest lease (10 s) of the birth. Cost: runs of a worker that goes silent are given up up to 5.7 s later if its life was younger than 20 s when a new owner first met it, also for a worker that was not started again.

Failed before: "a new owner takes a young life for one that may hold the lease of a former one", rows "just begun" and "older than calls to a former life" (2 starts instead of 1 each).

--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -87,7 +87,15 @@
     m_quarantine.Forget(WorkerId(worker.life.worker));
   }
   const absl::Duration former_lease = m_options.longest_lease * m_options.clock_tolerance;
-  worker.former_lease_until = is_same_worker ? now + former_lease : InfinitePast();
+  worker.former_lease_until = InfinitePast();
+  if (is_same_worker) {
+    worker.former_lease_until = now + former_lease;
+  } else if (worker.life.worker.empty()) {
+    // Whether the worker was started again under a former owner is not known. Its clock began with its life.
+    const absl::Duration age = absl::Milliseconds(report.worker_clock_ms);
+    const absl::Duration rest = std::min(m_options.longest_lease, 2 * m_options.longest_lease - age);
+    if (rest > absl::ZeroDuration()) worker.former_lease_until = now + rest * m_options.clock_tolerance;
+  }
   m_workers.Reindex(worker, report.life);
   std::vector<TaskRef> former_runs;
   for (const auto& [task, held] : worker.runs) former_runs.push_back(task);
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -384,6 +384,33 @@
   CHECK(world.StartsOf("a0.0.0.0") == 2);
 }
 
+struct YoungLifeRow {
+  const char* name;
+  std::int64_t age_ms;
+  absl::Duration kept;  ///< how long its runs are kept without a sign of it
+};
+
+// Guards against a second run beside one that a silent worker keeps by the lease of its former life, when the life was
+// known to a former owner and the present one meets it first (issue 28).
+TEST_CASE("a new owner takes a young life for one that may hold the lease of a former one", "[scheduler]") {
+  const YoungLifeRow row = GENERATE(YoungLifeRow{"just begun", 100, absl::Seconds(10)},
+                                    YoungLifeRow{"older than calls to a former life", 15'000, absl::Seconds(5)},
+                                    YoungLifeRow{"old", 3'600'000, absl::Milliseconds(4600)});
+  INFO(row.name);
+  SchedulerWorld world({.longest_lease = absl::Seconds(10)});
+  world.AddWorker("w1").clock_zero_ms = absl::ToInt64Milliseconds(world.now().SinceBoot()) - row.age_ms;
+  world.Replace({.longest_lease = absl::Seconds(10)});
+  world.Submit(SingleStepJob("a0", ShortStep(1)));
+  REQUIRE(world.PlaceOf("a0.0.0.0") == "w1");
+  world.AddWorker("w2");
+  world.Sleep(row.kept);
+  world.SettleWithout("w1");
+  CHECK(world.StartsOf("a0.0.0.0") == 1);
+  world.Sleep(absl::Milliseconds(400));
+  world.SettleWithout("w1");
+  CHECK(world.StartsOf("a0.0.0.0") == 2);
+}
+
 // Guards against a worker that stays unused because its host's time of day was set back before it was started again.
 TEST_CASE("a worker's new life may be born earlier by its clock", "[scheduler]") {
   SchedulerWorld world;
--- a/tests/unit/workflow/scheduler_world.cc
+++ b/tests/unit/workflow/scheduler_world.cc
@@ -81,7 +81,7 @@
                       .labels = worker.labels,
                       .rack = worker.rack,
                       .capacity = worker.capacity,
-                      .worker_clock_ms = absl::ToInt64Milliseconds(m_now.SinceBoot()),
+                      .worker_clock_ms = absl::ToInt64Milliseconds(m_now.SinceBoot()) - worker.clock_zero_ms,
                       .has_runs = true,
                       .runs = {},
                       .ends = worker.ends,
@@ -103,7 +103,8 @@
 void SchedulerWorld::Deliver(const StartOrder& order) {
   PlayedWorker& worker = m_workers.at(order.life.worker);
   if (!worker.answers_starts) return;
-  StartAnswer answer{.clock_ms = absl::ToInt64Milliseconds(m_now.SinceBoot()), .is_settled = true};
+  StartAnswer answer{.clock_ms = absl::ToInt64Milliseconds(m_now.SinceBoot()) - worker.clock_zero_ms,
+                     .is_settled = true};
   if (worker.life != order.life) {
     answer.refusal = StartRefusal::kOtherLife;
   } else if (worker.refusal != StartRefusal::kNone) {
--- a/tests/unit/workflow/scheduler_world.h
+++ b/tests/unit/workflow/scheduler_world.h
@@ -13,7 +13,7 @@
 
 namespace berylgauge::workflow {
 
-/// A worker that the test plays: its clock is the test's clock.
+/// A worker that the test plays.
 struct PlayedWorker {
   std::string agent;
   WorkerLife life;
@@ -29,6 +29,7 @@
   std::vector<RunEnd> ends;
   std::int64_t last_end = 0;
   std::size_t most_listed_ends = 500;
+  std::int64_t clock_zero_ms = 0;  ///< reading of the test's clock when the worker's clock began
   std::vector<PastEnds> past_ends;
   bool answers_starts = true;                    ///< otherwise starts have no answer and no effect
   StartRefusal refusal = StartRefusal::kNone;    ///< answer to starts
