Interleaving test: what agents know of past lives, as agents do

Found by reading the world against AgentNode, each of which hid violations: an agent knew ends that stood behind a list that was cut when the worker left; a fault of the agent took back that an end was noted although its record was stored; past ends were kept for ever instead of 15 s; an agent went on for a new owner as if the life had answered with its token, so that a worker that had gone was reported as gone to an owner that can't know it; first calls carried numbers of the former life. Now also the ends of lives that crashed are kept and reported. The checks are unchanged.

--- a/tests/unit/workflow/interleaving_world.cc
+++ b/tests/unit/workflow/interleaving_world.cc
@@ -5,6 +5,8 @@
 
 #include "workflow/job_codec.h"
 #include "workflow/record_keys.h"
+#include "workflow/step_progress.h"
+#include "workflow/task_name.h"
 
 namespace berylgauge::workflow {
 namespace {
@@ -33,6 +35,8 @@
 constexpr absl::Duration kCalm = absl::Seconds(1);
 /// A worker lists at most so many ends at a time.
 constexpr std::size_t kListedEnds = 2;
+/// Agents report the ends of a life for this long after it.
+constexpr absl::Duration kPastEndsKept = absl::Seconds(15);
 /// The clock of a life begins below this.
 constexpr int kFirstClockMs = 2000;
 
@@ -201,10 +205,10 @@
   Agent& agent = worker.agent;
   const bool is_known = worker.is_up && agent.is_confirmed && !agent.is_other && agent.life == worker.life;
   if (!is_known) return;
-  if (!worker.ends.empty()) agent.past_ends.push_back({.life = worker.life, .ends = worker.ends});
+  agent.read_ends = ListedEnds(worker);
   // After a longer cut an owner may have given the runs up.
   const bool is_calm = IsConnected(worker) && m_now - worker.reported_at <= kCalm;
-  for (const RunEnd& end : worker.ends) {
+  for (const RunEnd& end : agent.read_ends) {
     if (!is_calm) break;
     if (end.kind == RunEndKind::kDone && end.number > worker.void_ends) agent.listed_done.insert(end.task);
   }
@@ -240,8 +244,12 @@
   if (!worker.is_up || m_now < worker.announced_at || worker.agent.life == worker.life) return;
   const Agent former = std::exchange(worker.agent, {});
   worker.agent.incarnation = former.incarnation;
-  worker.agent.past_ends = former.past_ends;
+  worker.agent.epoch = former.epoch;
   worker.agent.listed_done = former.listed_done;
+  worker.agent.kept_ends = former.kept_ends;
+  KeptEnds kept{.past = {.life = former.life, .ends = former.read_ends}, .kept_until = m_now + kPastEndsKept};
+  std::erase_if(kept.past.ends, [&](const RunEnd& end) { return end.number <= former.last_seen; });
+  if (!kept.past.ends.empty()) worker.agent.kept_ends.push_back(std::move(kept));
   worker.agent.life = worker.life;
   if (m_breakage == Breakage::kAcknowledgeFormerLife) worker.agent.last_seen = former.last_seen;
   TokenFor(worker, epoch);
@@ -259,17 +267,16 @@
 void InterleavingWorld::TakeTurn(Worker& worker) {
   worker.former_owner_until = m_now;  // agents refuse an owner after they have heard of a newer one
   NotePastEnds(worker);
+  FollowOwner(worker.agent, m_epoch);
   Hear(worker, m_epoch);
   Agent& agent = worker.agent;
-  if (agent.life.worker.empty() || agent.is_other) {
-    WorkerReport report;
-    if (m_breakage != Breakage::kForgetReadEnds) report.past_ends = agent.past_ends;
-    m_scheduler->OnReport(worker.host, report, m_now);
-    return;
+  if (!worker.is_up && !agent.life.worker.empty() && Random(3) == 0) agent.is_gone = true;
+  if (agent.life.worker.empty() || agent.is_other || !agent.is_confirmed) {
+    ReportPastEnds(worker);
+  } else if (agent.is_gone) {
+    Report(worker, WorkerCondition::kGone);
   }
-  if (!worker.is_up && agent.is_confirmed && Random(3) == 0) agent.is_gone = true;
-  if (agent.is_gone) Report(worker, WorkerCondition::kGone);
-  if (!worker.is_up || agent.is_gone) return;
+  if (!worker.is_up || agent.is_gone || agent.life.worker.empty() || agent.is_other) return;
   if (m_breakage == Breakage::kOrdersBeforeFirstList && !agent.is_confirmed) {
     agent.is_confirmed = true;
     Report(worker, WorkerCondition::kReady);
@@ -281,9 +288,11 @@
     agent.last_seen = std::max(agent.last_seen, known->ends_durable);
     agent.until_ms = std::max(agent.until_ms, m_scheduler->LeaseEndFor(*known));
   }
+  // Until the life has answered, it may be another one than the one that the numbers are about.
+  const bool has_numbers = agent.is_confirmed || m_breakage == Breakage::kAcknowledgeFormerLife;
   const HoldCall hold{.call = {.life = agent.life, .token = TokenFor(worker, m_epoch)},
-                      .last_seen = agent.last_seen,
-                      .until_ms = agent.until_ms};
+                      .last_seen = has_numbers ? agent.last_seen : 0,
+                      .until_ms = has_numbers ? agent.until_ms : 0};
   if (IsFault(12)) {
     CallLate([this, host = worker.host, hold] { CarryOutHold(At(host), hold); });
     return;
@@ -296,7 +305,12 @@
   Report(worker, WorkerCondition::kReady);
 }
 
+void InterleavingWorld::FollowOwner(Agent& agent, std::int64_t epoch) const {
+  if (std::exchange(agent.epoch, epoch) != epoch) agent.is_confirmed = false;
+}
+
 void InterleavingWorld::TakeTurnForFormerOwner(Worker& worker) {
+  FollowOwner(worker.agent, worker.former_epoch);
   Hear(worker, worker.former_epoch);
   Agent& agent = worker.agent;
   if (agent.life.worker.empty() || agent.is_other || agent.is_gone || !worker.is_up) return;
@@ -316,8 +330,9 @@
   report.service = "s";
   report.zone = "z";
   report.capacity = worker.capacity;
-  if (m_breakage != Breakage::kForgetReadEnds) report.past_ends = worker.agent.past_ends;
+  report.past_ends = PastEndsOf(worker.agent);
   if (condition == WorkerCondition::kGone) {
+    if (m_breakage != Breakage::kForgetReadEnds) report.ends = worker.agent.read_ends;
     m_scheduler->OnReport(worker.host, report, m_now);
     return;
   }
@@ -326,10 +341,10 @@
   // Before the first call of this life the agent has its announcement only.
   if (worker.has_own_token) {
     for (const auto& [task, run] : worker.runs) report.runs.push_back({.task = task, .run = run, .checkpoint = {}});
-    report.ends = worker.ends;
+    report.ends = ListedEnds(worker);
+    worker.agent.read_ends = report.ends;
     if (!ListsAllEnds(worker)) {
       ++m_cut_lists;
-      report.ends.resize(kListedEnds);
       report.has_all_ends = m_breakage == Breakage::kCutListIsWhole;
     }
     worker.lease_end_ms = std::max(worker.lease_end_ms, report.worker_clock_ms + kLeaseMs);
@@ -342,10 +357,36 @@
   Acknowledge(worker, m_scheduler->FindWorker(worker.host)->ends_applied);
 }
 
-void InterleavingWorld::NotePastEnds(const Worker& worker) {
+void InterleavingWorld::ReportPastEnds(Worker& worker) {
+  m_scheduler->OnReport(worker.host, {.past_ends = PastEndsOf(worker.agent)}, m_now);
+}
+
+std::vector<PastEnds> InterleavingWorld::PastEndsOf(Agent& agent) const {
+  std::erase_if(agent.kept_ends, [&](const KeptEnds& kept) { return kept.kept_until <= m_now; });
+  std::vector<PastEnds> past_ends;
+  if (m_breakage == Breakage::kForgetReadEnds) return past_ends;
+  for (const KeptEnds& kept : agent.kept_ends) past_ends.push_back(kept.past);
+  const bool is_over = agent.is_other || (agent.is_gone && !agent.is_confirmed);
+  if (is_over && !agent.read_ends.empty()) past_ends.push_back({.life = agent.life, .ends = agent.read_ends});
+  return past_ends;
+}
+
+void InterleavingWorld::NotePastEnds(Worker& worker) {
   for (const std::string& task : worker.agent.listed_done) {
     if (m_noted_tasks.insert(task).second) ++m_past_ends;
   }
+  // No later fault of the agent can undo what is stored.
+  std::erase_if(worker.agent.listed_done, [&](const std::string& task) { return IsRecordedDone(task); });
+}
+
+bool InterleavingWorld::IsRecordedDone(const std::string& task) const {
+  const std::optional<TaskName> name = TaskName::Parse(task);
+  const JobIndex::Job* job = m_index.Find(name->step.job);
+  if (job == nullptr) return false;
+  const auto step = job->steps.find(name->step.ToString());
+  if (step == job->steps.end()) return false;
+  const int count = TwoStepJob("").steps[static_cast<std::size_t>(name->step.step)].task_count;
+  return (*DecodeStepProgress(step->second, count))[static_cast<std::size_t>(name->index)].state == TaskState::kDone;
 }
 
 void InterleavingWorld::UnnotePastEnds(Worker& worker) {
@@ -353,11 +394,16 @@
   worker.agent.listed_done.clear();
 }
 
+std::vector<RunEnd> InterleavingWorld::ListedEnds(const Worker& worker) const {
+  const std::size_t listed = std::min(worker.ends.size(), kListedEnds);
+  return {worker.ends.begin(), worker.ends.begin() + static_cast<std::ptrdiff_t>(listed)};
+}
+
 bool InterleavingWorld::ListsAllEnds(const Worker& worker) const { return worker.ends.size() <= kListedEnds; }
 
 bool InterleavingWorld::IsEndListed(const Worker& worker, const StopOrder& order) const {
-  const std::size_t listed = std::min(worker.ends.size(), kListedEnds);
-  const bool is_listed = std::any_of(worker.ends.begin(), worker.ends.begin() + static_cast<std::ptrdiff_t>(listed),
+  const std::vector<RunEnd> listed = ListedEnds(worker);
+  const bool is_listed = std::any_of(listed.begin(), listed.end(),
                                      [&](const RunEnd& end) { return end.task == order.task && end.run == order.run; });
   return is_listed || (!ListsAllEnds(worker) && m_breakage != Breakage::kCutListIsWhole);
 }
--- a/tests/unit/workflow/interleaving_world.h
+++ b/tests/unit/workflow/interleaving_world.h
@@ -82,18 +82,26 @@
     MonotonicTime carried_out_at;
     std::function<void()> carry_out;
   };
+  /// Ends of a life that is over, which its agent reports for a while.
+  struct KeptEnds {
+    PastEnds past;
+    MonotonicTime kept_until;
+  };
   /// What an agent knows of the worker beside it.
   struct Agent {
     Incarnation incarnation = 1;
+    std::int64_t epoch = 0;     ///< of the owner that it follows
     WorkerLife life;            ///< announced last; empty if none since the agent was started
-    bool is_confirmed = false;  ///< the life has answered a call with its token
+    bool is_confirmed = false;  ///< the life has answered a call with its token under that owner
     bool is_other = false;      ///< an answer came from another life
     bool is_gone = false;       ///< connections were refused
     std::int64_t last_seen = 0;
     std::int64_t until_ms = 0;
     std::set<std::pair<std::string, int>> unanswered;  ///< starts with a call without an answer
-    std::vector<PastEnds> past_ends;                   ///< read from workers that have left
-    std::set<std::string> listed_done;                 ///< tasks done by `past_ends`, with no fault of the agent since
+    std::vector<RunEnd> read_ends;                     ///< as the life has listed them last
+    std::vector<KeptEnds> kept_ends;                   ///< of former lives
+    /// Tasks done by ends that were listed before a leave, not recorded yet, with no fault of the agent since.
+    std::set<std::string> listed_done;
   };
   struct Worker {
     std::string host;
@@ -150,12 +158,20 @@
   Token TokenFor(const Worker& worker, std::int64_t epoch);
   void TakeTurn(Worker& worker);
   void TakeTurnForFormerOwner(Worker& worker);
+  void FollowOwner(Agent& agent, std::int64_t epoch) const;
   void Report(Worker& worker, WorkerCondition condition);
+  /// Says only that the agent has no lists from a worker that lives, and which ends it has read.
+  void ReportPastEnds(Worker& worker);
+  std::vector<PastEnds> PastEndsOf(Agent& agent) const;
   StartAnswer CallStart(Worker& worker, const StartOrder& order, std::int64_t until_ms);
   bool CallStop(Worker& worker, const StopOrder& order);
   /// What a worker had listed when it left counts as noted, unless a fault keeps its agent from passing it on.
-  void NotePastEnds(const Worker& worker);
+  void NotePastEnds(Worker& worker);
   void UnnotePastEnds(Worker& worker);
+  /// Whether the store has the task as done.
+  bool IsRecordedDone(const std::string& task) const;
+  /// What the worker lists at a time.
+  std::vector<RunEnd> ListedEnds(const Worker& worker) const;
   /// Whether the worker lists all its ends at a time.
   bool ListsAllEnds(const Worker& worker) const;
   /// Whether the worker's lists show the end of the run, or may do so once earlier ends are acknowledged.
