Interleaving test: owners that end while one before them still grants

An owner that is cut off grants on while its successor ends soon after its claim and the next one reckons with GrantsOfFormerOwners. Broken on purpose and noticed: the end of the recorded owner counts as the end of all.

--- a/tests/unit/workflow/interleaving_test.cc
+++ b/tests/unit/workflow/interleaving_test.cc
@@ -15,6 +15,7 @@
 TEST_CASE("the scheduler keeps its promises in arbitrary interleavings", "[interleaving]") {
   int runs_done = 0;
   int takeovers = 0;
+  int hidden_owners = 0;
   int late_starts = 0;
   int repeated_starts = 0;
   int strayed_starts = 0;
@@ -28,6 +29,7 @@
     CHECK(world.violations().empty());
     runs_done += world.runs_done();
     takeovers += world.takeovers();
+    hidden_owners += world.hidden_owners();
     late_starts += world.late_starts();
     repeated_starts += world.repeated_starts();
     strayed_starts += world.strayed_starts();
@@ -37,6 +39,7 @@
   // Otherwise the faults would not have been met.
   CHECK(runs_done > 1000);
   CHECK(takeovers > 1000);
+  CHECK(hidden_owners > 100);
   CHECK(late_starts > 100);
   CHECK(repeated_starts > 100);
   CHECK(strayed_starts > 100);
@@ -51,18 +54,19 @@
 
 // Guards against checks that cannot fail.
 TEST_CASE("what is broken on purpose is noticed", "[interleaving]") {
-  const BreakageRow row =
-      GENERATE(BreakageRow{"ends are acknowledged before their record is durable", Breakage::kAcknowledgeBeforeDurable},
-               BreakageRow{"starts are sent before their placement is durable", Breakage::kStartBeforeDurable},
-               BreakageRow{"a new owner does not wait for the former one's leases", Breakage::kNoWaitForFormerOwner},
-               BreakageRow{"a start without answer counts as refused", Breakage::kRefusalIsFinal},
-               BreakageRow{"leases are taken for shorter than they are", Breakage::kLeaseTooShort},
-               BreakageRow{"an unknown worker counts as another life", Breakage::kUnknownIsOtherLife},
-               BreakageRow{"tokens do not tell lives apart", Breakage::kTokenOfOwnerOnly},
-               BreakageRow{"ends are acknowledged with numbers of a former life", Breakage::kAcknowledgeFormerLife},
-               BreakageRow{"orders go to a life that has answered nothing", Breakage::kOrdersBeforeFirstList},
-               BreakageRow{"a list of ends that was cut counts as whole", Breakage::kCutListIsWhole},
-               BreakageRow{"ends of a worker that has left are forgotten", Breakage::kForgetReadEnds});
+  const BreakageRow row = GENERATE(
+      BreakageRow{"ends are acknowledged before their record is durable", Breakage::kAcknowledgeBeforeDurable},
+      BreakageRow{"starts are sent before their placement is durable", Breakage::kStartBeforeDurable},
+      BreakageRow{"a new owner does not wait for the former one's leases", Breakage::kNoWaitForFormerOwner},
+      BreakageRow{"a start without answer counts as refused", Breakage::kRefusalIsFinal},
+      BreakageRow{"leases are taken for shorter than they are", Breakage::kLeaseTooShort},
+      BreakageRow{"an unknown worker counts as another life", Breakage::kUnknownIsOtherLife},
+      BreakageRow{"tokens do not tell lives apart", Breakage::kTokenOfOwnerOnly},
+      BreakageRow{"ends are acknowledged with numbers of a former life", Breakage::kAcknowledgeFormerLife},
+      BreakageRow{"orders go to a life that has answered nothing", Breakage::kOrdersBeforeFirstList},
+      BreakageRow{"a list of ends that was cut counts as whole", Breakage::kCutListIsWhole},
+      BreakageRow{"ends of a worker that has left are forgotten", Breakage::kForgetReadEnds},
+      BreakageRow{"the end of the recorded owner counts as the end of all", Breakage::kEndOfRecordedOwnerIsAll});
   INFO(row.name);
   bool noticed = false;
   for (std::uint64_t seed = 1; seed <= kSeeds && !noticed; ++seed) {
--- a/tests/unit/workflow/interleaving_world.cc
+++ b/tests/unit/workflow/interleaving_world.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "control/ownership_policy.h"
 #include "workflow/job_codec.h"
 #include "workflow/record_keys.h"
 #include "workflow/step_progress.h"
@@ -37,6 +38,10 @@
 constexpr std::size_t kListedEnds = 2;
 /// Agents report the ends of a life for this long after it.
 constexpr absl::Duration kPastEndsKept = absl::Seconds(15);
+/// Some owners end this long after their claim at most, in steps.
+constexpr int kShortOwnerSteps = 20;
+/// In worlds with few events one step in so many has one.
+constexpr int kStepsOfEvent = 4;
 /// The clock of a life begins below this.
 constexpr int kFirstClockMs = 2000;
 
@@ -54,7 +59,8 @@
 
 }  // namespace
 
-InterleavingWorld::InterleavingWorld(std::uint64_t seed, Breakage breakage) : m_random(seed), m_breakage(breakage) {
+InterleavingWorld::InterleavingWorld(std::uint64_t seed, Breakage breakage)
+    : m_random(seed), m_breakage(breakage), m_has_few_events(Random(3) == 0) {
   for (int i = 0; i < kWorkers; ++i) {
     Worker worker;
     worker.host = "agent-" + std::to_string(i);
@@ -65,11 +71,13 @@
     m_workers.push_back(std::move(worker));
   }
   m_claimed_at = m_now;
+  m_owner_record = {.epoch = m_epoch, .holder = "owner", .is_sole = true};
   m_scheduler = std::make_unique<Scheduler>(Options(), m_now);
 }
 
 SchedulerOptions InterleavingWorld::Options() const {
   SchedulerOptions options;
+  options.former_owner_grants = m_former_owner_grants;
   if (m_breakage == Breakage::kNoWaitForFormerOwner) {
     options.former_owner_grants = -options.lease * options.clock_tolerance;
   }
@@ -106,6 +114,7 @@
 
 void InterleavingWorld::Tick() {
   m_now = m_now + kTick;
+  if (m_now >= m_owner_ends_at) RestartOwner();
   for (Worker& worker : m_workers) {
     if (!worker.is_up && m_now >= worker.born_at) GiveBirth(worker);
     if (m_now < worker.former_owner_until) TakeTurnForFormerOwner(worker);
@@ -120,9 +129,11 @@
   for (StopOrder& order : m_scheduler->TakeStops()) m_stops.push_back(std::move(order));
   DeliverStops();
   StoreBatch();
+  m_owner_record.is_sole = IsSoleOwner();
 }
 
 void InterleavingWorld::RandomEvent() {
+  if (m_has_few_events && Random(kStepsOfEvent) > 0) return;
   const int event = Random(100);
   if (event < 8) {
     SubmitJob();
@@ -173,9 +184,21 @@
   ListEnd(worker, std::string(run->first), kind);
 }
 
-void InterleavingWorld::ReplaceOwner() {
+void InterleavingWorld::RestartOwner() {
+  const bool is_hidden = std::any_of(m_workers.begin(), m_workers.end(),
+                                     [&](const Worker& worker) { return m_now < worker.former_owner_until; });
+  if (is_hidden) ++m_hidden_owners;
+  TakeOver(true);
+}
+
+void InterleavingWorld::TakeOver(bool has_ended) {
+  m_owner_ends_at = Random(3) == 0 ? m_now + (1 + Random(kShortOwnerSteps)) * kTick : InfiniteFuture();
   ++m_takeovers;
   ++m_epoch;
+  OwnerRecord former = m_owner_record;
+  if (m_breakage == Breakage::kEndOfRecordedOwnerIsAll) former.is_sole = true;
+  m_former_owner_grants = control::GrantsOfFormerOwners(former, has_ended, SchedulerOptions().former_owner_grants);
+  m_owner_record = {.epoch = m_epoch, .holder = "owner", .is_sole = m_former_owner_grants == absl::ZeroDuration()};
   m_stops.clear();
   m_unanswered.clear();
   m_claimed_at = m_now;
@@ -183,6 +206,10 @@
   const std::int64_t unix_now_ms = absl::ToInt64Milliseconds(m_now.SinceBoot());
   m_index.ForEachJob(
       [&](const std::string& id, const JobIndex::Job& job) { m_scheduler->AddJob(id, job, m_now, unix_now_ms); });
+}
+
+void InterleavingWorld::ReplaceOwner() {
+  TakeOver(false);
   for (Worker& worker : m_workers) {
     if (Random(3) > 0) continue;
     // Only the former owner reaches it; it does not know of its successor.
--- a/tests/unit/workflow/interleaving_world.h
+++ b/tests/unit/workflow/interleaving_world.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "workflow/job_index.h"
+#include "workflow/owner_record.h"
 #include "workflow/scheduler.h"
 
 namespace berylgauge::workflow {
@@ -29,6 +30,7 @@
   kOrdersBeforeFirstList,     ///< a life gets orders before it has answered a call
   kCutListIsWhole,            ///< a run counts as absent although its end may stand behind those that are listed
   kForgetReadEnds,            ///< agents forget the ends of a worker that has left
+  kEndOfRecordedOwnerIsAll,   ///< when the recorded owner has ended, no owner before it counts as granting
 };
 
 /// An owner, its successors, agents and workers with the platform's rules, under faults at random: cuts, restarts, lost
@@ -49,6 +51,8 @@
   const std::vector<std::string>& violations() const { return m_violations; }
   int runs_done() const { return m_runs_done; }
   int takeovers() const { return m_takeovers; }
+  /// Takeovers from an owner that has ended while one before it still granted leases.
+  int hidden_owners() const { return m_hidden_owners; }
   int late_starts() const { return m_late_starts; }
   int repeated_starts() const { return m_repeated_starts; }
   /// Starts for a life that the next life of the worker carried out.
@@ -147,7 +151,11 @@
   void SubmitJob();
   void CancelJob();
   void EndRun(RunEndKind kind);
+  /// Another process takes over from an owner that is cut off, and that some agents still follow.
   void ReplaceOwner();
+  /// The owner's process ends, and another one takes over; owners before it may grant on.
+  void RestartOwner();
+  void TakeOver(bool has_ended);
   void RestartWorker();
   void LeaveWorker();
   void RestartAgent();
@@ -220,13 +228,18 @@
   /// Says yes once in so many times while there are faults.
   bool IsFault(int once_in) { return !m_healed && Random(once_in) == 0; }
   SchedulerOptions Options() const;
+  bool IsSoleOwner() const { return m_owner_record.is_sole || m_now - m_claimed_at > m_former_owner_grants; }
 
   std::mt19937_64 m_random;
   const Breakage m_breakage;
   MonotonicTime m_now{absl::Hours(1)};
   JobIndex m_index;
   std::unique_ptr<Scheduler> m_scheduler;
+  const bool m_has_few_events;  ///< so that runs and owners outlast leases
   MonotonicTime m_claimed_at;
+  MonotonicTime m_owner_ends_at = InfiniteFuture();
+  absl::Duration m_former_owner_grants;  ///< as the present owner reckons
+  OwnerRecord m_owner_record;            ///< as stored last
   std::int64_t m_epoch = 1;
   std::vector<Worker> m_workers;
   /// Last life at a host that an owner, by its epoch, has given a number.
@@ -245,6 +258,7 @@
   bool m_healed = false;
   int m_runs_done = 0;
   int m_takeovers = 0;
+  int m_hidden_owners = 0;
   int m_late_starts = 0;
   int m_repeated_starts = 0;
   int m_strayed_starts = 0;
