Answer a cancellation whose outcome is unknown with 504

An append of a cancellation that was kept from being stored after its limit counted as not stored (503, "the cancellation was not stored"), although an earlier call may have stored it. Only clients with a deadline above 5 s could see it.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -228,7 +228,11 @@
                           m_index.ApplySubmission(workflow::CancellationKey(job), workflow::kCancellationValue);
                           if (m_owner != nullptr) m_owner->OnCancellation(job);
                         }
-                        callback(stored ? CancelOutcome::kCancelled : CancelOutcome::kFailed);
+                        if (outcome == AppendOutcome::kUnknown) {
+                          callback(CancelOutcome::kUnknown);
+                        } else {
+                          callback(stored ? CancelOutcome::kCancelled : CancelOutcome::kFailed);
+                        }
                       });
   });
 }
--- a/src/control/entry_node.h
+++ b/src/control/entry_node.h
@@ -61,7 +61,8 @@
 enum class CancelOutcome {
   kCancelled,
   kUnknownJob,
-  kFailed,  ///< not stored, or the store cannot be asked for the job; the client may repeat it
+  kFailed,   ///< not stored, or the store cannot be asked for the job; the client may repeat it
+  kUnknown,  ///< the cancellation was stored or never will be
 };
 
 /// What an entry knows of a job. Neither a phase nor `is_certain`: the store could not be asked.
--- a/src/control/submission_queue.h
+++ b/src/control/submission_queue.h
@@ -24,8 +24,8 @@
   absl::Duration give_up_after = absl::Milliseconds(700);
   /// Submissions are refused at once while the store has refused appends for this long.
   absl::Duration refuse_after_failing = absl::Milliseconds(700);
-  /// Nothing is sent to the store later than this after it was added: another entry may have accepted the job again,
-  /// and its records are removed some time after its end.
+  /// Nothing waits longer than this for its first append, and no append is repeated for longer: another entry may have
+  /// accepted the job again, and its records are removed some time after its end.
   absl::Duration send_limit = absl::Seconds(5);
 };
 
