Interleaving test: take back an exemption

The exemption for late starts after a lapse that the owner has since heard beyond was broader than the traced cases.

--- a/tests/unit/workflow/interleaving_world.cc
+++ b/tests/unit/workflow/interleaving_world.cc
@@ -658,7 +658,6 @@
   // nothing of it for longer than the former one's lease.
   if (IsLapsedAtOwner(worker)) {
     worker.is_given_up = true;
-    worker.lapsed_at = m_now;
   }
   const bool is_silent = !worker.is_reported && worker.is_given_up;
   if (ClockOf(worker) > worker.lease_end_ms || is_silent) LapseRuns(worker);
@@ -677,16 +676,13 @@
   return m_now - known->clock_read_at > lease;
 }
 
-bool InterleavingWorld::IsLeftOut(const Worker& worker, const Call& call, const StartOrder& order,
-                                  MonotonicTime sent_at) {
+bool InterleavingWorld::IsLeftOut(const Worker& worker, const Call& call, const StartOrder& order) const {
   if (call.life == worker.life || worker.has_own_token) return false;
   // No owner can prevent a late start in a life that has no token yet, so these are left out: the owner heard nothing
   // for the length of a lease; the run has ended or was stopped in a former life; a life between had its token.
   const auto settled = worker.formerly_settled.find(order.task);
   const bool is_settled = settled != worker.formerly_settled.end() && order.run <= settled->second;
-  // The same if the owner has given the run up in that time and has heard of the worker's former life again since.
-  const bool was_lost = worker.lapsed_at >= sent_at && !m_scheduler->IsStarting(order);
-  return is_settled || call.life.born < worker.tokened_born || worker.is_given_up || was_lost;
+  return is_settled || call.life.born < worker.tokened_born || worker.is_given_up;
 }
 
 void InterleavingWorld::ListEnd(Worker& worker, const std::string& task, RunEndKind kind) {
@@ -739,9 +735,9 @@
 void InterleavingWorld::CallStartLate(Worker& worker, const StartOrder& order, std::int64_t until_ms) {
   const Call call{.life = order.life, .token = TokenFor(worker, m_epoch)};
   worker.agent.unanswered.insert({order.task, order.run});
-  CallLate([this, order, call, until_ms, sent_at = m_now] {
+  CallLate([this, order, call, until_ms] {
     Worker& worker = At(order.agent);
-    if (!IsLeftOut(worker, call, order, sent_at) && Begin(worker, call, order, until_ms)) ++m_late_starts;
+    if (!IsLeftOut(worker, call, order) && Begin(worker, call, order, until_ms)) ++m_late_starts;
   });
 }
 
--- a/tests/unit/workflow/interleaving_world.h
+++ b/tests/unit/workflow/interleaving_world.h
@@ -139,7 +139,6 @@
     bool is_reported = false;    ///< an owner knows of this life
     MonotonicTime reported_at;   ///< last, to any owner
     bool is_given_up = false;    ///< the lease has lapsed at an owner since the last report
-    MonotonicTime lapsed_at;     ///< when the lease has lapsed at an owner last
     std::int64_t lease_end_ms = 0;
     std::map<std::string, int> runs;
     std::map<std::string, MonotonicTime> begun;
@@ -226,7 +225,7 @@
   void LapseRuns(Worker& worker);
   void ListEnd(Worker& worker, const std::string& task, RunEndKind kind);
   bool IsLapsedAtOwner(const Worker& worker);
-  bool IsLeftOut(const Worker& worker, const Call& call, const StartOrder& order, MonotonicTime sent_at);
+  bool IsLeftOut(const Worker& worker, const Call& call, const StartOrder& order) const;
 
   // Messages that are late or lost.
   void CallLate(std::function<void()> carry_out);
