--- a/tests/unit/control/entry_node_test.cc
+++ b/tests/unit/control/entry_node_test.cc
@@ -124,6 +124,7 @@
 
   EventLoop& loop() { return m_loop; }
   StoreFaults& FaultsOf(std::size_t index) { return m_logs[index]->faults; }
+  MemoryKeyedLog& LogOf(std::size_t index) { return *m_logs[index]; }
   EntryNode& entry(std::size_t index) { return *m_entries[index]; }
 
  private:
@@ -324,6 +325,44 @@
   });
 }
 
+// Guards against a job that is shown as done by a record that the owner's successor has not read: the append of the
+// former owner is carried out after the claim (issue 28).
+TEST_CASE("an end whose append is carried out after another owner's claim is not shown by the former one", "[entry]") {
+  const std::string id = "00000000000000aa";
+  EntryWorld world;
+  PlayedAgent agent(world.loop());
+  EntryNode& former = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return former.IsOwner(); }));
+  EntryNode& successor = world.Add("e2");
+  world.AddAgent("a1", agent.port());
+  world.loop().RunSync([&] { former.Submit(SmallJob(id), [](SubmitOutcome) {}); });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] {
+    return successor.index().PhaseOf(id) == workflow::JobPhase::kRunning && agent.HasStarted(id + ".0.0.0");
+  }));
+
+  world.loop().RunSync([&] {
+    world.FaultsOf(0).holds_appends = true;
+    agent.EndDone(id + ".0.0.0");
+  });
+  bool is_shown_early = false;
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] {
+    const bool is_claimed = successor.IsOwner();
+    if (!is_claimed) is_shown_early |= former.index().PhaseOf(id) == workflow::JobPhase::kDone;
+    return is_claimed;
+  }));
+  CHECK(!is_shown_early);
+  world.loop().RunSync([&] {
+    CHECK(world.LogOf(0).held() > 0);
+    CHECK(world.LogOf(0).CarryOutHeld() == 0);
+    world.FaultsOf(0).holds_appends = false;
+  });
+  CHECK(WaitUntil(world.loop(), absl::Seconds(9), [&] {
+    return former.index().PhaseOf(id) == workflow::JobPhase::kDone && !former.IsOwner() &&
+           successor.index().PhaseOf(id) == workflow::JobPhase::kDone;
+  }));
+  world.loop().RunSync([&] { CHECK(agent.orders().size() == 1); });
+}
+
 // Guards against a second run of a whole job: its owner reads the submissions anew, in pages that are no snapshot, and
 // the page with the job is older than the removal of its records (issue 28).
 TEST_CASE("a job that is removed while its submission is read again is not run again", "[entry]") {
--- a/tests/unit/control/memory_keyed_log.cc
+++ b/tests/unit/control/memory_keyed_log.cc
@@ -15,7 +15,8 @@
   ++appends;
   AppendAnswer answer;
   absl::Duration delay = kLatency;
-  if (faults.is_cut) {
+  if (faults.is_cut || faults.holds_appends) {
+    if (!faults.is_cut) m_held.push_back(call);
     answer.outcome = AppendOutcome::kUnknown;
     delay = timeout;
   } else if (faults.refuses) {
@@ -31,6 +32,14 @@
   m_loop.AddTimer(m_loop.Now() + delay, [answer, callback = std::move(callback)]() mutable { callback(answer); });
 }
 
+int MemoryKeyedLog::CarryOutHeld() {
+  int stored = 0;
+  for (const AppendCall& call : std::exchange(m_held, {})) {
+    if (m_store.Append(call).outcome == AppendOutcome::kStored) ++stored;
+  }
+  return stored;
+}
+
 void MemoryKeyedLog::Read(const LogPartition& partition, std::int64_t from, absl::Duration wait, absl::Duration timeout,
                           ReadCallback callback) {
   longest_read_timeout = std::max(longest_read_timeout, timeout);
