Take the end of a run as done while its task waits for another one

When the owner had given a run up, by whatever proof, it threw the end of that run away as unmatched, although the task was still waiting, acknowledged it with the next record, and then placed the task again. With a backlog tasks wait for seconds. An end as done of the newest run now completes a task that waits, whichever list it comes in.

An end of a past life other than done decides a run only if every call of its start was answered: a call without an answer may begin the run again in the next life, whose first lists decide then.

--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -160,6 +160,9 @@
   std::optional<TaskRef> FindRun(const std::string& task, int run, const WorkerLife& life);
 
   void ApplyEnd(const WorkerLife& life, const RunEnd& end, MonotonicTime now);
+  /// The newest run of a task that waits for another one has ended as done after all, so it needs no other. Returns
+  /// false for any other end.
+  bool ApplyLateDone(const RunEnd& end, MonotonicTime now);
   /// Ends that hold although their life is over.
   void ApplyPastEnds(const PastEnds& past, MonotonicTime now);
   void LogUnmatchedEnd(const WorkerLife& life, const RunEnd& end);
--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -73,6 +73,7 @@
 void Scheduler::ApplyEnd(const WorkerLife& life, const RunEnd& end, MonotonicTime now) {
   const std::optional<TaskRef> ref = FindRun(end.task, end.run, life);
   if (!ref) {
+    if (ApplyLateDone(end, now)) return;
     ++m_counts.ends_unmatched;
     LogUnmatchedEnd(life, end);
     return;
@@ -81,10 +82,34 @@
   FinishRun(*ref, end.kind, end.checkpoint, now);
 }
 
+bool Scheduler::ApplyLateDone(const RunEnd& end, MonotonicTime now) {
+  const std::optional<TaskName> name = TaskName::Parse(end.task);
+  WorkflowStep* step = name && end.kind == RunEndKind::kDone ? FindStep(name->step) : nullptr;
+  if (step == nullptr || name->index >= static_cast<int>(step->tasks.size())) return false;
+  TaskProgress& task = step->tasks[static_cast<std::size_t>(name->index)];
+  const bool is_newest = task.state == TaskState::kWaiting && task.run == end.run;
+  const bool ends_task = !step->definition->long_running && !step->definition->gang && step->job->TakesRuns();
+  if (!is_newest || !ends_task) return false;
+  LogEvent(LogLevel::kWarning, "late_end_applied", {{"task", end.task}, {"run", end.run}, {"number", end.number}});
+  ++m_counts.ends_done;
+  task.state = TaskState::kDone;
+  ++step->done;
+  --step->job->waiting;
+  MarkChanged(*step);
+  AfterTaskDone(*step, now);
+  return true;
+}
+
 void Scheduler::ApplyPastEnds(const PastEnds& past, MonotonicTime now) {
   for (const RunEnd& end : past.ends) {
     const std::optional<TaskRef> ref = FindRun(end.task, end.run, past.life);
-    if (!ref) continue;  // taken before: such ends are reported for a while
+    if (!ref) {
+      ApplyLateDone(end, now);  // else it was taken before: such ends are reported for a while
+      continue;
+    }
+    // A call without an answer may have begun the run again in the next life, whose first lists decide then.
+    const bool is_settled = ref->step->runtimes[static_cast<std::size_t>(ref->index)].is_start_settled;
+    if (end.kind != RunEndKind::kDone && !is_settled) continue;
     LogEvent(LogLevel::kInfo, "past_end_applied",
              {{"task", end.task}, {"run", end.run}, {"worker", past.life.worker}, {"born", past.life.born}});
     NoteBegun(m_workers.FindLife(past.life), *ref);
--- a/tests/unit/workflow/past_ends_test.cc
+++ b/tests/unit/workflow/past_ends_test.cc
@@ -64,6 +64,38 @@
   CHECK(world.StartsOf(kTask) == 2);
 }
 
+// Guards against a second run of a task that is done: the owner had given the run up, and threw its end away although
+// the task was still waiting (issue 28).
+TEST_CASE("a task that waits needs no other run once the end of its last one as done is known", "[scheduler]") {
+  const RunEndKind kind = GENERATE(RunEndKind::kDone, RunEndKind::kFailed);
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  world.Submit(SingleStepJob("a0", ShortStep(1)));
+  world.End(kTask, kind);
+  world.Sleep(absl::Seconds(20));  // longer than any lease
+  world.SettleWithout("w1");
+  REQUIRE(world.PhaseOf("a0") == JobPhase::kRunning);
+  world.Settle();
+  const bool is_done = kind == RunEndKind::kDone;
+  CHECK((world.PhaseOf("a0") == JobPhase::kDone) == is_done);
+  CHECK(world.StartsOf(kTask) == (is_done ? 1 : 2));
+}
+
+// Guards against a run beside another one: a call of its start had no answer and may be carried out by the worker's
+// next life, so the end of the run as stopped in the former one decides nothing (issue 28).
+TEST_CASE("a past end other than done decides a run only if its start is settled", "[scheduler]") {
+  SchedulerWorld world;
+  PlaceByFormerOwner(world);
+  world.End(kTask, RunEndKind::kStopped);
+  const PlayedWorker left = world.worker("w1");
+  world.scheduler().OnReport(left.agent, {.past_ends = {{.life = left.life, .ends = left.ends}}}, world.now());
+  world.SettleWithout("w1");
+  CHECK(world.StartsOf(kTask) == 1);
+  world.Sleep(absl::Seconds(20));
+  world.SettleWithout("w1");
+  CHECK(world.StartsOf(kTask) == 2);
+}
+
 // Guards against a second run of a task that the next life of its worker has carried out: the end stood behind the last
 // one that the worker lists at a time, so the run counted as never begun (issue 28).
 TEST_CASE("a run of a former life is not given up by a list of ends that was cut", "[scheduler]") {
