Take the list after a stop whoever owns by then, and end a leave in time

What callers could see: a second run of a task that is done. The list that follows a stop was dropped if another owner had taken over or the worker had left meanwhile, and it may be the only one with an end. Found by the review, as were two slips of the wait for answers after a leave: a stop that polls kept a worker that does not answer from counting as gone, and a heartbeat that the message of leaving had overtaken left it without calls for its lists.

--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -81,8 +81,10 @@
   }
   if (!m_announcement || announcement.life != m_announcement->life) BeginLife(announcement);
   m_announcement = announcement;
-  m_is_leaving = false;
+  const bool was_leaving = std::exchange(m_is_leaving, false);
+  m_refused_calls = 0;
   SetCondition(announcement.draining ? WorkerCondition::kDraining : WorkerCondition::kReady, "announcement");
+  if (was_leaving) ScheduleHold(absl::ZeroDuration());
 }
 
 void AgentNode::BeginLife(const WorkerAnnouncement& announcement) {
@@ -652,7 +654,7 @@
 }
 
 void AgentNode::ResolveStop(std::shared_ptr<StopAttempt> attempt) {
-  if (IsOver(attempt->call.life, attempt->epoch)) {
+  if (m_is_leaving || IsOver(attempt->call.life, attempt->epoch)) {
     FinishStop(*attempt, true);  // the lists of the next life, or those that its next owner gets, show the run
     return;
   }
@@ -661,6 +663,7 @@
     if (answer && answer->born != call.life.born && IsPresent(call.life)) OnOtherLife(*answer);
     if (IsOver(call.life, attempt->epoch)) {
       FinishStop(*attempt, true);
+      if (answer && answer->born == call.life.born) KeepPastLists(std::move(*answer), call.life);
       return;
     }
     bool is_running = false;
--- a/tests/unit/control/agent_node_test.cc
+++ b/tests/unit/control/agent_node_test.cc
@@ -484,6 +484,38 @@
   world.Announce();
   world.loop().RunSync([&] { world.worker().ends = EndsUpToTheTask(1); });
   REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] {
+// Guards against a second run of a task that is done: the list that follows a stop names its end, but comes after a
+// hand-over and was dropped (issue 28).
+TEST_CASE("the list after a stop counts although the owner was replaced", "[agent]") {
+  AgentWorld world;
+  world.Announce();
+  world.loop().RunSync([&] { world.worker().keeps_answers = true; });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return world.worker().kept_answers() == 1; }));
+  bool is_stopped = false;
+  world.loop().RunSync([&] {
+    world.worker().ends = EndsUpToTheTask(1);
+    world.agent().OnOrders({.epoch = 5,
+                            .life = world.life(),
+                            .jobs = {},
+                            .stops = {{.agent = {}, .life = world.life(), .task = "b.0.0.0", .run = 1}}},
+                           [&](const std::optional<OrdersAnswer>&) { is_stopped = true; });
+  });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return world.worker().kept_answers() == 2; }));
+  REQUIRE(world.Watch({.epoch = 9, .life = {}}).has_value());
+  world.loop().RunSync([&] {
+    world.agent().OnLeave(world.life());
+    world.worker().AnswerKept();
+  });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return is_stopped; }));
+  std::vector<workflow::PastEnds> past_ends;
+  CHECK(WaitUntil(world.loop(), absl::Seconds(2), [&] {
+    world.agent().OnWatch({.epoch = 9, .life = {}}, [&](std::optional<WatchAnswer> answer) {
+      if (answer) past_ends = answer->report.past_ends;
+    });
+    return !past_ends.empty();
+  }));
+}
+
     std::size_t ends = 0;
     world.agent().OnWatch({.epoch = 5, .life = {}},
                           [&](std::optional<WatchAnswer> answer) { ends = answer ? answer->report.ends.size() : 0; });
