Count only refused connections in a row

What callers could see: a second run of each task of a worker that goes on. Two refusals gave its runs up, however long ago the first one was and whatever calls had failed in another way or announcements had come between. The count begins anew with each other failure, answer or announcement. Found by reading.

--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -332,7 +332,8 @@
     OnOtherWorker();
     return;
   }
-  if (failure.code == FailureCode::kConnectionRefused && ++m_refused_calls >= m_options.refused_calls) {
+  m_refused_calls = failure.code == FailureCode::kConnectionRefused ? m_refused_calls + 1 : 0;
+  if (m_refused_calls >= m_options.refused_calls) {
     SetCondition(WorkerCondition::kGone, "connection-refused");
     return;
   }
@@ -662,8 +663,8 @@
     const StopCall& call = attempt->call;
     if (answer && answer->born != call.life.born && IsPresent(call.life)) OnOtherLife(*answer);
     if (IsOver(call.life, attempt->epoch)) {
-      FinishStop(*attempt, true);
       if (answer && answer->born == call.life.born) KeepPastLists(std::move(*answer), call.life);
+      FinishStop(*attempt, true);
       return;
     }
     bool is_running = false;
--- a/tests/unit/control/agent_node_test.cc
+++ b/tests/unit/control/agent_node_test.cc
@@ -27,6 +27,7 @@
   int vanished_starts = 0;    ///< so many starts have no answer and no effect
   StartRefusal refusal = StartRefusal::kNone;
   bool refuses_connections = false;
+  int refused_calls = 0;  ///< so many calls for lists find no listener
   std::int64_t born = 1000;
   std::int64_t highest_token = 0;
   std::map<std::string, int> runs;
@@ -44,6 +45,10 @@
 
   void Hold(const HoldCall& call, absl::Duration, absl::AnyInvocable<void(Result<HoldAnswer>)> callback) override {
     if (refuses_connections) return Answer<HoldAnswer>(std::move(callback), Refused());
+    if (refused_calls > 0) {
+      --refused_calls;
+      return Answer<HoldAnswer>(std::move(callback), Refused());
+    }
     if (lists_nothing) {
       return Answer<HoldAnswer>(std::move(callback), MayHaveRun(FailureCode::kDeadlineExceeded, "no answer"));
     }
@@ -479,11 +484,6 @@
   CHECK(answer->report.ends.at(0).task == "a.0.0.0");
 }
 
-/// Lets the agent read one end, of a task that is done.
-void ReadOneEnd(AgentWorld& world) {
-  world.Announce();
-  world.loop().RunSync([&] { world.worker().ends = EndsUpToTheTask(1); });
-  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] {
 // Guards against a second run of a task that is done: the list that follows a stop names its end, but comes after a
 // hand-over and was dropped (issue 28).
 TEST_CASE("the list after a stop counts although the owner was replaced", "[agent]") {
@@ -516,6 +516,11 @@
   }));
 }
 
+/// Lets the agent read one end, of a task that is done.
+void ReadOneEnd(AgentWorld& world) {
+  world.Announce();
+  world.loop().RunSync([&] { world.worker().ends = EndsUpToTheTask(1); });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] {
     std::size_t ends = 0;
     world.agent().OnWatch({.epoch = 5, .life = {}},
                           [&](std::optional<WatchAnswer> answer) { ends = answer ? answer->report.ends.size() : 0; });
@@ -573,6 +578,40 @@
   CHECK(answer->report.condition == WorkerCondition::kGone);
 }
 
+struct RefusalRow {
+  const char* name;
+  void (*between)(AgentWorld&);  ///< happens between two refused calls
+};
+
+// Guards against a second run of each task of a worker that goes on: refusals counted that did not follow each other
+// (issue 28).
+TEST_CASE("only refusals in a row end a worker's life", "[agent]") {
+  const RefusalRow row =
+      GENERATE(RefusalRow{"a call without an answer", [](AgentWorld& world) { world.worker().lists_nothing = true; }},
+               RefusalRow{"an announcement", [](AgentWorld& world) {
+                            world.agent().OnAnnouncement({.life = world.life(), .sequence = 1'000'000, .service = "s"});
+                          }});
+  INFO(row.name);
+  AgentWorld world;
+  world.Announce();
+  world.loop().RunSync([&] { world.worker().refused_calls = 1; });
+  const auto is_refused = [&] { return world.worker().refused_calls == 0; };
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), is_refused));
+  world.loop().RunSync([&] {
+    row.between(world);
+    if (!world.worker().lists_nothing) world.worker().refused_calls = 1;
+  });
+  absl::SleepFor(absl::Milliseconds(50));
+  world.loop().RunSync([&] {
+    if (!std::exchange(world.worker().lists_nothing, false)) return;
+    world.worker().refused_calls = 1;
+  });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), is_refused));
+  const std::optional<WatchAnswer> answer = world.Watch({.epoch = 5, .life = {}});
+  REQUIRE(answer.has_value());
+  CHECK(answer->report.condition == WorkerCondition::kReady);
+}
+
 // Guards against a second run of each task on a worker that was started again under its id, when a message of its
 // former life arrives late.
 TEST_CASE("a worker is gone only if it leaves in its present life", "[agent]") {
