Give each test cluster a range of loopback addresses of its own

Test programs that run side by side took a range by pid % 200, so two could take the same one: of 440 runs of "a job runs on the platform and is shown by every entry" in three lanes three failed, two of them with "bind 127.101.1.1:7720: Address already in use"; the third, 8 runs as done instead of 10, is not traced.

--- a/tests/process/platform_cluster.cc
+++ b/tests/process/platform_cluster.cc
@@ -77,9 +77,7 @@
 }
 
 std::string PlatformCluster::AddressOf(int group, int i) const {
-  // Test programs that run at the same time must not share addresses.
-  const int run = static_cast<int>(getpid() % 200) + 20;
-  return "127." + std::to_string(run) + "." + std::to_string(group) + "." + std::to_string(i + 1);
+  return "127." + std::to_string(m_addresses.number()) + "." + std::to_string(group) + "." + std::to_string(i + 1);
 }
 
 std::string PlatformCluster::WriteSettings(const std::string& host, bool is_agent, int i) {
--- a/tests/process/platform_cluster.h
+++ b/tests/process/platform_cluster.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "clients/http_client.h"
+#include "process/address_range.h"
 #include "support/child_process.h"
 #include "support/standin.h"
 
@@ -58,6 +59,7 @@
 
   const PlatformClusterOptions m_options;
   HttpClient m_http;
+  AddressRange m_addresses;
   std::string m_folder;
   std::unique_ptr<Standin> m_store;
   std::vector<std::unique_ptr<Standin>> m_workers;
