--- a/tests/unit/workflow/interleaving_world.cc
+++ b/tests/unit/workflow/interleaving_world.cc
@@ -171,18 +171,16 @@
     ReplaceOwner();
   } else if (event < 49) {
     CutWorker();
-  } else if (event < 51) {
+  } else if (event < 53) {
     RestartWorker();
-  } else if (event < 60) {
-    m_lost_answers += 1 + Random(3);
   } else if (event < 62) {
+    m_lost_answers += 1 + Random(3);
+  } else if (event < 64) {
     m_lose_batch = true;
-  } else if (event < 66) {
+  } else if (event < 68) {
     RestartAgent();
-  } else if (event < 72) {
-    LeaveWorker();
   } else if (event < 74) {
-    RestartWorker();
+    LeaveWorker();
   }
 }
 
