Learn interference as lost spare rate instead of added milliseconds

Cause: the model of interference was linear in the tail latency, but the same filling task adds a few ms to a serving task under low load and hundreds under high load. Figures were also forgotten by their number, so that a fleet of hundreds of workers forgot a pair within a second. Change: InterferenceModel fits the loss for each core in 1/s, takes pairs with a small loss for harmless and fits the others again, and forgets by time. ServingLoad follows the spare rate without interference of each serving step and expects a load that rises to rise on. PaceController holds the spare rate at the target, remembers by which factor a disturbance cost more than learnt, and slows harmless tasks only after three misses in a row. A run without its first figure is no sample. The unit of the estimates in messages to agents is now 1/s for each core; an agent of the former version reads them as milliseconds until it is replaced, and its pace still follows the measured tails.

--- a/src/control/agent_messages.cc
+++ b/src/control/agent_messages.cc
@@ -24,8 +24,8 @@
 /// Version of the messages; processes of different versions refuse each other's.
 constexpr int kFormat = 4;
 
-/// An hour of added latency; the model's estimates are far below.
-constexpr double kMaxMsPerCore = 3'600'000;
+/// 1/s; far above the spare rate of any serving task.
+constexpr double kMaxLossPerCore = 3'600'000;
 
 std::string Encode(json body) { return ToCbor(json::array({kFormat, std::move(body)})); }
 
@@ -131,7 +131,7 @@
     traits.push_back(json::array({t.task, t.fills_idle_cpu, t.tail_target_ms, t.image, t.demand_cpu}));
   json interference = json::array();
   for (const workflow::InterferenceEntry& entry : message.interference) {
-    interference.push_back(json::array({entry.serving_image, entry.filling_image, entry.ms_per_core}));
+    interference.push_back(json::array({entry.serving_image, entry.filling_image, entry.loss_per_core}));
   }
   return Encode(json::array({message.epoch, message.known_version, message.known_incarnation, message.wait_ms,
                              LifeToJson(message.life), message.lease_end_ms, message.acknowledged, std::move(traits),
@@ -158,7 +158,7 @@
     for (const json& entry : row.at(8)) {
       message.interference.push_back({.serving_image = entry.at(0).get<std::string>(),
                                       .filling_image = entry.at(1).get<std::string>(),
-                                      .ms_per_core = ReadFinite(entry.at(2), -kMaxMsPerCore, kMaxMsPerCore)});
+                                      .loss_per_core = ReadFinite(entry.at(2), -kMaxLossPerCore, kMaxLossPerCore)});
     }
     message.fence = {.life = LifeFromJson(row.at(9)), .token = ReadCount<std::int64_t>(row.at(10))};
     return message;
--- a/src/workflow/interference_model.cc
+++ b/src/workflow/interference_model.cc
@@ -1,42 +1,54 @@
 #include "workflow/interference_model.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace berylgauge::workflow {
 namespace {
 
-/// Weight of a sample after the next one of the same image. A few hundred samples count, which are some ten seconds.
-constexpr double kForgetting = 0.997;
-/// Pulls a coefficient to the default; the square of noise (10 ms) over the usual spread of coefficients (20 ms).
-constexpr double kRidge = 0.5;
-/// Tails beyond this say only that the worker was overloaded.
-constexpr double kLongestTailMs = 300;
+/// Samples lose half of their weight in this time, however many there are: a pair that was not seen together for some
+/// seconds is still known, in a fleet of any size.
+constexpr absl::Duration kHalfLife = absl::Seconds(30);
+/// Pulls a coefficient to the default, in cores squared; the square of noise (7/s) over the usual spread of the
+/// coefficients (3/s for each core).
+constexpr double kRidge = 3;
 constexpr int kDescentRounds = 40;
+/// Pairs that cost less than this share of the rate at the target for each core count as harmless.
+constexpr double kLeastLossShare = 0.06;
 
 }  // namespace
 
-void InterferenceModel::AddSample(const std::string& serving_image, double tail_ms, const FillingUse& use) {
-  Sums& sums = m_sums[serving_image];
-  if (sums.products.empty()) {
+void InterferenceModel::AddSample(const Sample& sample, MonotonicTime now) {
+  const auto [found, is_new] = m_sums.try_emplace(sample.serving_image);
+  Sums& sums = found->second;
+  if (is_new) {
     sums.products.assign(1, std::vector<double>(1, 0.0));
     sums.targets.assign(1, 0.0);
+    sums.updated_at = now;
   }
+  Forget(sums, now);
+  sums.tail_target_ms = sample.tail_target_ms;
   std::vector<std::pair<std::size_t, double>> row = {{0, 1.0}};
-  for (const auto& [image, cores] : use) {
+  for (const auto& [image, cores] : sample.use) {
     if (cores > 0) row.emplace_back(ColumnOf(sums, image), cores);
   }
-  for (std::vector<double>& products : sums.products) {
-    for (double& product : products) product *= kForgetting;
-  }
-  for (double& target : sums.targets) target *= kForgetting;
-  const double tail = std::min(tail_ms, kLongestTailMs);
   for (const auto& [column, cores] : row) {
     for (const auto& [other, other_cores] : row) sums.products[column][other] += cores * other_cores;
-    sums.targets[column] += cores * tail;
+    sums.targets[column] += cores * sample.lost_rate;
   }
   sums.changed = true;
 }
 
+void InterferenceModel::Forget(Sums& sums, MonotonicTime now) {
+  const double kept = std::exp2(-absl::FDivDuration(std::max(now - sums.updated_at, absl::ZeroDuration()), kHalfLife));
+  sums.updated_at = now;
+  for (std::vector<double>& products : sums.products) {
+    for (double& product : products) product *= kept;
+  }
+  for (double& target : sums.targets) target *= kept;
+}
+
 std::size_t InterferenceModel::ColumnOf(Sums& sums, const std::string& filling_image) {
   const auto found = std::find(sums.filling_images.begin(), sums.filling_images.end(), filling_image);
   if (found != sums.filling_images.end()) return 1 + static_cast<std::size_t>(found - sums.filling_images.begin());
@@ -48,33 +60,32 @@
 }
 
 std::vector<double> InterferenceModel::Solve(const Sums& sums) {
-  const std::size_t columns = sums.targets.size();
-  std::vector<double> solution(columns, InterferenceTable::kDefaultMsPerCore);
-  solution[0] = kDefaultBaseMs;
+  const double default_loss = DefaultLossPerCore(sums.tail_target_ms);
+  std::vector<double> solution(sums.targets.size(), default_loss);
+  solution[0] = 0;
+  Descend(sums, solution);
+  // Most pairs are nearly harmless. What noise gives to them is missing from the estimates of the harmful ones.
+  const double least = kLeastLossShare * SpareRate(sums.tail_target_ms);
+  for (std::size_t column = 1; column < solution.size(); ++column) {
+    if (solution[column] < least) solution[column] = 0;
+  }
+  Descend(sums, solution);
+  return solution;
+}
+
+void InterferenceModel::Descend(const Sums& sums, std::vector<double>& solution) {
+  const double default_loss = DefaultLossPerCore(sums.tail_target_ms);
   for (int round = 0; round < kDescentRounds; ++round) {
-    for (std::size_t column = 0; column < columns; ++column) {
-      const double prior = column == 0 ? kDefaultBaseMs : InterferenceTable::kDefaultMsPerCore;
-      double residual = sums.targets[column] + kRidge * prior;
-      for (std::size_t other = 0; other < columns; ++other) {
+    for (std::size_t column = 0; column < solution.size(); ++column) {
+      const bool is_offset = column == 0;
+      if (!is_offset && solution[column] == 0) continue;
+      double residual = sums.targets[column] + kRidge * (is_offset ? 0 : default_loss);
+      for (std::size_t other = 0; other < solution.size(); ++other) {
         if (other != column) residual -= sums.products[column][other] * solution[other];
       }
       solution[column] = std::max(0.0, residual / (sums.products[column][column] + kRidge));
     }
   }
-  return solution;
-}
-
-std::vector<InterferenceEntry> InterferenceModel::Estimate(const std::string& serving_image) const {
-  const auto found = m_sums.find(serving_image);
-  if (found == m_sums.end()) return {};
-  const Sums& sums = found->second;
-  const std::vector<double> solution = Solve(sums);
-  std::vector<InterferenceEntry> entries;
-  for (std::size_t i = 0; i < sums.filling_images.size(); ++i) {
-    entries.push_back(
-        {.serving_image = serving_image, .filling_image = sums.filling_images[i], .ms_per_core = solution[i + 1]});
-  }
-  return entries;
 }
 
 void InterferenceModel::Refresh() {
@@ -82,16 +93,10 @@
     if (!sums.changed) continue;
     sums.changed = false;
     const std::vector<double> solution = Solve(sums);
-    sums.base = solution[0];
     for (std::size_t i = 0; i < sums.filling_images.size(); ++i) {
-      m_table.Set({.serving_image = image, .filling_image = sums.filling_images[i], .ms_per_core = solution[i + 1]});
+      m_table.Set({.serving_image = image, .filling_image = sums.filling_images[i], .loss_per_core = solution[i + 1]});
     }
   }
 }
 
-double InterferenceModel::BaseOf(const std::string& serving_image) const {
-  const auto found = m_sums.find(serving_image);
-  return found == m_sums.end() ? kDefaultBaseMs : found->second.base;
-}
-
 }  // namespace berylgauge::workflow
--- a/src/workflow/interference_model.h
+++ b/src/workflow/interference_model.h
@@ -2,52 +2,57 @@
 
 #include <absl/container/flat_hash_map.h>
 
-#include <cstdint>
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
 
+#include "base/monotonic_time.h"
 #include "workflow/interference_table.h"
 
 namespace berylgauge::workflow {
 
 /// Learns the interference between images from what workers measure.
 ///
-/// For each serving image a linear model: tail latency = base + sum over filling images of (ms per core x cores in
-/// use). Ridge regression with non-negative coefficients on sums that forget old samples, solved by coordinate descent.
+/// For each serving image a linear model: lost spare rate = offset + sum over filling images of (loss per core x cores
+/// in use). Ridge regression with non-negative coefficients on sums that forget old samples, solved by coordinate
+/// descent.
 class InterferenceModel {
  public:
   /// Cores in use on one worker, by filling image.
   using FillingUse = std::map<std::string, double>;
 
   /// One half-second figure of a serving task and what filled beside it.
-  void AddSample(const std::string& serving_image, double tail_ms, const FillingUse& use);
+  struct Sample {
+    std::string serving_image;
+    int tail_target_ms = 0;
+    double lost_rate = 0;  ///< spare rate without interference less the measured one, 1/s
+    FillingUse use;
+  };
 
-  /// Estimates for the serving image, of all filling images seen beside it.
-  std::vector<InterferenceEntry> Estimate(const std::string& serving_image) const;
+  void AddSample(const Sample& sample, MonotonicTime now);
 
   /// Brings the table up to date for the serving images that have new samples.
   void Refresh();
 
   const InterferenceTable& table() const { return m_table; }
-  /// Tail latency of the serving image with nothing beside it; a default before there are samples.
-  double BaseOf(const std::string& serving_image) const;
 
  private:
-  /// Sums of one serving image; column 0 stands for the base.
+  /// Sums of one serving image; column 0 stands for the offset.
   struct Sums {
     std::vector<std::string> filling_images;  ///< of columns 1 and up
     std::vector<std::vector<double>> products;
     std::vector<double> targets;
-    double weight = 0;
+    MonotonicTime updated_at;
+    int tail_target_ms = 0;
     bool changed = false;
-    double base = kDefaultBaseMs;
   };
 
-  static constexpr double kDefaultBaseMs = 20;
-
   static std::vector<double> Solve(const Sums& sums);
+  /// Improves the coefficients that are not 0, each in turn; a coefficient that becomes 0 stays so.
+  static void Descend(const Sums& sums, std::vector<double>& solution);
   static std::size_t ColumnOf(Sums& sums, const std::string& filling_image);
+  static void Forget(Sums& sums, MonotonicTime now);
 
   absl::flat_hash_map<std::string, Sums> m_sums;
   InterferenceTable m_table;
--- a/src/workflow/pace_controller.cc
+++ b/src/workflow/pace_controller.cc
@@ -9,12 +9,17 @@
 
 /// Below this pace the use that is measured says little about the use at full pace.
 constexpr double kReliableShare = 0.25;
-/// The undisturbed tail is the lowest one seen; it rises by this factor in an interval, because the load changes.
-constexpr double kUndisturbedGrowth = 1.02;
-/// No more than this share of the target counts as undisturbed.
-constexpr double kHighestUndisturbed = 0.6;
-/// Differences below this are noise of the measurement.
-constexpr double kLeastCausedMs = 2;
+/// The undisturbed rate is the highest one seen or expected; it falls by this factor in an interval, because the load
+/// changes.
+constexpr double kUndisturbedDecay = 0.92;
+/// As multiples of the rate at the target: the rate of a serving task before its first figure, differences that are
+/// noise of the measurement, and the most that a rising load is expected to take in an interval.
+constexpr double kUsualRate = 2;
+constexpr double kLeastCaused = 0.1;
+constexpr double kLargestFall = 0.25;
+/// Bounds of the factor by which a disturbance costs more than was learnt, and its decay in an interval.
+constexpr double kLargestScale = 4;
+constexpr double kScaleDecay = 0.95;
 
 }  // namespace
 
@@ -81,20 +86,20 @@
   return fillers;
 }
 
-double PaceController::HarmOf(const MeasuredRun& serving, const MeasuredRun& filler,
-                              const InterferenceTable& interference) const {
-  return std::max(interference.Get(serving.image, filler.image), m_options.least_ms_per_core);
+double PaceController::LossPerCore(const MeasuredRun& serving, const MeasuredRun& filler,
+                                   const InterferenceTable& interference) const {
+  return std::max(interference.Get(serving.image, filler.image, serving.tail_target_ms),
+                  m_options.least_loss_share * SpareRate(serving.tail_target_ms));
 }
 
 PaceController::Budget& PaceController::BudgetOf(const MeasuredRun& serving) {
   const auto [found, is_new] = m_budgets.try_emplace(serving.task);
   Budget& budget = found->second;
   if (!is_new) return budget;
-  const double held = m_options.held_tail * serving.tail_target_ms;
-  const auto tail = static_cast<double>(serving.measured);
-  budget.undisturbed_ms = kHighestUndisturbed * serving.tail_target_ms;
-  if (tail > 0) budget.undisturbed_ms = std::min(tail, budget.undisturbed_ms);
-  budget.left_ms = std::max(0.0, m_options.used_room * (held - tail));
+  const double held = SpareRate(m_options.held_tail * serving.tail_target_ms);
+  const double rate = serving.measured > 0 ? SpareRate(static_cast<double>(serving.measured)) : kUsualRate * held;
+  budget.undisturbed = rate;
+  budget.left = std::max(0.0, m_options.used_room * (rate - held));
   return budget;
 }
 
@@ -111,23 +116,31 @@
                            const InterferenceTable& interference) {
   Budget& budget = BudgetOf(serving);
   if (serving.measured <= 0) return;  // not measured yet
-  const double target = serving.tail_target_ms;
-  const auto tail = static_cast<double>(serving.measured);
-  const double held = m_options.held_tail * target;
-  budget.missed = tail > target ? budget.missed + 1 : 0;
-  budget.undisturbed_ms = std::min({tail, budget.undisturbed_ms * kUndisturbedGrowth, kHighestUndisturbed * target});
+  const double target = SpareRate(serving.tail_target_ms);
+  const double rate = SpareRate(static_cast<double>(serving.measured));
   double disturbance = 0;
   for (const Filler& filler : fillers) {
-    disturbance += HarmOf(serving, *filler.run, interference) * static_cast<double>(filler.run->measured) / 1000;
+    disturbance += LossPerCore(serving, *filler.run, interference) * static_cast<double>(filler.run->measured) / 1000;
   }
+  const double former = budget.undisturbed;
+  budget.undisturbed = std::max(rate + disturbance, former * kUndisturbedDecay);
+  budget.missed = rate < target ? budget.missed + 1 : 0;
   if (budget.missed >= m_options.stop_all_after) {
-    budget.left_ms = 0;
+    budget.left = 0;
     return;
   }
-  const double caused = std::max(tail - budget.undisturbed_ms, kLeastCausedMs);
-  const double factor = std::clamp((held - budget.undisturbed_ms) / caused, 0.0, m_options.largest_rise);
-  budget.left_ms = disturbance * factor;
-  if (tail < held) budget.left_ms = std::max(budget.left_ms, disturbance + m_options.used_room * (held - tail));
+  const double fall = std::clamp(former - budget.undisturbed, 0.0, kLargestFall * target);
+  const double held = target / m_options.held_tail + fall;
+  const double caused = std::max(budget.undisturbed - rate, kLeastCaused * target);
+  if (disturbance > kLeastCaused * target) {
+    const double scale = std::min(caused / disturbance, kLargestScale);
+    budget.scale = std::max({1.0, budget.scale * kScaleDecay, scale});
+  }
+  const double factor = std::clamp((budget.undisturbed - held) / caused, 0.0, m_options.largest_rise);
+  budget.left = disturbance * factor;
+  if (rate > held) {
+    budget.left = std::max(budget.left, disturbance + m_options.used_room * (rate - held) / budget.scale);
+  }
 }
 
 void PaceController::Spend(const std::vector<const MeasuredRun*>& serving, std::vector<Filler>& fillers,
@@ -135,7 +148,7 @@
   std::vector<std::pair<double, Filler*>> by_harm;
   for (Filler& filler : fillers) {
     double harm = 0;
-    for (const MeasuredRun* run : serving) harm = std::max(harm, HarmOf(*run, *filler.run, interference));
+    for (const MeasuredRun* run : serving) harm = std::max(harm, LossPerCore(*run, *filler.run, interference));
     by_harm.emplace_back(harm, &filler);
   }
   std::stable_sort(by_harm.begin(), by_harm.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -148,12 +161,17 @@
                                  double full_cores, const InterferenceTable& interference, double part) {
   double share = 1;
   for (const MeasuredRun* run : serving) {
-    const double ms = HarmOf(*run, filler, interference) * full_cores;
-    if (ms > 0) share = std::min(share, part * BudgetOf(*run).left_ms / ms);
+    const double loss_per_core = LossPerCore(*run, filler, interference);
+    const Budget& budget = BudgetOf(*run);
+    const bool is_light = loss_per_core <= m_options.light_loss_share * SpareRate(run->tail_target_ms);
+    if (is_light && budget.missed < m_options.slow_light_after) continue;
+    const double loss = loss_per_core * full_cores;
+    if (loss > 0) share = std::min(share, part * budget.left / loss);
   }
   share = std::max(share, 0.0);
   for (const MeasuredRun* run : serving) {
-    BudgetOf(*run).left_ms -= share * HarmOf(*run, filler, interference) * full_cores;
+    double& left = BudgetOf(*run).left;
+    left = std::max(0.0, left - share * LossPerCore(*run, filler, interference) * full_cores);
   }
   return share;
 }
--- a/src/workflow/pace_controller.h
+++ b/src/workflow/pace_controller.h
@@ -17,18 +17,22 @@
   absl::Duration interval = absl::Milliseconds(450);
   /// Tail latency of a serving task, as a share of its target, at which its disturbance is held.
   double held_tail = 0.97;
-  /// Largest factor by which the disturbance may rise in one interval: the tail rises faster than the disturbance when
-  /// the load of the serving task is high, so a jump to what looks like room would overshoot.
+  /// Largest factor by which the disturbance may rise in one interval, because the figures are rough.
   double largest_rise = 4;
-  /// Part of the room, in ms of expected disturbance, that may be added in one interval when there was hardly any.
+  /// Part of the spare rate above the one at the target that may be used up in one interval when little is.
   double used_room = 0.8;
   /// Part of what is left that a filling task gets at its start, half a second before the first figures.
   double start_room = 0.6;
   /// Decisions in a row with a missed target after which all filling tasks are stopped, whatever the estimates say. It
   /// leaves half of the 4 s for which a target may be missed.
   int stop_all_after = 4;
-  /// Every filling task is taken to disturb by this much per core at least, because estimates may be wrong.
-  double least_ms_per_core = 0.5;
+  /// Every filling task is taken to use up this share of the rate at the target for each core at least, because
+  /// estimates may be wrong.
+  double least_loss_share = 0.01;
+  /// A filling task that takes less than this share of the rate at the target for each core keeps its pace until the
+  /// target was missed this many times in a row: what a missed target costs must first be saved on the heavy ones.
+  double light_loss_share = 0.04;
+  int slow_light_after = 3;
   /// Paces below this are rounded to 0, and changes below the step are not sent.
   int lowest_percent = 8;
   int step_percent = 5;
@@ -55,10 +59,11 @@
 
 /// Slows the tasks of one worker that fill idle processors, so that the serving tasks beside them meet their targets.
 ///
-/// Each serving task gets a budget of disturbance, in ms by the learnt interference. The tail latency that the present
-/// disturbance led to tells by which factor the budget must fall or may rise; so the load of the serving task, which
-/// multiplies the disturbance, need not be known. The budgets go to the least harmful filling tasks first. From full
-/// pace to a standstill takes a few intervals, which is under the time for which a target may be missed (4 s).
+/// Each serving task gets a budget of disturbance: how much of its spare rate (`SpareRate`) may be lost. What the
+/// present disturbance cost tells by which factor the budget must fall or may rise, so the scale of the learnt
+/// interference need not be right. A rising load is met ahead, by what it took in the last interval. The budgets go to
+/// the least harmful filling tasks first. From full pace to a standstill takes a few intervals, which is under the time
+/// for which a target may be missed (4 s).
 class PaceController {
  public:
   explicit PaceController(const PaceOptions& options = {}) : m_options(options) {}
@@ -92,15 +97,19 @@
   };
   /// Of a serving task.
   struct Budget {
-    double left_ms = 0;         ///< disturbance that may still be added
-    double undisturbed_ms = 0;  ///< lowest tail of late
-    int missed = 0;             ///< decisions in a row with a missed target
+    double left = 0;         ///< spare rate that may still be lost, 1/s
+    double undisturbed = 0;  ///< spare rate without disturbance, 1/s
+    /// By which factor the disturbance costs more than was learnt, at least 1: the highest one of late.
+    double scale = 1;
+    int missed = 0;  ///< decisions in a row with a missed target
   };
 
   static std::vector<const MeasuredRun*> ServingAmong(const std::vector<MeasuredRun>& runs);
   int PercentOf(double share) const;
   std::vector<Filler> TakeFillers(const std::vector<MeasuredRun>& runs);
-  double HarmOf(const MeasuredRun& serving, const MeasuredRun& filler, const InterferenceTable& interference) const;
+  /// Spare rate that each core of the filling task is expected to take, 1/s.
+  double LossPerCore(const MeasuredRun& serving, const MeasuredRun& filler,
+                     const InterferenceTable& interference) const;
   Budget& BudgetOf(const MeasuredRun& serving);
   void ForgetBudgets(const std::vector<const MeasuredRun*>& serving);
   /// Sets the budget of the serving task from what the present disturbance led to.
--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -14,8 +14,9 @@
 constexpr double kSilencePenalty = 5e5;
 
 constexpr double kMillisPerCore = 1000;
-/// Interference that is lost in the swing of the load.
-constexpr double kHarmlessMs = 1.5;
+/// Loss that is lost in the swing of the load, and the usual spare rate, as multiples of the rate that is needed.
+constexpr double kHarmlessLoss = 0.05;
+constexpr double kUsualRate = 2;
 constexpr double kNearlyFullSpeed = 0.9;
 /// Weights of the expected speed, and of one serving task, against a thousandth of an idle core.
 constexpr double kSpeedWeight = 2e5;
@@ -99,18 +100,29 @@
   const auto demand = static_cast<double>(std::max<std::int64_t>(definition.demand.cpu_millis, 1));
   double speed = (IdleCpu(worker) - static_cast<double>(worker.filling_cpu)) / demand;
   for (const auto& [image, use] : worker.serving) {
-    const double added = m_interference.table().Get(image, definition.image) * demand / kMillisPerCore;
-    if (added < kHarmlessMs) continue;
-    double tail = m_interference.BaseOf(image);
-    for (const auto& [filler, cpu] : worker.filling) {
-      tail += m_interference.table().Get(image, filler) * static_cast<double>(cpu) / kMillisPerCore;
-    }
-    tail = std::max(tail, use.tail_ms);  // the load may be above its average now
-    speed = std::min(speed, (m_options.accepted_tail * use.tail_target_ms - tail) / added);
+    const ServingOutlook outlook = OutlookOf(image, use, definition, worker);
+    if (outlook.loss > 0) speed = std::min(speed, outlook.room / outlook.loss);
   }
   return std::clamp(speed, 0.0, 1.0);
 }
 
+PlacementPolicy::ServingOutlook PlacementPolicy::OutlookOf(const std::string& image, const ServingUse& use,
+                                                           const StepDefinition& filler,
+                                                           const PoolWorker& worker) const {
+  const InterferenceTable& table = m_interference.table();
+  const double needed = SpareRate(m_options.accepted_tail * use.tail_target_ms);
+  const auto loss_beside = [&](const std::string& other, std::int64_t cpu_millis) {
+    return table.Get(image, other, use.tail_target_ms) * static_cast<double>(cpu_millis) / kMillisPerCore;
+  };
+  const double loss = loss_beside(filler.image, filler.demand.cpu_millis);
+  if (loss < kHarmlessLoss * needed) return {};
+  // Before the first figure a serving task is taken to be under its usual load.
+  double rate = use.lowest_soon > 0 ? use.lowest_soon : kUsualRate * needed;
+  for (const auto& [other, cpu] : worker.filling) rate -= loss_beside(other, cpu);
+  if (use.spare_rate > 0) rate = std::min(rate, use.spare_rate);  // something may disturb more than is known
+  return {.room = std::max(rate - needed, 0.0), .loss = loss};
+}
+
 double PlacementPolicy::IdleCpu(const PoolWorker& worker) const {
   const auto capacity = static_cast<double>(worker.capacity.cpu_millis);
   const auto serving = static_cast<double>(worker.serving_cpu);
--- a/src/workflow/placement_policy.h
+++ b/src/workflow/placement_policy.h
@@ -82,6 +82,14 @@
   double IdleCpu(const PoolWorker& worker) const;
 
  private:
+  /// What one more filling task would do to the serving tasks of one image, 1/s.
+  struct ServingOutlook {
+    double room = 0;  ///< spare rate above the one that is needed
+    double loss = 0;  ///< that the filling task would take at full speed
+  };
+
+  ServingOutlook OutlookOf(const std::string& image, const ServingUse& use, const StepDefinition& filler,
+                           const PoolWorker& worker) const;
   double Score(const WorkflowStep& step, int index, const PoolWorker& worker, MonotonicTime now) const;
 
   const InterferenceModel& m_interference;
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -198,7 +198,9 @@
   void MoveLastingTasks(PoolWorker& worker);
   void NoteProgress(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
   void RefreshInterference(MonotonicTime now);
-  void LearnInterference(PoolWorker& worker);
+  void LearnInterference(PoolWorker& worker, MonotonicTime now);
+  /// Spare rate that a serving task is expected to lose beside filling tasks, 1/s.
+  double KnownLoss(const StepDefinition& serving, const InterferenceModel::FillingUse& use) const;
   void MoveSlowFillers(MonotonicTime now);
   bool IsWorthMoving(const PoolWorker& worker, TaskRef task, MonotonicTime now) const;
   void LapseLeases(MonotonicTime now);
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -11,8 +11,13 @@
 /// Time between two solutions of the interference model, and between two messages of it to one agent.
 constexpr absl::Duration kInterferenceInterval = absl::Seconds(1);
 
-/// Weight of a new figure in the smoothed tail latency of the serving tasks of an image on a worker.
-constexpr double kTailWeight = 0.15;
+/// Weight of a new figure in the smoothed spare rate of the serving tasks of an image on a worker.
+constexpr double kRateWeight = 0.15;
+/// Part of the loss that is expected by the present estimates that counts when the undisturbed rate is derived. Below
+/// 1, so that estimates that are too high do not confirm themselves.
+constexpr double kCreditedLoss = 0.4;
+/// Until this time after its start a run may have no figure although it is at work.
+constexpr absl::Duration kFirstFigureAfter = absl::Milliseconds(1200);
 
 /// A run is judged by its speed from this time after its start.
 constexpr absl::Duration kSettledAfter = absl::Milliseconds(1200);
@@ -267,7 +272,7 @@
     runtime.measured = run.measured;
     if (!run.checkpoint.empty()) runtime.checkpoint = run.checkpoint;
   }
-  LearnInterference(worker);
+  LearnInterference(worker, now);
   // An end that is on its way arrives in the same report or a later one; asking costs one call.
   for (const TaskRef task : missing) OrderStop(task);
   for (const auto& [name, run] : listed) {
@@ -276,23 +281,46 @@
   }
 }
 
-void Scheduler::LearnInterference(PoolWorker& worker) {
+double Scheduler::KnownLoss(const StepDefinition& serving, const InterferenceModel::FillingUse& use) const {
+  double loss = 0;
+  for (const auto& [image, cores] : use) {
+    loss += m_interference.table().Get(serving.image, image, serving.tail_target_ms) * cores;
+  }
+  return loss;
+}
+
+void Scheduler::LearnInterference(PoolWorker& worker, MonotonicTime now) {
   if (worker.serving_tasks == 0) return;
   InterferenceModel::FillingUse use;
+  bool is_use_known = true;
   for (const auto& [task, held] : worker.runs) {
     if (!task.step->definition->fills_idle_cpu) continue;
     const TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
+    // A run disturbs for half a second before its first figure.
+    if (runtime.measured == 0 && now - runtime.started_at < kFirstFigureAfter) is_use_known = false;
     use[task.step->definition->image] += static_cast<double>(runtime.measured) / 1000;
   }
+  for (auto& [image, serving] : worker.serving) serving.lowest_soon = 0;
   for (const auto& [task, held] : worker.runs) {
     const StepDefinition& definition = *task.step->definition;
     const TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
     const bool is_at_work = definition.tail_target_ms > 0 && runtime.percent == 100 && runtime.measured > 0;
     if (!is_at_work) continue;
-    const auto tail = static_cast<double>(runtime.measured);
-    m_interference.AddSample(definition.image, tail, use);
+    ServingLoad& load = task.step->serving_load;
+    const double rate = SpareRate(static_cast<double>(runtime.measured));
+    const double known_loss = KnownLoss(definition, use);
+    load.Add(rate + kCreditedLoss * known_loss, now);
+    if (is_use_known) {
+      m_interference.AddSample({.serving_image = definition.image,
+                                .tail_target_ms = definition.tail_target_ms,
+                                .lost_rate = load.Undisturbed(now) - rate,
+                                .use = use},
+                               now);
+    }
     ServingUse& serving = worker.serving[definition.image];
-    serving.tail_ms += (serving.tail_ms == 0 ? 1 : kTailWeight) * (tail - serving.tail_ms);
+    serving.spare_rate += (serving.spare_rate == 0 ? 1 : kRateWeight) * (rate - serving.spare_rate);
+    const double lowest = load.LowestSoon(now);
+    serving.lowest_soon = serving.lowest_soon == 0 ? lowest : std::min(serving.lowest_soon, lowest);
   }
 }
 
@@ -310,8 +338,9 @@
   std::vector<InterferenceEntry> entries;
   for (const auto& [image, use] : worker->serving) {
     for (const auto& [filler, cpu] : worker->filling) {
-      entries.push_back(
-          {.serving_image = image, .filling_image = filler, .ms_per_core = m_interference.table().Get(image, filler)});
+      entries.push_back({.serving_image = image,
+                         .filling_image = filler,
+                         .loss_per_core = m_interference.table().Get(image, filler, use.tail_target_ms)});
     }
   }
   return entries;
--- a/src/workflow/worker_pool.h
+++ b/src/workflow/worker_pool.h
@@ -31,7 +31,8 @@
 struct ServingUse {
   int tasks = 0;
   int tail_target_ms = 0;  ///< strictest of them
-  double tail_ms = 0;      ///< smoothed mean of what they measured; 0 before the first figure
+  double spare_rate = 0;   ///< smoothed mean of what they measured (`SpareRate`), 1/s; 0 before the first figure
+  double lowest_soon = 0;  ///< that their load is expected to leave them soon (`ServingLoad`), 1/s; 0 likewise
 };
 
 /// What the owner knows of one worker in its present life.
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -12,6 +12,7 @@
 #include "base/monotonic_time.h"
 #include "workflow/job_definition.h"
 #include "workflow/job_phase.h"
+#include "workflow/serving_load.h"
 #include "workflow/step_progress.h"
 #include "workflow/task_name.h"
 
@@ -73,6 +74,7 @@
   MonotonicTime deadline;    ///< objective of the occurrence
   MonotonicTime late_until;  ///< after this the occurrence counts for nothing
   absl::Duration remaining;  ///< estimate from the begin of this step to the end of the occurrence
+  ServingLoad serving_load;  ///< of its tasks, if they serve
 
   bool IsDone() const { return done == static_cast<int>(tasks.size()); }
   std::string TaskNameOf(int index) const { return name + "." + std::to_string(index); }
--- a/tests/unit/control/agent_node_test.cc
+++ b/tests/unit/control/agent_node_test.cc
@@ -905,7 +905,7 @@
   WatchRequest watch{
       .epoch = 3, .known_version = 4, .wait_ms = 5, .life = {.worker = "w", .born = 6}, .lease_end_ms = 7};
   watch.traits = {{.task = "t", .fills_idle_cpu = true, .tail_target_ms = 50, .image = "i", .demand_cpu = 9}};
-  watch.interference = {{.serving_image = "s", .filling_image = "f", .ms_per_core = 1.5}};
+  watch.interference = {{.serving_image = "s", .filling_image = "f", .loss_per_core = 1.5}};
   watch.fence = {.life = {.worker = "w", .born = 9}, .token = 77};
   const Result<WatchRequest> read = DecodeWatchRequest(EncodeWatchRequest(watch));
   REQUIRE(read.has_value());
