Place filling tasks where they take least from serving tasks

Cause: among the workers that promise full speed, one with most serving tasks was chosen. While the load of a serving image is low, a harmful filling image seems to run at full speed beside it, so it went just where it does most harm when the load rises, although other workers had nothing that it disturbs. Change: the share of the room of the most disturbed serving image that the task would take comes first, then the number of serving tasks.

--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -24,6 +24,8 @@
 constexpr double kCleanWorkerCost = 3e4;
 constexpr double kMixedImagesCost = 4e4;
 constexpr double kServingWeight = 1e4;
+/// Weight of the harm to serving tasks: more than that of all serving tasks of a worker.
+constexpr double kHarmWeight = 2e5;
 
 int TasksOfStepOn(const WorkflowStep& step, const PoolWorker& worker) {
   int count = 0;
@@ -106,6 +108,15 @@
   return std::clamp(speed, 0.0, 1.0);
 }
 
+double PlacementPolicy::FillingHarm(const StepDefinition& definition, const PoolWorker& worker) const {
+  double harm = 0;
+  for (const auto& [image, use] : worker.serving) {
+    const ServingOutlook outlook = OutlookOf(image, use, definition, worker);
+    if (outlook.loss > 0) harm = std::max(harm, outlook.loss / std::max(outlook.room, outlook.loss));
+  }
+  return harm;
+}
+
 PlacementPolicy::ServingOutlook PlacementPolicy::OutlookOf(const std::string& image, const ServingUse& use,
                                                            const StepDefinition& filler,
                                                            const PoolWorker& worker) const {
@@ -143,8 +154,12 @@
   if (definition.fills_idle_cpu) {
     const double speed = FillingSpeed(definition, worker);
     const double idle = IdleCpu(worker) - static_cast<double>(worker.filling_cpu);
-    // At full speed, workers with most serving tasks come first: those without are kept for tasks that disturb.
-    if (speed >= kNearlyFullSpeed) return score - kSpeedWeight - kServingWeight * worker.serving_tasks - idle;
+    // At full speed, workers whose serving tasks lose least come first, although their load may leave room for more at
+    // present. Among these, workers with most serving tasks: those without are kept for tasks that disturb.
+    if (speed >= kNearlyFullSpeed) {
+      return score - kSpeedWeight + kHarmWeight * FillingHarm(definition, worker) -
+             kServingWeight * worker.serving_tasks - idle;
+    }
     return score - kSpeedWeight * speed - idle;
   }
   // Short tasks go where most is free; tasks that last are packed, so that large holes remain for others.
--- a/src/workflow/placement_policy.h
+++ b/src/workflow/placement_policy.h
@@ -78,6 +78,10 @@
   /// Expected speed of one more filling task, 0 to 1: what idle processors and the targets of serving tasks allow.
   double FillingSpeed(const StepDefinition& definition, const PoolWorker& worker) const;
 
+  /// The largest part of what a serving image there can spare of its spare rate that one more filling task would take,
+  /// 0 to 1; 0 for one that harms nobody.
+  double FillingHarm(const StepDefinition& definition, const PoolWorker& worker) const;
+
   /// Processors that tasks with counted demand are expected to leave idle, in thousandths of a core.
   double IdleCpu(const PoolWorker& worker) const;
 
