Move slow filling tasks in proportion to the workers

Cause: at most four tasks were moved in half a second, whatever the size of the fleet, so that slow tasks of 240 workers waited for their move. Change: four, or a fifth of the number of workers.

--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -66,7 +66,10 @@
   absl::Duration move_cost = absl::Milliseconds(900);  ///< stop, placement and restore (600 ms)
   absl::Duration least_gain = absl::Milliseconds(800);
   absl::Duration move_interval = absl::Milliseconds(500);
-  std::size_t max_moves = 4;  ///< in one interval, because each changes the figures of the next
+  /// Moves in one interval, because each changes the figures of the next: at least the first figure, and this share of
+  /// the workers.
+  std::size_t least_moves = 4;
+  double moves_per_worker = 0.2;
   /// Size of the step records in a batch beyond which the others wait for the next one; half of what the platform takes
   /// in one call, because one record more may follow.
   std::size_t max_batch_bytes = std::size_t{1} << 20;
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -357,11 +357,14 @@
 void Scheduler::MoveSlowFillers(MonotonicTime now) {
   if (now < m_next_move) return;
   m_next_move = now + m_options.move_interval;
+  const auto share =
+      static_cast<std::size_t>(m_options.moves_per_worker * static_cast<double>(m_workers.workers().size()));
+  const std::size_t most = std::max(m_options.least_moves, share);
   std::vector<TaskRef> moved;
   for (const PoolWorker* worker : m_workers.workers()) {
     if (worker->serving.empty() || worker->filling.empty()) continue;
     for (const auto& [task, held] : worker->runs) {
-      if (moved.size() >= m_options.max_moves) break;
+      if (moved.size() >= most) break;
       if (IsWorthMoving(*worker, task, now)) moved.push_back(task);
     }
   }
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -618,5 +618,32 @@
   CHECK(world.index().size() == 0);
 }
 
+struct MoveRow {
+  int workers;  ///< with a filling task that gets no processor time, beside as many idle ones
+  std::uint64_t least_moves;
+};
+
+// Guards against slow tasks that a large fleet moves no faster than a small one.
+TEST_CASE("slow filling tasks are moved in proportion to the workers", "[scheduler]") {
+  const MoveRow row = GENERATE(MoveRow{2, 2}, MoveRow{30, 12});
+  CAPTURE(row.workers);
+  SchedulerWorld world;
+  StepDefinition serving = LastingStep(1);
+  serving.tail_target_ms = 50;
+  serving.max_per_worker = 1;
+  serving.task_count = row.workers;
+  for (int i = 0; i < row.workers; ++i) world.AddWorker("a" + std::to_string(i));
+  world.Submit(SingleStepJob("serving", serving));
+  StepDefinition filling = FillingStep(row.workers);
+  filling.max_per_worker = 1;
+  world.Submit(SingleStepJob("filling", filling));
+  REQUIRE(world.RunningTasks() == static_cast<std::size_t>(2 * row.workers));
+  for (int i = 0; i < row.workers; ++i) world.AddWorker("b" + std::to_string(i));
+  world.Settle();
+  world.Sleep(absl::Seconds(2));
+  world.Settle();
+  CHECK(world.scheduler().counts().moves >= row.least_moves);
+}
+
 }  // namespace
 }  // namespace berylgauge::workflow
