--- a/src/workflow/interference_model.cc
+++ b/src/workflow/interference_model.cc
@@ -10,8 +10,8 @@
 /// Samples lose half of their weight in this time, however many there are: a pair that was not seen together for some
 /// seconds is still known, in a fleet of any size.
 constexpr absl::Duration kHalfLife = absl::Seconds(30);
-/// Pulls a coefficient to the default, in cores squared; the square of noise (7/s) over the usual spread of the
-/// coefficients (3/s for each core).
+/// Pulls a coefficient to the default, in cores squared: the square of the noise (5 to 9/s) over that of the usual
+/// spread of the coefficients (3 to 5/s for each core).
 constexpr double kRidge = 3;
 constexpr int kDescentRounds = 40;
 /// Pairs that cost less than this share of the rate at the target for each core count as harmless.
