--- a/tests/unit/workflow/placement_policy_test.cc
+++ b/tests/unit/workflow/placement_policy_test.cc
@@ -1,6 +1,7 @@
 #include "workflow/placement_policy.h"
 
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -33,7 +34,7 @@
   worker->capacity = {.cpu_millis = 16000, .memory_mb = 64000};
   for (const auto& [image, tasks] : row.serving) {
     worker->serving_tasks += tasks;
-    worker->serving_cpu += 2000 * tasks;
+    worker->serving_cpu += std::int64_t{2000} * tasks;
     worker->serving[image] = {
         .tasks = tasks, .tail_target_ms = kTargetMs, .spare_rate = row.spare_rate, .lowest_soon = row.spare_rate};
   }
