--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -278,6 +278,7 @@
         self.born = max(int(time.time() * 1000), getattr(self, "born", 0) + 1)
         self.zero = time.monotonic()
         self.runs, self.ended, self.ends = {}, {}, []
+        self.lapsed_ends = set()  # numbers of ends that can't be taken note of any more
         self.last_end, self.token, self.lease_end, self.sequence = 0, 0, 0, 0
         self.changed = asyncio.Event()
         self.up = True
@@ -311,6 +312,7 @@
                 continue
             now = self.clock()
             if now > self.lease_end:
+                self.lapsed_ends.update(end[0] for end in self.ends)
                 for run in list(self.runs.values()):
                     self.end(run, "lapsed")
                 continue
@@ -375,6 +377,9 @@
             return 409, dict(clock, reason="fence")
         self.token = token
         if path == "/v1/hold":
+            for number, noted, run, how, _ in self.ends:
+                if number <= body.get("last_seen", 0) and number not in self.lapsed_ends:
+                    self.record.add("noted", worker=self.id, task=noted, run=run, how=how)
             self.ends = [end for end in self.ends if end[0] > body.get("last_seen", 0)]
             self.extend(body.get("until_ms", 0))
             return 200, self.lists()
