--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -36,10 +37,12 @@
         return at
 
 
-async def serve(host, port, handler):
+async def serve(host, port, handler, connections=None):
     """HTTP/1.1 with connections that stay open. `handler(method, path, query, headers, body)` gives (status, body)."""
 
     async def on_connection(reader, writer):
+        if connections is not None:
+            connections.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -67,6 +70,8 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            if connections is not None:
+                connections.discard(writer)
             writer.close()
 
     return await asyncio.start_server(on_connection, host, port, limit=1 << 22, reuse_address=True)
@@ -278,7 +283,7 @@
         self.connections = set()
 
     async def start(self):
-        self.server = await serve(self.agent, self.port, self.handle)
+        self.server = await serve(self.agent, self.port, self.handle, self.connections)
         self.begin_life()
         self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.tick())]
 
@@ -297,6 +302,16 @@
         self.up = False
         self.changed.set()
 
+    async def crash(self, seconds):
+        """The process ends, its port refuses connections, and it starts again under its id."""
+        self.die()
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+        await asyncio.sleep(seconds)
+        self.server = await serve(self.agent, self.port, self.handle, self.connections)
+        self.begin_life()
+
     def clock(self):
         return int((time.monotonic() - self.zero) * 1000) + 1
 
@@ -423,6 +438,7 @@
         self.lease_end = max(self.lease_end, min(until, self.clock() + self.hold_max_ms))
 
     async def beat(self):
+        await asyncio.sleep(random.uniform(0, 1.5))  # the beats of the workers are not in step
         while True:
             if self.up:
                 self.sequence += 1
@@ -439,7 +455,7 @@
 
     def __init__(self, folder, entries=3, workers=3, zones=("zone-a", "zone-b", "zone-c")):
         self.record = Record(os.path.join(folder, "record.txt"))
-        self.x = random.randint(60, 250)
+        self.x, self.claim = self.claim_range()
         self.folder = tempfile.mkdtemp(prefix="berylgauge-review-")
         self.zones = zones
         self.processes = {}
@@ -449,6 +465,18 @@
         self.workers = []
         self.jobs = {}
 
+    @staticmethod
+    def claim_range():
+        """A free number for the addresses; the socket keeps it from other worlds on this machine."""
+        for number in random.sample(range(60, 251), 191):
+            claim = socket.socket()
+            try:
+                claim.bind(("127.%d.9.9" % number, 8169))
+                return number, claim
+            except OSError:
+                claim.close()
+        raise RuntimeError("no free range of addresses")
+
     def store_address(self, kind, i):
         """Each host has an address of its own for the store, which tells the store who calls."""
         return "127.%d.%d.%d" % (self.x, 3 if kind == "edge" else 4, i + 1)
@@ -557,6 +585,7 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 await process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def main(scenario):
