Remove the records of a finished job again if the store did not take their removal

Cause: EntryNode removed the records of a retired job with one append. If that was given up or had no certain outcome, the job stayed in `Scheduler::m_retiring` and its records stayed in the store until another entry became the owner. RetireJobs also handed over everything that was due at once, while the queue of submissions takes 2,000: what came after that was refused and lost in the same way, and clients' jobs were refused meanwhile.

Change: a removal that is not stored goes back to the scheduler, which retires the job once more after 5 s; at most 1,000 jobs are retired in a pass of a second, the oldest first. An entry that finds nothing left to remove takes an append with unknown outcome for done.

Test: "a finished job is removed although the store refused its removal" fails on (the job is still in the index 15 s after the store's return) and passes now; "a removal that was not stored is repeated" and "many jobs are retired a part at a time, the oldest first" need the new functions. x86_64.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -405,19 +405,7 @@
                               },
                           .on_retired =
                               [this](const std::vector<std::string>& jobs) {
-                                for (const std::string& job : jobs) {
-                                  m_submissions.Add(
-                                      {{.key = job, .value = {}}, {.key = workflow::CancellationKey(job), .value = {}}},
-                                      [this, alive = m_alive, job](AppendOutcome outcome) {
-                                        if (!*alive) return;
-                                        if (outcome == AppendOutcome::kStored) {
-                                          if (m_owner != nullptr) m_removed_jobs.push_back(job);
-                                          return;
-                                        }
-                                        // It stays in the store until an owner starts anew and retires it again.
-                                        LogEvent(LogLevel::kWarning, "job_not_removed", {{"job", job}});
-                                      });
-                                }
+                                for (const std::string& job : jobs) RemoveSubmission(job);
                               }});
   BeginOwnership();
 }
@@ -438,6 +426,25 @@
   });
 }
 
+void EntryNode::RemoveSubmission(const std::string& job) {
+  const workflow::JobIndex::Job* recorded = m_index.Find(job);
+  if (recorded == nullptr || (recorded->definition.empty() && !recorded->cancelled)) {
+    m_owner->OnSubmissionRemoved(job);  // by an append whose outcome was unknown
+    return;
+  }
+  m_submissions.Add({{.key = job, .value = {}}, {.key = workflow::CancellationKey(job), .value = {}}},
+                    [this, alive = m_alive, job](AppendOutcome outcome) {
+                      if (!*alive) return;
+                      if (outcome != AppendOutcome::kStored) {
+                        LogEvent(LogLevel::kWarning, "job_not_removed",
+                                 {{"job", job}, {"outcome", kAppendOutcomeNames.NameOf(outcome)}});
+                        if (m_owner != nullptr) m_owner->OnSubmissionNotRemoved(job);
+                      } else if (m_owner != nullptr) {
+                        m_removed_jobs.push_back(job);
+                      }
+                    });
+}
+
 void EntryNode::NoteRemovals() {
   if (m_owner == nullptr) return;
   std::vector<std::string> unread;
--- a/src/control/entry_node.h
+++ b/src/control/entry_node.h
@@ -125,6 +125,8 @@
   /// Whether this entry owns the decisions by the claim of that epoch.
   bool IsOwnerOf(std::int64_t epoch) const { return m_owner != nullptr && m_owner->epoch() == epoch; }
   void EndOwnership();
+  /// Removes the submission and the cancellation of a retired job from the store.
+  void RemoveSubmission(const std::string& job);
   /// Tells the owner which submissions were removed, once that was read: until then an older record of one may be read,
   /// and nothing but the owner's memory says that its job has ended.
   void NoteRemovals();
--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -117,6 +117,10 @@
   Kick();
 }
 
+void OwnerRole::OnSubmissionNotRemoved(const std::string& job) {
+  if (m_scheduler != nullptr) m_scheduler->OnSubmissionNotRemoved(job, m_loop.Now());
+}
+
 void OwnerRole::SetLimits(workflow::PlacementLimits limits) {
   m_limits = std::move(limits);
   if (m_scheduler == nullptr) return;
--- a/src/control/owner_role.h
+++ b/src/control/owner_role.h
@@ -45,7 +45,8 @@
     std::function<void()> on_deposed;
     /// These records of the progress partition are stored.
     std::function<void(const std::vector<KeyedRecord>& records, std::int64_t end)> on_stored;
-    /// The submissions of these jobs may be removed; `OnSubmissionRemoved` is expected for each that is.
+    /// The submissions of these jobs may be removed; `OnSubmissionRemoved` or `OnSubmissionNotRemoved` is expected for
+    /// each.
     std::function<void(const std::vector<std::string>& jobs)> on_retired;
   };
 
@@ -61,6 +62,7 @@
   void OnCancellation(const std::string& job);
   /// The submission of a retired job is removed from the store.
   void OnSubmissionRemoved(const std::string& job);
+  void OnSubmissionNotRemoved(const std::string& job);
   void SetLimits(workflow::PlacementLimits limits);
   /// Where an agent listens; connects to it. Not to be called before `Begin`.
   void SetMember(const std::string& host, const MemberRecord& member);
--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -258,11 +258,16 @@
   // The end of each retired job must be stored, because nothing else of the job remains.
   if (m_batch || !m_final_records.empty()) return;
   m_next_retirement = now + kRetirementInterval;
-  std::vector<std::string> retired;
+  std::vector<std::pair<MonotonicTime, std::string>> due;
   for (const auto& [id, at] : m_retire_at) {
-    if (at <= now) retired.push_back(id);
+    if (at <= now) due.emplace_back(at, id);
   }
-  for (std::string& id : retired) {
+  if (due.size() > m_options.most_retirements) {
+    const auto end = due.begin() + static_cast<std::ptrdiff_t>(m_options.most_retirements);
+    std::nth_element(due.begin(), end, due.end());
+    due.erase(end, due.end());
+  }
+  for (auto& [at, id] : due) {
     m_retire_at.erase(id);
     m_retiring.insert(id);
     m_retired_jobs.push_back(std::move(id));
@@ -275,6 +280,10 @@
   if (m_retiring.erase(job) > 0) m_removed_keys.push_back(job);
 }
 
+void Scheduler::OnSubmissionNotRemoved(const std::string& job, MonotonicTime now) {
+  if (m_retiring.erase(job) > 0) m_retire_at[job] = now + m_options.removal_retry;
+}
+
 const Batch* Scheduler::TakeBatch(MonotonicTime now) {
   if (m_batch) return nullptr;
   Batch batch;
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -41,6 +41,10 @@
   absl::Duration former_owner_grants = absl::Milliseconds(4500);
   /// How long a finished job is kept for clients that ask for its state.
   absl::Duration retention = absl::Seconds(130);
+  /// Finished jobs that are retired in one second; half of the submissions that an entry lets wait for the store.
+  std::size_t most_retirements = 1000;
+  /// Pause before a submission whose removal was not stored is removed again.
+  absl::Duration removal_retry = absl::Seconds(5);
   /// Pause before a task runs again after its first failure; doubles up to the longest.
   absl::Duration first_retry_pause = absl::Milliseconds(20);
   absl::Duration longest_retry_pause = absl::Seconds(2);
@@ -131,6 +135,8 @@
   /// removed after `OnSubmissionRemoved`, because a submission without a summary is a job that has not run.
   std::vector<std::string> TakeRetiredJobs();
   void OnSubmissionRemoved(const std::string& job);
+  /// The removal was not stored; the job is retired once more, after a pause.
+  void OnSubmissionNotRemoved(const std::string& job, MonotonicTime now);
 
   // Queries.
 
--- a/tests/unit/control/entry_node_test.cc
+++ b/tests/unit/control/entry_node_test.cc
@@ -468,6 +468,30 @@
   }));
 }
 
+// Guards against records of finished jobs that stay in the store until another entry becomes the owner.
+TEST_CASE("a finished job is removed although the store refused its removal", "[entry]") {
+  const std::string id = "00000000000000aa";
+  const LogPartition submissions = MakePartition("keyed.work", 0);
+  EntryWorld world;
+  world.retention = absl::Seconds(1);
+  PlayedAgent agent(world.loop());
+  EntryNode& owner = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return owner.IsOwner(); }));
+  world.AddAgent("a1", agent.port());
+  world.loop().RunSync([&] { owner.Submit(SmallJob(id), [](SubmitOutcome) {}); });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return agent.HasStarted(id + ".0.0.0"); }));
+  world.loop().RunSync([&] { agent.EndDone(id + ".0.0.0"); });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(2),
+                    [&] { return owner.index().PhaseOf(id) == workflow::JobPhase::kDone; }));
+  world.loop().RunSync([&] { world.FaultsOf(0).refuses = true; });
+  absl::SleepFor(absl::Seconds(4));  // the removal is given up
+  world.loop().RunSync([&] {
+    CHECK(world.IsStored(submissions, id));
+    world.FaultsOf(0).refuses = false;
+  });
+  CHECK(WaitUntil(world.loop(), absl::Seconds(15), [&] { return owner.index().size() == 0; }));
+}
+
 // Guards against readiness of an entry that would refuse everything.
 TEST_CASE("an entry that the store does not serve is not ready without a ready peer", "[entry]") {
   EntryWorld world;
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -1,5 +1,6 @@
 #include "workflow/scheduler.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
@@ -618,6 +619,44 @@
   CHECK(world.index().size() == 0);
 }
 
+/// Runs the jobs to their end one after the other, and waits for the retention of the last one.
+void FinishAndAge(SchedulerWorld& world, const std::vector<std::string>& jobs) {
+  world.AddWorker("w1");
+  for (const std::string& job : jobs) {
+    world.Submit(SingleStepJob(job, ShortStep(1)));
+    world.End(job + ".0.0.0", RunEndKind::kDone);
+    world.Settle();
+    world.Sleep(absl::Milliseconds(10));
+  }
+  world.Sleep(SchedulerOptions{}.retention);
+  world.Settle();
+}
+
+// Guards against records that stay in the store for good because it did not take their removal.
+TEST_CASE("a removal that was not stored is repeated", "[scheduler]") {
+  SchedulerWorld world;
+  FinishAndAge(world, {"a0"});
+  REQUIRE(world.scheduler().TakeRetiredJobs() == std::vector<std::string>{"a0"});
+  world.scheduler().OnSubmissionNotRemoved("a0", world.now());
+  world.Sleep(SchedulerOptions{}.removal_retry + absl::Seconds(2));
+  world.Settle();
+  CHECK(world.scheduler().TakeRetiredJobs() == std::vector<std::string>{"a0"});
+}
+
+// Guards against submissions that are refused because the removal of many records fills their queue.
+TEST_CASE("many jobs are retired a part at a time, the oldest first", "[scheduler]") {
+  SchedulerWorld world({.most_retirements = 2});
+  FinishAndAge(world, {"a0", "a1", "a2", "a3", "a4"});
+  std::vector<std::vector<std::string>> passes;
+  for (int pass = 0; pass < 3; ++pass) {
+    passes.push_back(world.scheduler().TakeRetiredJobs());
+    std::sort(passes.back().begin(), passes.back().end());
+    world.Sleep(absl::Seconds(2));
+    world.Settle();
+  }
+  CHECK(passes == std::vector<std::vector<std::string>>{{"a0", "a1"}, {"a2", "a3"}, {"a4"}});
+}
+
 struct MoveRow {
   int workers;  ///< with a filling task that gets no processor time, beside as many idle ones
   std::uint64_t least_moves;
