Store the cancellation of an unknown job before it is acknowledged

Cause: for an id that is not in the store, EntryNode::Cancel answered "no such job" from a complete read and wrote nothing. The read says only what was stored until then. The submission was under way at an entry that the store turned away, which repeats its append for 5 s, and was stored after the answer as a job without a cancellation.

Change: the cancellation is stored under its own key before the 410. Readers of the partition meet it before the submission, so the job is cancelled for every entry and every later owner, and a submission that comes after it is refused with 409. The owner keeps such a cancellation for the retention of a finished job (60 s at least) from its newest use; a submission is not sent for more than 10 s. It removes it by an append that has an effect only if the owner has read all records before it, so that one that was just acknowledged again, or whose job was just stored, stays.

Anyone may cancel ids that do not exist, so at most 10,000 such cancellations are kept and at most 100 are under way at an entry; beyond that the client is answered 503. Jobs and cancellations of known jobs do not count. New: metrics berylgauge_cancellations_without_job and berylgauge_cancellations_refused_total, events cancellation_without_job, job_stored_after_cancellation and cancellations_not_removed; job_cancel names its outcome.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -1,6 +1,7 @@
 #include "control/entry_node.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "base/event_log.h"
@@ -27,6 +28,8 @@
 
 /// A claim that cannot have been stored is given up after this time.
 constexpr absl::Duration kClaimGiveUp = absl::Seconds(1);
+/// The same for the removal of cancellations, which is tried again later.
+constexpr absl::Duration kRemovalGiveUp = absl::Seconds(1);
 
 /// Waits of the reads; a claim needs to see a silent progress partition soon after the owner's last sign.
 constexpr absl::Duration kProgressWait = absl::Milliseconds(500);
@@ -102,9 +105,14 @@
       m_accepted(metrics.GetCounter("berylgauge_jobs_accepted_total", "Jobs that were stored")),
       m_refused(metrics.GetCounter("berylgauge_jobs_refused_total", "Jobs that were refused and not stored")),
       m_cancelled(metrics.GetCounter("berylgauge_jobs_cancelled_total", "Cancellations that were stored")),
+      m_cancellations_refused(
+          metrics.GetCounter("berylgauge_cancellations_refused_total",
+                             "Cancellations of unknown jobs that were refused because too many are kept")),
       m_claims(metrics.GetCounter("berylgauge_owner_claims_total", "Claims of the ownership that were stored")),
       m_is_owner(metrics.GetGauge("berylgauge_is_owner", "1 while this entry owns the scheduling decisions")),
       m_jobs(metrics.GetGauge("berylgauge_jobs", "Jobs known to this entry")),
+      m_cancellations_without_job(metrics.GetGauge("berylgauge_cancellations_without_job",
+                                                   "Cancellations that are kept for jobs which are not stored")),
       m_corrupt_records(metrics.GetGauge("berylgauge_corrupt_records", "Records of the store that cannot be read")),
       m_waiting_tasks(metrics.GetGauge("berylgauge_waiting_tasks", "Tasks that wait for a worker, at the owner")),
       m_longest_wait(metrics.GetGauge("berylgauge_longest_wait_ms",
@@ -136,7 +144,8 @@
 }
 
 void EntryNode::PublishMetrics() {
-  m_jobs.Set(static_cast<std::int64_t>(m_index.size()));
+  m_jobs.Set(static_cast<std::int64_t>(m_index.size() - m_index.cancellations_without_job()));
+  m_cancellations_without_job.Set(static_cast<std::int64_t>(m_index.cancellations_without_job()));
   m_corrupt_records.Set(static_cast<std::int64_t>(m_index.corrupt_records()));
   const workflow::Scheduler* scheduler = m_owner != nullptr ? m_owner->scheduler() : nullptr;
   if (scheduler == nullptr) return;
@@ -191,6 +200,10 @@
     m_loop.Defer([callback = std::move(callback)]() mutable { callback(SubmitOutcome::kAccepted); });
     return;
   }
+  if (known != nullptr && known->cancelled) {
+    m_loop.Defer([callback = std::move(callback)]() mutable { callback(SubmitOutcome::kCancelled); });
+    return;
+  }
   if (job.queue.needs_advice) {
     // Workers refuse every start without a ticket of the advice service. A job of that id may stand from the time of an
     // earlier configuration.
@@ -222,33 +235,60 @@
 void EntryNode::Cancel(const std::string& job, absl::AnyInvocable<void(CancelOutcome)> callback) {
   Lookup(job, [this, alive = m_alive, job, callback = std::move(callback)](JobLookup found) mutable {
     if (!*alive) return;
-    if (!found.phase) {
-      callback(found.is_certain ? CancelOutcome::kUnknownJob : CancelOutcome::kFailed);
+    if (found.phase) {
+      if (IsFinal(*found.phase)) {
+        callback(CancelOutcome::kCancelled);
+      } else {
+        StoreCancellation(job, true, std::move(callback));
+      }
       return;
     }
-    if (IsFinal(*found.phase)) {
-      callback(CancelOutcome::kCancelled);
+    if (!found.is_certain) {
+      callback(CancelOutcome::kFailed);
       return;
     }
-    m_submissions.Add({{.key = workflow::CancellationKey(job), .value = std::string(workflow::kCancellationValue)}},
-                      [this, alive, job, callback = std::move(callback)](AppendOutcome outcome) mutable {
-                        if (!*alive) return;
-                        const bool stored = outcome == AppendOutcome::kStored;
-                        if (stored) {
-                          m_cancelled.Add();
-                          // Clients of this entry see it at once; the tail applies it again.
-                          m_index.ApplySubmission(workflow::CancellationKey(job), workflow::kCancellationValue);
-                          if (m_owner != nullptr) m_owner->OnCancellation(job);
-                        }
-                        if (outcome == AppendOutcome::kUnknown) {
-                          callback(CancelOutcome::kUnknown);
-                        } else {
-                          callback(stored ? CancelOutcome::kCancelled : CancelOutcome::kFailed);
-                        }
-                      });
+    // The submission may be under way at another entry, and be stored after any answer that is given here. An earlier
+    // cancellation does not do, because it is removed after a time.
+    if (MayKeepCancellation(job)) {
+      StoreCancellation(job, false, std::move(callback));
+    } else {
+      m_cancellations_refused.Add();
+      callback(CancelOutcome::kTooMany);
+    }
   });
 }
 
+bool EntryNode::MayKeepCancellation(const std::string& job) const {
+  if (m_unstored_cancellations >= m_options.max_unstored_cancellations) return false;
+  const workflow::JobIndex::Job* recorded = m_index.Find(job);
+  if (recorded != nullptr && recorded->cancelled) return true;  // takes no further room
+  return m_index.cancellations_without_job() + m_unstored_cancellations < m_options.max_cancellations_without_job;
+}
+
+void EntryNode::StoreCancellation(const std::string& job, bool is_known,
+                                  absl::AnyInvocable<void(CancelOutcome)> callback) {
+  if (!is_known) ++m_unstored_cancellations;
+  m_submissions.Add(
+      {{.key = workflow::CancellationKey(job), .value = std::string(workflow::kCancellationValue)}},
+      [this, alive = m_alive, job, is_known, callback = std::move(callback)](AppendOutcome outcome) mutable {
+        if (!*alive) return;
+        if (!is_known) --m_unstored_cancellations;
+        if (outcome == AppendOutcome::kUnknown) {
+          callback(CancelOutcome::kUnknown);
+          return;
+        }
+        if (outcome != AppendOutcome::kStored) {
+          callback(CancelOutcome::kFailed);
+          return;
+        }
+        m_cancelled.Add();
+        // Clients of this entry see it at once; the tail applies it again.
+        m_index.ApplySubmission(workflow::CancellationKey(job), workflow::kCancellationValue);
+        if (m_owner != nullptr) m_owner->OnCancellation(job);
+        callback(is_known ? CancelOutcome::kCancelled : CancelOutcome::kUnknownJob);
+      });
+}
+
 void EntryNode::OnAnsweredByPeer(std::int64_t configuration) {
   m_newest_passed_on = std::max(m_newest_passed_on, configuration);
 }
@@ -403,10 +443,7 @@
                                   m_index.ApplyProgress(stored.key, stored.value);
                                 m_progress_end = end;
                               },
-                          .on_retired =
-                              [this](const std::vector<std::string>& jobs) {
-                                for (const std::string& job : jobs) RemoveSubmission(job);
-                              }});
+                          .on_retired = [this](const std::vector<std::string>& jobs) { RemoveRecords(jobs); }});
   BeginOwnership();
 }
 
@@ -426,12 +463,57 @@
   });
 }
 
-void EntryNode::RemoveSubmission(const std::string& job) {
-  const workflow::JobIndex::Job* recorded = m_index.Find(job);
-  if (recorded == nullptr || (recorded->definition.empty() && !recorded->cancelled)) {
-    m_owner->OnSubmissionRemoved(job);  // by an append whose outcome was unknown
+void EntryNode::RemoveRecords(const std::vector<std::string>& jobs) {
+  std::vector<std::string> cancellations;
+  for (const std::string& job : jobs) {
+    const workflow::JobIndex::Job* recorded = m_index.Find(job);
+    if (recorded != nullptr && !recorded->definition.empty()) {
+      RemoveSubmission(job);
+    } else if (recorded != nullptr && recorded->cancelled) {
+      cancellations.push_back(job);
+    } else {
+      m_owner->OnSubmissionRemoved(job);  // by an append whose outcome was unknown
+    }
+  }
+  if (!cancellations.empty()) RemoveCancellations(std::move(cancellations));
+}
+
+void EntryNode::RemoveCancellations(std::vector<std::string> jobs) {
+  const auto keep = [this](const std::vector<std::string>& kept) {
+    if (m_owner == nullptr) return;
+    for (const std::string& job : kept) m_owner->OnSubmissionNotRemoved(job);
+  };
+  if (m_is_removing_cancellations || !m_submission_tail.is_at_end()) {
+    keep(jobs);
     return;
   }
+  m_is_removing_cancellations = true;
+  std::vector<KeyedRecord> records;
+  for (const std::string& job : jobs) records.push_back({.key = workflow::CancellationKey(job), .value = {}});
+  auto writer = std::make_unique<LogWriter>(m_loop, m_log,
+                                            LogWriterOptions{.partition = m_options.submissions,
+                                                             .producer = m_options.ProcessName() + ".cancellations",
+                                                             .epoch = ++m_cancellation_removals});
+  LogWriter& remover = *writer;
+  remover.Write(std::move(records), m_submission_tail.position(), kRemovalGiveUp,
+                [this, keep, jobs = std::move(jobs), writer = std::move(writer),
+                 alive = m_alive](const AppendAnswer& answer) mutable {
+                  if (!*alive) return;
+                  m_is_removing_cancellations = false;
+                  m_loop.Defer([writer = std::move(writer)] {});  // which runs this call
+                  if (answer.outcome != AppendOutcome::kStored) {
+                    LogEvent(LogLevel::kInfo, "cancellations_not_removed",
+                             {{"cancellations", jobs.size()},
+                              {"outcome", kAppendOutcomeNames.NameOf(answer.outcome)},
+                              {"reason", answer.detail}});
+                    keep(jobs);
+                  } else if (m_owner != nullptr) {
+                    std::move(jobs.begin(), jobs.end(), std::back_inserter(m_removed_jobs));
+                  }
+                });
+}
+
+void EntryNode::RemoveSubmission(const std::string& job) {
   m_submissions.Add({{.key = job, .value = {}}, {.key = workflow::CancellationKey(job), .value = {}}},
                     [this, alive = m_alive, job](AppendOutcome outcome) {
                       if (!*alive) return;
@@ -450,7 +532,7 @@
   std::vector<std::string> unread;
   for (std::string& job : std::exchange(m_removed_jobs, {})) {
     const workflow::JobIndex::Job* known = m_index.Find(job);
-    if (known != nullptr && !known->definition.empty()) {
+    if (known != nullptr && (known->cancelled || !known->definition.empty())) {
       unread.push_back(std::move(job));
     } else {
       m_owner->OnSubmissionRemoved(job);
--- a/src/control/entry_node.h
+++ b/src/control/entry_node.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/enum_names.h"
 #include "base/metrics.h"
 #include "control/entry_peers.h"
 #include "control/keyed_log.h"
@@ -47,6 +48,11 @@
   /// Failed reads in a row, or time since appends fail, after which another entry takes the clients' requests.
   int failed_reads = 2;
   absl::Duration failing_appends = absl::Milliseconds(100);
+  /// Cancellations of unknown jobs that the store keeps at a time: anyone may send them without bound, and each is kept
+  /// as long as a finished job. 10,000 take about 4 MB of an entry's memory.
+  std::size_t max_cancellations_without_job = 10'000;
+  /// The same while they are stored; half of what one append takes, so that they do not fill the queue of submissions.
+  std::size_t max_unstored_cancellations = 100;
 
   /// Names this process in the store: another one of the same host has another incarnation.
   std::string ProcessName() const { return host + "." + incarnation; }
@@ -57,15 +63,25 @@
   kRefused,     ///< the job was not stored and never will be
   kUnknown,     ///< the job was stored or never will be
   kUnservable,  ///< refused: the queue demands what this version cannot do, so the job could never start
+  kCancelled,   ///< refused: its cancellation was acknowledged before
 };
 
 enum class CancelOutcome {
   kCancelled,
-  kUnknownJob,
-  kFailed,   ///< not stored, or the store cannot be asked for the job; the client may repeat it
-  kUnknown,  ///< the cancellation was stored or never will be
+  kUnknownJob,  ///< stored all the same: the job does not run if its submission is still under way
+  kFailed,      ///< not stored, or the store cannot be asked for the job; the client may repeat it
+  kTooMany,     ///< not stored, because too many cancellations of unknown jobs are kept; the client may repeat it
+  kUnknown,     ///< the cancellation was stored or never will be
 };
 
+inline constexpr auto kCancelOutcomeNames = MakeEnumNames<CancelOutcome>({
+    {CancelOutcome::kCancelled, "cancelled"},
+    {CancelOutcome::kUnknownJob, "unknown-job"},
+    {CancelOutcome::kFailed, "failed"},
+    {CancelOutcome::kTooMany, "too-many"},
+    {CancelOutcome::kUnknown, "unknown"},
+});
+
 /// What an entry knows of a job. Neither a phase nor `is_certain`: the store could not be asked.
 struct JobLookup {
   std::optional<workflow::JobPhase> phase;
@@ -85,6 +101,7 @@
   // Commands.
   /// The callback may never be called while it stays unknown whether the job was stored.
   void Submit(const workflow::JobDefinition& job, absl::AnyInvocable<void(SubmitOutcome)> callback);
+  /// The job will not run on, or not run at all if its submission is stored after this.
   void Cancel(const std::string& job, absl::AnyInvocable<void(CancelOutcome)> callback);
   /// Gives the ownership up, if this entry has it; `done` is called when that is stored.
   void HandOver(std::function<void()> done);
@@ -125,8 +142,16 @@
   /// Whether this entry owns the decisions by the claim of that epoch.
   bool IsOwnerOf(std::int64_t epoch) const { return m_owner != nullptr && m_owner->epoch() == epoch; }
   void EndOwnership();
+  /// Whether one more cancellation of a job that is not stored may be.
+  bool MayKeepCancellation(const std::string& job) const;
+  void StoreCancellation(const std::string& job, bool is_known, absl::AnyInvocable<void(CancelOutcome)> callback);
+  /// Removes from the store what stands there of retired jobs.
+  void RemoveRecords(const std::vector<std::string>& jobs);
   /// Removes the submission and the cancellation of a retired job from the store.
   void RemoveSubmission(const std::string& job);
+  /// Removes cancellations of jobs that were never stored. Only if the owner has read all records: another entry may
+  /// just have acknowledged the same cancellation again, or have stored the job.
+  void RemoveCancellations(std::vector<std::string> jobs);
   /// Tells the owner which submissions were removed, once that was read: until then an older record of one may be read,
   /// and nothing but the owner's memory says that its job has ended.
   void NoteRemovals();
@@ -146,7 +171,10 @@
   OwnershipPolicy m_ownership;
   MonotonicTime m_last_owner_sign;
   SubmissionQueue m_submissions;
-  std::vector<std::string> m_removed_jobs;  ///< at the owner: stored, and not yet read
+  std::size_t m_unstored_cancellations = 0;  ///< of unknown jobs, under way to the store
+  bool m_is_removing_cancellations = false;
+  std::int64_t m_cancellation_removals = 0;  ///< appends so far; the epoch of the newest one
+  std::vector<std::string> m_removed_jobs;   ///< at the owner: stored, and not yet read
   PartitionTail m_submission_tail;
   PartitionTail m_progress_tail;
   PartitionTail m_operator_tail;
@@ -167,9 +195,11 @@
   Counter& m_accepted;
   Counter& m_refused;
   Counter& m_cancelled;
+  Counter& m_cancellations_refused;
   Counter& m_claims;
   Gauge& m_is_owner;
   Gauge& m_jobs;
+  Gauge& m_cancellations_without_job;
   Gauge& m_corrupt_records;
   Gauge& m_waiting_tasks;
   Gauge& m_longest_wait;
--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -108,6 +108,10 @@
 void OwnerRole::OnCancellation(const std::string& job) {
   if (m_scheduler == nullptr) return;
   m_scheduler->CancelJob(job, m_loop.Now());
+  const workflow::JobIndex::Job* recorded = m_index.Find(job);
+  if (recorded != nullptr && recorded->definition.empty()) {
+    m_scheduler->AddJob(job, *recorded, m_loop.Now(), UnixNow());
+  }
   Kick();
 }
 
--- a/src/control/owner_role.h
+++ b/src/control/owner_role.h
@@ -59,6 +59,7 @@
   void Begin();
 
   void OnSubmission(const std::string& job);
+  /// Of a job that is known, or of one that is not stored and may still be.
   void OnCancellation(const std::string& job);
   /// The submission of a retired job is removed from the store.
   void OnSubmissionRemoved(const std::string& job);
--- a/src/workflow/job_index.cc
+++ b/src/workflow/job_index.cc
@@ -116,6 +116,7 @@
 }
 
 void JobIndex::Count(const Job& job, int change) {
+  if (IsCancellationWithoutJob(job)) m_cancellations_without_job += static_cast<std::size_t>(change);
   if (!job.definition.empty() && PhaseOf(job) == JobPhase::kQueued) m_waiting[job.queue] += change;
 }
 
--- a/src/workflow/job_index.h
+++ b/src/workflow/job_index.h
@@ -23,7 +23,7 @@
   struct Job {
     std::string definition;  ///< encoded; empty while only progress was read
     std::string queue;
-    bool cancelled = false;
+    bool cancelled = false;                               ///< also of a job that is not stored
     std::optional<JobPhase> summary;                      ///< of the owner; none before the first start
     absl::flat_hash_map<std::string, std::string> steps;  ///< encoded progress by step name
   };
@@ -46,6 +46,8 @@
   const Job* Find(std::string_view job) const;
   void ForEachJob(const std::function<void(const std::string& id, const Job& job)>& visit) const;
   std::size_t size() const { return m_jobs.size(); }
+  /// Cancellations of jobs that are not stored.
+  std::size_t cancellations_without_job() const { return m_cancellations_without_job; }
   std::uint64_t corrupt_records() const { return m_corrupt_records; }
 
   /// Forget what one partition said, before its newest records are applied again: keys that were removed meanwhile are
@@ -55,13 +57,16 @@
 
  private:
   static JobPhase PhaseOf(const Job& job);
+  /// Adds a job to the counts (`change` 1), or takes it out of them (-1) before it changes.
   void Count(const Job& job, int change);
+  static bool IsCancellationWithoutJob(const Job& job) { return job.cancelled && job.definition.empty(); }
   static bool IsEmpty(const Job& job);
   void EraseIfEmpty(std::string_view id);
 
   absl::flat_hash_map<std::string, Job> m_jobs;
   absl::flat_hash_map<std::string, int> m_waiting;  ///< by queue
   OwnerRecord m_owner;
+  std::size_t m_cancellations_without_job = 0;
   std::uint64_t m_corrupt_records = 0;
 };
 
--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -39,8 +39,16 @@
 
 void Scheduler::AddJob(const std::string& id, const JobIndex::Job& recorded, MonotonicTime now,
                        std::int64_t unix_now_ms) {
-  if (m_jobs.contains(id) || m_retire_at.contains(id) || m_retiring.contains(id)) return;
+  if (m_jobs.contains(id)) return;
+  if (m_retire_at.contains(id) || m_retiring.contains(id)) {
+    if (recorded.cancelled) KeepCancelled(id, recorded, now);
+    return;
+  }
   if (recorded.definition.empty()) {
+    if (recorded.cancelled) {
+      KeepCancelled(id, recorded, now);
+      return;
+    }
     // A former owner was lost after it had retired the job and before it had removed the summary.
     if (recorded.summary && IsFinal(*recorded.summary)) m_removed_keys.push_back(id);
     return;
@@ -91,6 +99,13 @@
   if (!job.TakesRuns()) EndJob(job, job.phase, now);
 }
 
+void Scheduler::KeepCancelled(const std::string& id, const JobIndex::Job& recorded, MonotonicTime now) {
+  LogEvent(LogLevel::kInfo, recorded.definition.empty() ? "cancellation_without_job" : "job_stored_after_cancellation",
+           {{"job", id}, {"kept_ms", absl::ToInt64Milliseconds(m_options.retention)}});
+  m_retiring.erase(id);
+  m_retire_at[id] = now + m_options.retention;
+}
+
 void Scheduler::AddOccurrence(WorkflowJob& job, std::int64_t occurrence, const JobIndex::Job* recorded,
                               MonotonicTime begun, MonotonicTime now) {
   const JobDefinition& definition = job.definition;
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -109,8 +109,8 @@
 
   // Commands: what happened.
 
-  /// Takes a job over as recorded, or a new one. Does nothing for a job that is known, has ended or is corrupt.
-  /// `unix_now_ms` is the time of day.
+  /// Takes a job over as recorded, or a new one. Does nothing for a job that is known, has ended or is corrupt. A
+  /// cancellation without a job counts as a job that has ended. `unix_now_ms` is the time of day.
   void AddJob(const std::string& id, const JobIndex::Job& recorded, MonotonicTime now, std::int64_t unix_now_ms);
   void CancelJob(std::string_view id, MonotonicTime now);
   void SetLimits(PlacementLimits limits);
@@ -161,6 +161,9 @@
   absl::Duration LongestWait(MonotonicTime now) const;
 
  private:
+  /// The job's cancellation was stored before the job, or stored again. The submission may be under way, and must not
+  /// run whenever it is stored, so the cancellation is kept for the whole retention from now on.
+  void KeepCancelled(const std::string& id, const JobIndex::Job& recorded, MonotonicTime now);
   /// `begun`: when the objective began to count.
   void AddOccurrence(WorkflowJob& job, std::int64_t occurrence, const JobIndex::Job* recorded, MonotonicTime begun,
                      MonotonicTime now);
@@ -248,9 +251,10 @@
   WorkerPool m_workers;
   WorkerQuarantine m_quarantine;
   absl::flat_hash_map<std::string, std::unique_ptr<WorkflowJob>> m_jobs;
-  absl::flat_hash_set<WorkflowStep*> m_waiting;                 ///< ready steps with a task that waits
-  std::set<WorkflowJob*> m_scheduled;                           ///< jobs with occurrences to come
-  absl::flat_hash_map<std::string, MonotonicTime> m_retire_at;  ///< finished jobs
+  absl::flat_hash_set<WorkflowStep*> m_waiting;  ///< ready steps with a task that waits
+  std::set<WorkflowJob*> m_scheduled;            ///< jobs with occurrences to come
+  /// Finished jobs, and those whose cancellation was stored before them.
+  absl::flat_hash_map<std::string, MonotonicTime> m_retire_at;
   std::vector<WorkflowStep*> m_changed_steps;
   std::vector<WorkflowJob*> m_changed_jobs;
   std::vector<std::pair<std::string, std::string>> m_final_records;  ///< summaries of jobs that were forgotten
--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -15,6 +15,7 @@
   {"count":4,"cpu":500,"mem_mb":100,"est_ms":300,"after":[0]}]})";
 constexpr const char* kJob = "00000000000000a1";
 constexpr int kTasks = 10;
+constexpr absl::Duration kLimit = absl::Seconds(30);
 
 // Guards the whole path: accept, place, start, end, next step, done, at every entry.
 TEST_CASE("a job runs on the platform and is shown by every entry") {
@@ -95,10 +96,35 @@
   CHECK(cluster.worker(0).Events("run-start").size() == starts);
 }
 
+/// Repeats the call while the entry is not there or has not read the store.
+int StatusWhenReady(PlatformCluster& cluster, int entry, const std::string& method) {
+  const absl::Time limit = absl::Now() + kLimit;
+  for (;;) {
+    const int status = cluster.Call(entry, method, "/q/" + std::string(kJob), kTwoSteps).status;
+    if ((status != 0 && status != 503) || absl::Now() > limit) return status;
+    absl::SleepFor(absl::Milliseconds(50));
+  }
+}
+
+// Guards against a job that runs although its cancellation was acknowledged before it came, whichever entry is asked.
+TEST_CASE("a job that was cancelled before it came is refused by every entry, also after a restart") {
+  PlatformCluster cluster(2, 1);
+  REQUIRE(cluster.Call(0, "DELETE", "/q/" + std::string(kJob)).status == 410);
+  CHECK(cluster.Call(0, "POST", "/q/" + std::string(kJob), kTwoSteps).status == 409);
+  absl::SleepFor(absl::Seconds(1));
+  CHECK(cluster.Call(1, "POST", "/q/" + std::string(kJob), kTwoSteps).status == 409);
+  for (int i = 0; i < 2; ++i) cluster.entry(i).Kill();
+  for (int i = 0; i < 2; ++i) cluster.StartEntry(i);
+  for (int i = 0; i < 2; ++i) {
+    CHECK(StatusWhenReady(cluster, i, "POST") == 409);
+    CHECK(StatusWhenReady(cluster, i, "GET") == 410);
+  }
+  CHECK(cluster.DoneRuns() == 0);
+}
+
 constexpr const char* kFourTasks = R"({"spec":"s","steps":[{"count":4,"cpu":500,"mem_mb":100,"est_ms":300}]})";
 constexpr std::size_t kFour = 4;
 constexpr const char* kEarlierJob = "00000000000000b2";
-constexpr absl::Duration kLimit = absl::Seconds(30);
 
 /// Events of one kind that all workers have recorded.
 std::vector<nlohmann::json> EventsOf(PlatformCluster& cluster, int workers, const std::string& kind) {
--- a/tests/unit/control/entry_node_test.cc
+++ b/tests/unit/control/entry_node_test.cc
@@ -16,6 +16,7 @@
 #include "played_agent.h"
 #include "wait_until.h"
 #include "workflow/job_codec.h"
+#include "workflow/record_keys.h"
 
 namespace berylgauge::control {
 namespace {
@@ -37,7 +38,9 @@
 /// Entries on one store, each with its own way to it.
 class EntryWorld {
  public:
-  absl::Duration retention = absl::Seconds(130);  ///< of finished jobs, at entries that are added from now on
+  // Of entries that are added from now on.
+  absl::Duration retention = absl::Seconds(130);  ///< of finished jobs
+  std::size_t max_cancellations_without_job = 10'000;
 
   ~EntryWorld() {
     m_loop.RunSync([&] { m_entries.clear(); });
@@ -59,7 +62,8 @@
                            .members = MakePartition("keyed.members", 0),
                            .ownership = {.silence = absl::Milliseconds(700),
                                          .stagger = absl::Milliseconds(50) * static_cast<int>(m_entries.size())},
-                           .scheduler = {.retention = retention}}));
+                           .scheduler = {.retention = retention},
+                           .max_cancellations_without_job = max_cancellations_without_job}));
       m_entries.back()->Start();
     });
     return *m_entries.back();
@@ -76,6 +80,14 @@
     return owners;
   }
 
+  /// Null while there is none. On the loop's thread.
+  EntryNode* FindOwner() {
+    for (const auto& entry : m_entries) {
+      if (entry != nullptr && entry->IsOwner()) return entry.get();
+    }
+    return nullptr;
+  }
+
   void Configure(std::int64_t version) {
     m_loop.RunSync([&] {
       m_store.Append({.partition = MakePartition("keyed.op", 0),
@@ -265,6 +277,153 @@
                   [&] { return first.index().PhaseOf("00000000000000aa") == workflow::JobPhase::kCancelled; }));
 }
 
+/// A submission that the store carries out late: entry `e2` has no answer to its append, and another one has
+/// acknowledged that the job is cancelled.
+class LateSubmission {
+ public:
+  static constexpr const char* kJob = "00000000000000aa";
+  static constexpr std::size_t kCanceller = 0;
+  static constexpr std::size_t kSubmitter = 1;
+
+  LateSubmission() : m_agent(m_world.loop()) {
+    EntryNode& canceller = m_world.Add("e1");
+    REQUIRE(WaitUntil(m_world.loop(), absl::Seconds(5), [&] { return canceller.IsOwner(); }));
+    EntryNode& submitter = m_world.Add("e2");
+    m_world.Add("e3");
+    m_world.AddAgent("a1", m_agent.port());
+    absl::SleepFor(absl::Milliseconds(300));
+    m_world.loop().RunSync([&] {
+      m_world.FaultsOf(kSubmitter).holds_appends = true;
+      submitter.Submit(SmallJob(kJob), [](SubmitOutcome) {});
+    });
+    REQUIRE(WaitUntil(m_world.loop(), absl::Seconds(2), [&] { return m_world.LogOf(kSubmitter).held() > 0; }));
+    std::optional<CancelOutcome> cancelled;
+    m_world.loop().RunSync([&] { canceller.Cancel(kJob, [&](CancelOutcome outcome) { cancelled = outcome; }); });
+    REQUIRE(WaitUntil(m_world.loop(), absl::Seconds(2), [&] { return cancelled.has_value(); }));
+    REQUIRE(cancelled == CancelOutcome::kUnknownJob);
+  }
+
+  EntryWorld& world() { return m_world; }
+
+  /// Whether the job is stored, shown as cancelled by the owner, and not started.
+  void CheckStaysCancelled() {
+    const LogPartition submissions = MakePartition("keyed.work", 0);
+    m_world.loop().RunSync([&] { REQUIRE(m_world.LogOf(kSubmitter).CarryOutHeld() > 0); });
+    CHECK(WaitUntil(m_world.loop(), absl::Seconds(5), [&] { return m_world.IsStored(submissions, kJob); }));
+    CHECK(WaitUntil(m_world.loop(), absl::Seconds(5), [&] {
+      const EntryNode* owner = m_world.FindOwner();
+      return owner != nullptr && owner->index().PhaseOf(kJob) == workflow::JobPhase::kCancelled;
+    }));
+    CHECK(!WaitUntil(m_world.loop(), absl::Milliseconds(1500),
+                     [&] { return m_agent.HasStarted(std::string(kJob) + ".0.0.0"); }));
+  }
+
+ private:
+  EntryWorld m_world;
+  PlayedAgent m_agent;
+};
+
+struct LateSubmissionRow {
+  const char* name;
+  void (*strike)(EntryWorld&);  ///< between the cancellation and the submission
+};
+
+// Guards against a job that runs for good although its cancellation was answered with "no such job": its submission was
+// still under way at another entry (review/2).
+TEST_CASE("a job whose cancellation was acknowledged before it was stored never runs", "[entry]") {
+  const LateSubmissionRow row =
+      GENERATE(LateSubmissionRow{"nothing else happens", [](EntryWorld&) {}},
+               LateSubmissionRow{"the entry that acknowledged it is lost, and another one becomes the owner",
+                                 [](EntryWorld& world) { world.Kill(LateSubmission::kCanceller); }},
+               LateSubmissionRow{"all entries are lost",
+                                 [](EntryWorld& world) {
+                                   for (std::size_t i = 0; i < 3; ++i) world.Kill(i);
+                                   world.Add("e1");
+                                 }},
+               LateSubmissionRow{"the store forgets its history", [](EntryWorld& world) { world.DropHistory(); }});
+  INFO(row.name);
+  LateSubmission late;
+  row.strike(late.world());
+  late.CheckStaysCancelled();
+}
+
+CancelOutcome CancelAt(EntryWorld& world, EntryNode& entry, const std::string& job) {
+  std::optional<CancelOutcome> outcome;
+  world.loop().RunSync([&] { entry.Cancel(job, [&](CancelOutcome given) { outcome = given; }); });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return outcome.has_value(); }));
+  return *outcome;
+}
+
+SubmitOutcome SubmitAt(EntryWorld& world, EntryNode& entry, const std::string& job) {
+  std::optional<SubmitOutcome> outcome;
+  world.loop().RunSync([&] { entry.Submit(SmallJob(job), [&](SubmitOutcome given) { outcome = given; }); });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return outcome.has_value(); }));
+  return *outcome;
+}
+
+// Guards against a job that is accepted although its cancellation was acknowledged.
+TEST_CASE("a job that was cancelled before it is submitted is refused", "[entry]") {
+  const std::string id = "00000000000000aa";
+  EntryWorld world;
+  EntryNode& first = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return first.IsOwner(); }));
+  EntryNode& second = world.Add("e2");
+  REQUIRE(CancelAt(world, first, id) == CancelOutcome::kUnknownJob);
+  CHECK(SubmitAt(world, first, id) == SubmitOutcome::kCancelled);
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(2), [&] { return second.index().Find(id) != nullptr; }));
+  CHECK(SubmitAt(world, second, id) == SubmitOutcome::kCancelled);
+  CHECK(CancelAt(world, second, id) == CancelOutcome::kUnknownJob);
+}
+
+// Guards against a store that anyone can fill with cancellations of jobs that do not exist.
+TEST_CASE("cancellations of unknown jobs are bounded in number and time", "[entry]") {
+  const LogPartition submissions = MakePartition("keyed.work", 0);
+  const std::vector<std::string> unknown = {"a0", "a1", "a2"};
+  EntryWorld world;
+  world.retention = absl::Seconds(2);
+  world.max_cancellations_without_job = unknown.size();
+  EntryNode& entry = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return entry.IsOwner(); }));
+  REQUIRE(SubmitAt(world, entry, "b0") == SubmitOutcome::kAccepted);
+  for (const std::string& job : unknown) CHECK(CancelAt(world, entry, job) == CancelOutcome::kUnknownJob);
+  CHECK(CancelAt(world, entry, "a3") == CancelOutcome::kTooMany);
+  CHECK(CancelAt(world, entry, "a0") == CancelOutcome::kUnknownJob);  // kept already
+  CHECK(CancelAt(world, entry, "b0") == CancelOutcome::kCancelled);
+  world.loop().RunSync([&] {
+    CHECK(!world.IsStored(submissions, workflow::CancellationKey("a3")));
+    CHECK(entry.index().cancellations_without_job() == unknown.size());
+  });
+  CHECK(WaitUntil(world.loop(), absl::Seconds(15), [&] { return entry.index().size() == 0; }));
+  world.loop().RunSync([&] {
+    for (const std::string& job : unknown) CHECK(!world.IsStored(submissions, workflow::CancellationKey(job)));
+  });
+  CHECK(CancelAt(world, entry, "a3") == CancelOutcome::kUnknownJob);
+}
+
+// Guards against a cancellation that another entry acknowledges once more while the owner removes it.
+TEST_CASE("a cancellation is not removed by an owner that has not read its repeat", "[entry]") {
+  const std::string id = "00000000000000aa";
+  const LogPartition submissions = MakePartition("keyed.work", 0);
+  EntryWorld world;
+  world.retention = absl::Milliseconds(1500);
+  EntryNode& owner = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return owner.IsOwner(); }));
+  EntryNode& other = world.Add("e2");
+  absl::SleepFor(absl::Milliseconds(300));  // it has read the submissions
+  REQUIRE(CancelAt(world, other, id) == CancelOutcome::kUnknownJob);
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(2), [&] { return owner.index().Find(id) != nullptr; }));
+  world.loop().RunSync([&] { world.FaultsOf(0).silent_reads = submissions; });
+  absl::SleepFor(absl::Milliseconds(700));  // the read that is under way is answered
+  REQUIRE(CancelAt(world, other, id) == CancelOutcome::kUnknownJob);
+  absl::SleepFor(absl::Seconds(3));
+  world.loop().RunSync([&] {
+    CHECK(world.IsStored(submissions, workflow::CancellationKey(id)));
+    world.FaultsOf(0).silent_reads.reset();
+  });
+  CHECK(WaitUntil(world.loop(), absl::Seconds(15),
+                  [&] { return !world.IsStored(submissions, workflow::CancellationKey(id)); }));
+}
+
 struct AdviceRow {
   const char* name;
   bool was_accepted;  ///< before the queue demanded advice
--- a/tests/unit/workflow/codec_test.cc
+++ b/tests/unit/workflow/codec_test.cc
@@ -81,6 +81,24 @@
   CHECK(index.size() == 0);
 }
 
+TEST_CASE("the index counts cancellations of jobs that are not stored", "[index]") {
+  JobIndex index;
+  JobDefinition job;
+  job.id = "a0";
+  for (const char* id : {"a0", "a1"}) index.ApplySubmission(CancellationKey(id), kCancellationValue);
+  index.ApplySubmission(CancellationKey("a1"), kCancellationValue);
+  CHECK(index.cancellations_without_job() == 2);
+  index.ApplySubmission("a0", EncodeJob(job));
+  CHECK(index.cancellations_without_job() == 1);
+  CHECK(index.PhaseOf("a0") == JobPhase::kCancelled);
+  CHECK(!index.PhaseOf("a1"));
+  index.ApplySubmission("a0", {});
+  index.ApplySubmission(CancellationKey("a0"), {});
+  index.ClearSubmissions();
+  CHECK(index.cancellations_without_job() == 0);
+  CHECK(index.size() == 0);
+}
+
 TEST_CASE("the index counts jobs of which nothing has started", "[index]") {
   JobIndex index;
   JobDefinition job;
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -619,6 +619,40 @@
   CHECK(world.index().size() == 0);
 }
 
+/// The owner reads the job's newest records again.
+void ReadAgain(SchedulerWorld& world, const std::string& job) {
+  world.scheduler().AddJob(job, *world.index().Find(job), world.now(), world.unix_now_ms());
+}
+
+struct EarlyCancellationRow {
+  const char* name;
+  void (*happens)(SchedulerWorld&);  ///< half the retention after the cancellation
+};
+
+// Guards against a job that runs because its cancellation, acknowledged before it was stored, is removed too early.
+TEST_CASE("a cancellation without a job is kept for the retention after its newest use", "[scheduler]") {
+  const EarlyCancellationRow row =
+      GENERATE(EarlyCancellationRow{"it is acknowledged again", [](SchedulerWorld& world) { ReadAgain(world, "a0"); }},
+               EarlyCancellationRow{"the job is stored",
+                                    [](SchedulerWorld& world) { world.Submit(SingleStepJob("a0", ShortStep(1))); }},
+               EarlyCancellationRow{"another owner takes over", [](SchedulerWorld& world) { world.Replace(); }});
+  INFO(row.name);
+  const absl::Duration half = SchedulerOptions{}.retention / 2;
+  SchedulerWorld world;
+  world.AddWorker("w1");
+  world.Cancel("a0");
+  ReadAgain(world, "a0");
+  world.Sleep(half);
+  row.happens(world);
+  world.Sleep(half + absl::Seconds(2));
+  world.Settle();
+  CHECK(world.scheduler().TakeRetiredJobs().empty());
+  world.Sleep(half);
+  world.Settle();
+  CHECK(world.scheduler().TakeRetiredJobs() == std::vector<std::string>{"a0"});
+  CHECK(world.StartsOf("a0.0.0.0") == 0);
+}
+
 /// Runs the jobs to their end one after the other, and waits for the retention of the last one.
 void FinishAndAge(SchedulerWorld& world, const std::vector<std::string>& jobs) {
   world.AddWorker("w1");
