Share one read of the store among requests for unknown jobs

Cause: GET and DELETE of an id that an entry does not know read to the end of the submissions, one call of the store each. Ids can be made up without bound, and the store takes 2,000 reading calls a second from all entries together, so anyone could use them up. Storing cancellations of unknown jobs made such a request dearer still.

Change: SharedRead joins the requests of 20 ms to one read, which begins after the last of them. A request that comes alone is not delayed.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -84,6 +84,7 @@
                  NoteRemovals();
                  ConsiderClaim();
                }}),
+      m_lookups(loop, m_submission_tail, {.timeout = kLookupTimeout}),
       m_progress_tail(
           loop, log,
           {.partition = m_options.progress, .wait = kProgressWait, .min_interval = m_options.follower_interval},
@@ -299,10 +300,9 @@
     callback({.phase = phase, .is_certain = true});
     return;
   }
-  m_submission_tail.ReadToEnd(kLookupTimeout,
-                              [this, alive = m_alive, job, callback = std::move(callback)](bool complete) mutable {
-                                if (*alive) callback({.phase = m_index.PhaseOf(job), .is_certain = complete});
-                              });
+  m_lookups.Request([this, alive = m_alive, job, callback = std::move(callback)](bool complete) mutable {
+    if (*alive) callback({.phase = m_index.PhaseOf(job), .is_certain = complete});
+  });
 }
 
 // ---- Records
--- a/src/control/entry_node.h
+++ b/src/control/entry_node.h
@@ -24,6 +24,7 @@
 #include "control/ownership_policy.h"
 #include "control/partition_tail.h"
 #include "control/queue_table.h"
+#include "control/shared_read.h"
 #include "control/submission_queue.h"
 #include "transport/event_loop.h"
 #include "workflow/job_index.h"
@@ -176,6 +177,7 @@
   std::int64_t m_cancellation_removals = 0;  ///< appends so far; the epoch of the newest one
   std::vector<std::string> m_removed_jobs;   ///< at the owner: stored, and not yet read
   PartitionTail m_submission_tail;
+  SharedRead m_lookups;  ///< reads for ids that are not known here
   PartitionTail m_progress_tail;
   PartitionTail m_operator_tail;
   PartitionTail m_member_tail;
--- a/tests/unit/control/entry_node_test.cc
+++ b/tests/unit/control/entry_node_test.cc
@@ -400,6 +400,25 @@
   CHECK(CancelAt(world, entry, "a3") == CancelOutcome::kUnknownJob);
 }
 
+// The pattern "unknown ids without bound": each cost a call of the store, which limits the calls of all entries.
+TEST_CASE("requests for unknown jobs that come together share a read of the store", "[entry]") {
+  constexpr int kRequests = 200;
+  constexpr int kMostReads = 10;  // those that the entry makes by itself among them
+  EntryWorld world;
+  EntryNode& entry = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return entry.IsOwner(); }));
+  int answered = 0;
+  int reads_before = 0;
+  world.loop().RunSync([&] {
+    reads_before = world.LogOf(0).reads;
+    for (int i = 0; i < kRequests; ++i) {
+      entry.Lookup("a" + std::to_string(i), [&](const JobLookup& found) { answered += found.is_certain ? 1 : 0; });
+    }
+  });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(2), [&] { return answered == kRequests; }));
+  world.loop().RunSync([&] { CHECK(world.LogOf(0).reads - reads_before <= kMostReads); });
+}
+
 // Guards against a cancellation that another entry acknowledges once more while the owner removes it.
 TEST_CASE("a cancellation is not removed by an owner that has not read its repeat", "[entry]") {
   const std::string id = "00000000000000aa";
--- a/tests/unit/control/memory_keyed_log.cc
+++ b/tests/unit/control/memory_keyed_log.cc
@@ -42,6 +42,7 @@
 
 void MemoryKeyedLog::Read(const LogPartition& partition, std::int64_t from, absl::Duration wait, absl::Duration timeout,
                           ReadCallback callback) {
+  ++reads;
   longest_read_timeout = std::max(longest_read_timeout, timeout);
   const bool is_silent = faults.is_cut || faults.silent_reads == partition;
   if (is_silent || faults.refuses) {
--- a/tests/unit/control/memory_keyed_log.h
+++ b/tests/unit/control/memory_keyed_log.h
@@ -29,6 +29,7 @@
 
   StoreFaults faults;
   int appends = 0;                                             ///< calls made
+  int reads = 0;                                               ///< calls of `Read` made
   absl::Duration longest_read_timeout = absl::ZeroDuration();  ///< of all calls of `Read`
 
   void Append(const AppendCall& call, absl::Duration timeout, AppendCallback callback) override;
