--- a/src/control/entry_node.h
+++ b/src/control/entry_node.h
@@ -69,7 +69,7 @@
 
 enum class CancelOutcome {
   kCancelled,
-  kUnknownJob,  ///< stored all the same: the job does not run if its submission is still under way
+  kUnknownJob,  ///< stored all the same, so the job will not run if its submission is still under way
   kFailed,      ///< not stored, or the store cannot be asked for the job; the client may repeat it
   kTooMany,     ///< not stored, because too many cancellations of unknown jobs are kept; the client may repeat it
   kUnknown,     ///< the cancellation was stored or never will be
@@ -143,15 +143,15 @@
   /// Whether this entry owns the decisions by the claim of that epoch.
   bool IsOwnerOf(std::int64_t epoch) const { return m_owner != nullptr && m_owner->epoch() == epoch; }
   void EndOwnership();
-  /// Whether one more cancellation of a job that is not stored may be.
+  /// Whether the cancellation of a job that is not stored may be stored; see `max_cancellations_without_job`.
   bool MayKeepCancellation(const std::string& job) const;
   void StoreCancellation(const std::string& job, bool is_known, absl::AnyInvocable<void(CancelOutcome)> callback);
-  /// Removes from the store what stands there of retired jobs.
+  /// Removes what is stored of retired jobs.
   void RemoveRecords(const std::vector<std::string>& jobs);
   /// Removes the submission and the cancellation of a retired job from the store.
   void RemoveSubmission(const std::string& job);
-  /// Removes cancellations of jobs that were never stored. Only if the owner has read all records: another entry may
-  /// just have acknowledged the same cancellation again, or have stored the job.
+  /// Removes cancellations of jobs that are not stored, on condition that the owner has read every record before:
+  /// another entry may just have acknowledged the same cancellation again, or stored the job.
   void RemoveCancellations(std::vector<std::string> jobs);
   /// Tells the owner which submissions were removed, once that was read: until then an older record of one may be read,
   /// and nothing but the owner's memory says that its job has ended.
