--- a/tests/standins/keyed_log_service.cc
+++ b/tests/standins/keyed_log_service.cc
@@ -72,6 +72,9 @@
     at += 4 + length;
   }
   const std::lock_guard lock(m_mutex);
+  if (!m_turned_away.empty() && call.producer.name.starts_with(m_turned_away)) {
+    return StandinResponse::Error(500, "turned away");
+  }
   const control::AppendAnswer answer = m_store.Append(call);
   m_changed.notify_all();
   switch (answer.outcome) {
@@ -122,14 +125,18 @@
   return StandinResponse::Json({{"items", std::move(items)}, {"more", more}, {"end", content.end()}});
 }
 
-void KeyedLogService::ReadFaults(JsonObjectReader& reader) { m_drop_history = reader.Boolean("drop_history", false); }
+void KeyedLogService::ReadFaults(JsonObjectReader& reader) {
+  m_drop_history = reader.Boolean("drop_history", false);
+  m_next_turned_away = reader.String("turned_away", {.default_value = m_turned_away, .min_length = 0});
+}
 
 void KeyedLogService::ApplyFaults() {
   const std::lock_guard lock(m_mutex);
   if (m_drop_history) m_store.DropHistory();
+  m_turned_away = m_next_turned_away;
 }
 
-nlohmann::json KeyedLogService::Faults() const { return nlohmann::json::object(); }
+nlohmann::json KeyedLogService::Faults() const { return {{"turned_away", m_turned_away}}; }
 
 void KeyedLogService::Stop() {
   const std::lock_guard lock(m_mutex);
--- a/tests/standins/keyed_log_service.h
+++ b/tests/standins/keyed_log_service.h
@@ -2,6 +2,7 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <string>
 
 #include "standin_service.h"
 #include "support/memory_store.h"
@@ -29,6 +30,8 @@
   control::MemoryStore m_store;
   std::int64_t m_puts = 0;
   bool m_drop_history = false;
+  std::string m_turned_away;
+  std::string m_next_turned_away;
   bool m_stopped = false;
 };
 
