--- a/tests/unit/control/entry_node_test.cc
+++ b/tests/unit/control/entry_node_test.cc
@@ -380,7 +380,7 @@
   const LogPartition submissions = MakePartition("keyed.work", 0);
   const std::vector<std::string> unknown = {"a0", "a1", "a2"};
   EntryWorld world;
-  world.retention = absl::Seconds(2);
+  world.retention = absl::Seconds(4);
   world.max_cancellations_without_job = unknown.size();
   EntryNode& entry = world.Add("e1");
   REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return entry.IsOwner(); }));
@@ -400,6 +400,28 @@
   CHECK(CancelAt(world, entry, "a3") == CancelOutcome::kUnknownJob);
 }
 
+// Guards against jobs that are refused because cancellations of made-up ids fill the queue to the store.
+TEST_CASE("cancellations of unknown jobs that are under way are bounded", "[entry]") {
+  const std::size_t bound = EntryNodeOptions{}.max_unstored_cancellations;
+  EntryWorld world;
+  EntryNode& entry = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return entry.IsOwner(); }));
+  std::size_t stored = 0;
+  std::size_t refused = 0;
+  world.loop().RunSync([&] {
+    for (std::size_t i = 0; i < bound + 50; ++i) {
+      entry.Cancel("a" + std::to_string(i), [&](CancelOutcome outcome) {
+        stored += outcome == CancelOutcome::kUnknownJob ? 1 : 0;
+        refused += outcome == CancelOutcome::kTooMany ? 1 : 0;
+      });
+    }
+  });
+  CHECK(WaitUntil(world.loop(), absl::Seconds(2), [&] { return stored + refused == bound + 50; }));
+  CHECK(stored <= bound + 1);  // the first one has a read of its own, and is stored before the others come
+  CHECK(SubmitAt(world, entry, "b0") == SubmitOutcome::kAccepted);
+  CHECK(CancelAt(world, entry, "c0") == CancelOutcome::kUnknownJob);
+}
+
 // The pattern "unknown ids without bound": each cost a call of the store, which limits the calls of all entries.
 TEST_CASE("requests for unknown jobs that come together share a read of the store", "[entry]") {
   constexpr int kRequests = 200;
