Let the entry own the writer that removes cancellations

The writer was owned by its own callback, as that of a claim is: if the entry ends while the removal is under way, neither is freed, and the writer's timer goes on with a store client that may be gone. Now it is a member and ends with the entry.

Found with the address sanitizer, which reports the same for a claim that is under way when its entry ends (1,104 bytes in the tests of the entry, all from EntryNode::Claim); that is open.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -483,34 +483,30 @@
     if (m_owner == nullptr) return;
     for (const std::string& job : kept) m_owner->OnSubmissionNotRemoved(job);
   };
-  if (m_is_removing_cancellations || !m_submission_tail.is_at_end()) {
+  const bool is_busy = m_cancellation_remover != nullptr && m_cancellation_remover->is_busy();
+  if (is_busy || !m_submission_tail.is_at_end()) {
     keep(jobs);
     return;
   }
-  m_is_removing_cancellations = true;
   std::vector<KeyedRecord> records;
   for (const std::string& job : jobs) records.push_back({.key = workflow::CancellationKey(job), .value = {}});
-  auto writer = std::make_unique<LogWriter>(m_loop, m_log,
-                                            LogWriterOptions{.partition = m_options.submissions,
-                                                             .producer = m_options.ProcessName() + ".cancellations",
-                                                             .epoch = ++m_cancellation_removals});
-  LogWriter& remover = *writer;
-  remover.Write(std::move(records), m_submission_tail.position(), kRemovalGiveUp,
-                [this, keep, jobs = std::move(jobs), writer = std::move(writer),
-                 alive = m_alive](const AppendAnswer& answer) mutable {
-                  if (!*alive) return;
-                  m_is_removing_cancellations = false;
-                  m_loop.Defer([writer = std::move(writer)] {});  // which runs this call
-                  if (answer.outcome != AppendOutcome::kStored) {
-                    LogEvent(LogLevel::kInfo, "cancellations_not_removed",
-                             {{"cancellations", jobs.size()},
-                              {"outcome", kAppendOutcomeNames.NameOf(answer.outcome)},
-                              {"reason", answer.detail}});
-                    keep(jobs);
-                  } else if (m_owner != nullptr) {
-                    std::move(jobs.begin(), jobs.end(), std::back_inserter(m_removed_jobs));
-                  }
-                });
+  m_cancellation_remover =
+      std::make_unique<LogWriter>(m_loop, m_log,
+                                  LogWriterOptions{.partition = m_options.submissions,
+                                                   .producer = m_options.ProcessName() + ".cancellations",
+                                                   .epoch = ++m_cancellation_removals});
+  m_cancellation_remover->Write(std::move(records), m_submission_tail.position(), kRemovalGiveUp,
+                                [this, keep, jobs = std::move(jobs)](const AppendAnswer& answer) mutable {
+                                  if (answer.outcome != AppendOutcome::kStored) {
+                                    LogEvent(LogLevel::kInfo, "cancellations_not_removed",
+                                             {{"cancellations", jobs.size()},
+                                              {"outcome", kAppendOutcomeNames.NameOf(answer.outcome)},
+                                              {"reason", answer.detail}});
+                                    keep(jobs);
+                                  } else if (m_owner != nullptr) {
+                                    std::move(jobs.begin(), jobs.end(), std::back_inserter(m_removed_jobs));
+                                  }
+                                });
 }
 
 void EntryNode::RemoveSubmission(const std::string& job) {
--- a/src/control/entry_node.h
+++ b/src/control/entry_node.h
@@ -172,10 +172,10 @@
   OwnershipPolicy m_ownership;
   MonotonicTime m_last_owner_sign;
   SubmissionQueue m_submissions;
-  std::size_t m_unstored_cancellations = 0;  ///< of unknown jobs, under way to the store
-  bool m_is_removing_cancellations = false;
-  std::int64_t m_cancellation_removals = 0;  ///< appends so far; the epoch of the newest one
-  std::vector<std::string> m_removed_jobs;   ///< at the owner: stored, and not yet read
+  std::size_t m_unstored_cancellations = 0;           ///< of unknown jobs, under way to the store
+  std::unique_ptr<LogWriter> m_cancellation_remover;  ///< of the newest removal; null before the first
+  std::int64_t m_cancellation_removals = 0;           ///< so far; the epoch of the newest one
+  std::vector<std::string> m_removed_jobs;            ///< at the owner: stored, and not yet read
   PartitionTail m_submission_tail;
   SharedRead m_lookups;  ///< reads for ids that are not known here
   PartitionTail m_progress_tail;
