--- a/review/harness-2/case-7.cc
+++ b/review/harness-2/case-7.cc
@@ -1,79 +1,59 @@
-// LOST: the tasks of a lasting job stand still while a worker that is emptied goes on for a while, because the record of
-// their step outgrows the store's limit once their checkpoints are in it.
+// ROUTE: a start that was meant for a worker's former life is carried out by the next one, which is of another kind.
+#include <random>
+
 #include "harness.h"
 
 using namespace review;
 
 namespace {
 
-constexpr const char* kJob = "00000000000000b1";
-constexpr int kTasks = 140;
-constexpr std::size_t kCheckpointBytes = 2000;
-constexpr std::int64_t kDrainMs = 30'000;  ///< the platform's pages: drain_ms "and a little longer (at times many seconds)"
-constexpr std::int64_t kAllowedMs = 6000 + 3000;  ///< LOST: from 6 s after its last run, for 3 s
+constexpr int kRounds = 4;
+constexpr std::int64_t kDarkMs = 1000;
+constexpr int kHeartbeatMs = 1500;
 
 }  // namespace
 
 int main(int, char** argv) {
   Record record(argv[1]);
-  Fleet fleet(record, {.entries = 3, .workers = 7});  // one of them is 0.143 of all, under the share of scale_in (0.15)
-  for (auto& worker : fleet.workers) worker->checkpoint_bytes = kCheckpointBytes;
+  Fleet fleet(record, {.entries = 3, .workers = 7});  // one of them is 0.143 of all; site file: share 0.14
   if (!fleet.AwaitReady()) {
     fleet.Stop();
     Finish(record, "the fleet did not become ready", kCannotRun);
   }
-  const json step = {{"count", kTasks}, {"cpu", 100}, {"mem_mb", 100}, {"est_ms", 1000}, {"saves_progress", true},
-                     {"long_running", true}};
-  const Response submitted =
-      fleet.Call(0, "POST", std::string("/q/") + kJob, json{{"spec", "lasts saves"}, {"steps", {step}}}.dump());
-  if (submitted.status != 200) {
-    fleet.Stop();
-    Finish(record, "the job was not accepted", kCannotRun);
-  }
-  Sleep(5000);
-  std::size_t most = 0;
-  for (std::size_t i = 0; i < fleet.workers.size(); ++i) {
-    if (fleet.workers[i]->Running().size() > fleet.workers[most]->Running().size()) most = i;
-  }
-  std::map<std::string, std::int64_t> last_seen;  ///< when a run of the task was last there
-  const auto watch = [&] {
-    std::size_t running = 0;
-    for (const auto& worker : fleet.workers) {
-      for (const std::string& task : worker->Running()) {
-        if (task.rfind(kJob, 0) != 0) continue;
-        last_seen[task] = Now();
-        ++running;
-      }
+  std::mt19937 random(9);
+  std::atomic<bool> is_over = false;
+  int number = 0;
+  // Twenty jobs a second, each of six tasks that need the kind "a".
+  std::thread traffic([&] {
+    for (; !is_over; Sleep(50)) {
+      char id[17];
+      std::snprintf(id, sizeof(id), "%016x", 0xd0000 + ++number);
+      const json step = {{"count", 6}, {"cpu", 240}, {"mem_mb", 480}, {"est_ms", 300}, {"requires", "a"}};
+      fleet.Call(number % 3, "POST", std::string("/q/") + id, json{{"spec", "s"}, {"steps", {step}}}.dump());
     }
-    return running;
-  };
-  record.Add("before", {{"running", watch()}, {"on_the_drained_worker", fleet.workers[most]->Running().size()}});
-  if (last_seen.size() != kTasks) {
-    fleet.Stop();
-    Finish(record, "the tasks did not all start", kCannotRun);
+  });
+  for (int round = 0; round < kRounds; ++round) {
+    Sleep(2500);
+    // The first heartbeat comes at any moment of the interval.
+    const int first_beat = std::uniform_int_distribution<int>(0, kHeartbeatMs)(random);
+    Worker& worker = *fleet.workers[static_cast<std::size_t>(round)];
+    if (WithTrouble()) worker.CrashAndReturn(kDarkMs, {"b", "r1"}, first_beat);
+    Sleep(2500);
   }
-  std::thread drain;
-  if (WithTrouble()) drain = std::thread([&] { fleet.workers[most]->DrainAndLeave(kDrainMs); });
-  std::int64_t longest = 0;
-  std::size_t late = 0;
-  const std::int64_t end = Now() + kDrainMs + 5000;
-  for (std::int64_t next_line = Now(); Now() < end; Sleep(100)) {
-    const std::size_t running = watch();
-    std::size_t now_late = 0;
-    for (const auto& [task, seen] : last_seen) {
-      longest = std::max(longest, Now() - seen);
-      if (Now() - seen > kAllowedMs) ++now_late;
+  is_over = true;
+  traffic.join();
+  Sleep(3000);
+  int starts = 0;
+  int broken = 0;
+  for (const auto& worker : fleet.workers) {
+    for (const Worker::Start& start : worker->Starts()) {
+      ++starts;
+      if (std::find(start.labels.begin(), start.labels.end(), "a") != start.labels.end()) continue;
+      ++broken;
+      record.Add("broken", {{"at", start.ms}, {"task", start.task}, {"run", start.run}, {"labels", start.labels}});
     }
-    late = std::max(late, now_late);
-    if (Now() < next_line) continue;
-    next_line += 2000;
-    record.Add("watch", {{"running", running}, {"away_too_long", now_late}, {"owner", fleet.Owner()},
-                         {"state", fleet.State(1, kJob)}});
   }
-  if (drain.joinable()) drain.join();
   fleet.Stop();
-  Finish(record,
-         "tasks without a run for more than " + std::to_string(kAllowedMs) + " ms: " + std::to_string(late) +
-             "; longest " + std::to_string(longest) + " ms",
-         late > 0 ? kBroken : kHeld);
+  Finish(record, "starts: " + std::to_string(starts) + "; without the label: " + std::to_string(broken),
+         broken > 0 ? kBroken : kHeld);
 }
--- a/review/harness-2/case-8.cc
+++ b/review/harness-2/case-8.cc
@@ -1,75 +1,79 @@
-// A process crashes: an entry that is stopped while the store is down uses its client front after it was destroyed.
-#include <random>
-
+// LOST: the tasks of a lasting job stand still while a worker that is emptied goes on for a while, because the record of
+// their step outgrows the store's limit once their checkpoints are in it.
 #include "harness.h"
 
 using namespace review;
 
 namespace {
 
-constexpr int kEntries = 3;
-constexpr int kRounds = 8;
-constexpr int kClients = 400;        ///< connections that are open at the entry when it is stopped
-constexpr int kFirstSendMs = 2250;   ///< after SIGTERM; the store goes down then, for 4 s
-constexpr int kLastSendMs = 2650;
-constexpr int kStoreBackMs = 6200;
+constexpr const char* kJob = "00000000000000b1";
+constexpr int kTasks = 140;
+constexpr std::size_t kCheckpointBytes = 2000;
+constexpr std::int64_t kDrainMs = 30'000;  ///< the platform's pages: drain_ms "and a little longer (at times many seconds)"
+constexpr std::int64_t kAllowedMs = 6000 + 3000;  ///< LOST: from 6 s after its last run, for 3 s
 
 }  // namespace
 
 int main(int, char** argv) {
   Record record(argv[1]);
-  Fleet fleet(record, {.entries = kEntries, .workers = 3});
+  Fleet fleet(record, {.entries = 3, .workers = 7});  // one of them is 0.143 of all, under the share of scale_in (0.15)
+  for (auto& worker : fleet.workers) worker->checkpoint_bytes = kCheckpointBytes;
   if (!fleet.AwaitReady()) {
     fleet.Stop();
     Finish(record, "the fleet did not become ready", kCannotRun);
   }
-  std::atomic<bool> down = false;
-  fleet.store->fate = [&](const Request&) { return Store::Fate{.down = down}; };
-  std::mt19937 random(8);
-  int crashes = 0;
-  int stops = 0;
-  for (int round = 0; round < kRounds; ++round) {
-    const int entry = round % kEntries;
-    Daemon& process = *fleet.entries[static_cast<std::size_t>(entry)];
-    std::vector<std::unique_ptr<Client>> clients;
-    for (int i = 0; i < kClients; ++i) {
-      clients.push_back(std::make_unique<Client>(fleet.Ip(1, entry), Fleet::kFront));
-      clients.back()->Call("GET", "/q/", "", Fleet::Headers());
-    }
-    const std::int64_t stopped_at = Now();
-    process.Signal(SIGTERM);
-    std::vector<std::thread> threads;
-    for (int i = 0; i < kClients; ++i) {
-      const std::int64_t at = std::uniform_int_distribution<std::int64_t>(kFirstSendMs, kLastSendMs)(random);
-      threads.emplace_back([&, round, i, at] {
-        Client& client = *clients[static_cast<std::size_t>(i)];
-        Sleep(stopped_at + at - Now());
-        if (!client.IsOpen()) return;
-        char id[17];
-        std::snprintf(id, sizeof(id), "%016x", 0xc0000 + round * kClients + i);
-        client.Call("POST", std::string("/q/") + id, Fleet::JobBody(1), Fleet::Headers());
-      });
+  const json step = {{"count", kTasks}, {"cpu", 100}, {"mem_mb", 100}, {"est_ms", 1000}, {"saves_progress", true},
+                     {"long_running", true}};
+  const Response submitted =
+      fleet.Call(0, "POST", std::string("/q/") + kJob, json{{"spec", "lasts saves"}, {"steps", {step}}}.dump());
+  if (submitted.status != 200) {
+    fleet.Stop();
+    Finish(record, "the job was not accepted", kCannotRun);
+  }
+  Sleep(5000);
+  std::size_t most = 0;
+  for (std::size_t i = 0; i < fleet.workers.size(); ++i) {
+    if (fleet.workers[i]->Running().size() > fleet.workers[most]->Running().size()) most = i;
+  }
+  std::map<std::string, std::int64_t> last_seen;  ///< when a run of the task was last there
+  const auto watch = [&] {
+    std::size_t running = 0;
+    for (const auto& worker : fleet.workers) {
+      for (const std::string& task : worker->Running()) {
+        if (task.rfind(kJob, 0) != 0) continue;
+        last_seen[task] = Now();
+        ++running;
+      }
     }
-    Sleep(stopped_at + kFirstSendMs - 50 - Now());
-    if (WithTrouble()) fleet.store->reads_are_down = down = true;
-    const std::optional<int> status = process.Wait(stopped_at + 6000 - Now());
-    const bool has_crashed = status && WIFSIGNALED(*status);
-    ++stops;
-    if (has_crashed) ++crashes;
-    record.Add("stopped", {{"entry", entry}, {"after_ms", Now() - stopped_at}, {"wait_status", status ? *status : -1},
-                           {"signal", has_crashed ? WTERMSIG(*status) : 0}});
-    process.Kill();
-    for (std::thread& thread : threads) thread.join();
-    Sleep(stopped_at + kStoreBackMs - Now());
-    fleet.store->reads_are_down = down = false;
-    process.Start();
-    if (!fleet.AwaitEntry(entry)) {
-      fleet.Stop();
-      Finish(record, "an entry did not come back", kCannotRun);
+    return running;
+  };
+  record.Add("before", {{"running", watch()}, {"on_the_drained_worker", fleet.workers[most]->Running().size()}});
+  if (last_seen.size() != kTasks) {
+    fleet.Stop();
+    Finish(record, "the tasks did not all start", kCannotRun);
+  }
+  std::thread drain;
+  if (WithTrouble()) drain = std::thread([&] { fleet.workers[most]->DrainAndLeave(kDrainMs); });
+  std::int64_t longest = 0;
+  std::size_t late = 0;
+  const std::int64_t end = Now() + kDrainMs + 5000;
+  for (std::int64_t next_line = Now(); Now() < end; Sleep(100)) {
+    const std::size_t running = watch();
+    std::size_t now_late = 0;
+    for (const auto& [task, seen] : last_seen) {
+      longest = std::max(longest, Now() - seen);
+      if (Now() - seen > kAllowedMs) ++now_late;
     }
-    Sleep(500);
+    late = std::max(late, now_late);
+    if (Now() < next_line) continue;
+    next_line += 2000;
+    record.Add("watch", {{"running", running}, {"away_too_long", now_late}, {"owner", fleet.Owner()},
+                         {"state", fleet.State(1, kJob)}});
   }
+  if (drain.joinable()) drain.join();
   fleet.Stop();
-  Finish(record, "crashes: " + std::to_string(crashes) + " of " + std::to_string(stops) + " stops",
-         crashes > 0 ? kBroken : kHeld);
+  Finish(record,
+         "tasks without a run for more than " + std::to_string(kAllowedMs) + " ms: " + std::to_string(late) +
+             "; longest " + std::to_string(longest) + " ms",
+         late > 0 ? kBroken : kHeld);
 }
--- a/review/harness-2/harness.h
+++ b/review/harness-2/harness.h
@@ -492,13 +492,17 @@
     std::int64_t ms;
     std::string task;
     int run;
+    std::vector<std::string> labels;  ///< of the life that carried it out
   };
+  /// Kind and rack; set before a life begins.
+  std::vector<std::string> labels = {"a", "r1"};
   /// Run time of a task that does not last.
   int work_ms = 300;
   /// Called before a call is answered; false: carried out, not answered.
   std::function<bool(const Request&)> answers = [](const Request&) { return true; };
   std::atomic<bool> beats = true;
   std::atomic<bool> draining = false;
+  std::atomic<bool> dark = false;
   /// Length of the checkpoints of tasks whose spec has the word "saves"; they exist from `save_ms` of work on.
   std::size_t checkpoint_bytes = 16;
   int save_ms = 1000;
@@ -517,10 +521,11 @@
       for (;; Sleep(5)) Tick();
     }).detach();
     std::thread([this, agent_ip, agent_port] {
-      for (int seq = 1;; ++seq) {
+      for (;;) {
         const bool was_draining = draining;
-        if (beats) Beat(agent_ip, agent_port, seq);
-        for (int i = 0; i < 30 && was_draining == draining; ++i) Sleep(50);
+        const bool did_beat = beats;
+        if (beats) Beat(agent_ip, agent_port, ++m_sequence);
+        for (int i = 0; i < 150 && was_draining == draining && did_beat == beats; ++i) Sleep(10);
       }
     }).detach();
   }
@@ -537,6 +542,36 @@
     return tasks;
   }
 
+  /// Crashes and is dark (calls get no answer and have no effect) for `dark_ms`; then it starts again under its id with
+  /// other labels, and sends its first heartbeat after `first_beat_ms`.
+  void CrashAndReturn(std::int64_t dark_ms, std::vector<std::string> next_labels, std::int64_t first_beat_ms) {
+    beats = false;
+    {
+      const std::lock_guard lock(m_mutex);
+      m_record.Add("crash", {{"worker", m_id}, {"born", m_born}, {"runs", m_runs.size()}});
+      dark = true;
+      ++m_life;
+      m_runs.clear();
+      m_over.clear();
+      m_ends.clear();
+      m_end_number = m_token = m_until = 0;
+      m_changed.notify_all();
+    }
+    Sleep(dark_ms);
+    {
+      const std::lock_guard lock(m_mutex);
+      labels = std::move(next_labels);
+      m_born = UnixMs();
+      m_began = Now();
+      m_clock_at_birth = 0;
+      m_sequence = 0;
+      m_record.Add("born", {{"worker", m_id}, {"born", m_born}, {"labels", labels}});
+      dark = false;
+    }
+    Sleep(first_beat_ms);
+    beats = true;
+  }
+
   /// Says that it drains, goes on for `ms`, then says that it leaves and ends with all that runs on it.
   void DrainAndLeave(std::int64_t ms) {
     m_record.Add("drain", {{"worker", m_id}});
@@ -558,13 +593,13 @@
     int work_ms = 0;
     bool saves = false;
   };
-  std::int64_t ClockMs() const { return 400'000 + Now() - m_began; }
+  std::int64_t ClockMs() const { return m_clock_at_birth + Now() - m_began; }
 
   void Beat(const std::string& ip, int port, int seq) {
     const json body = {{"service", "dispatch"}, {"addr", m_address}, {"zone", m_zone}, {"version", "v1"},
                        {"slots", 8}, {"state", draining ? "draining" : "ready"}, {"cold_left_ms", 0},
                        {"capacity", {{"cpu", 16000}, {"mem_mb", 64000}, {"gpu", 0}}},
-                       {"labels", {"a", "r1"}}, {"clock_ms", ClockMs()}, {"seq", seq}, {"born", m_born}};
+                       {"labels", labels}, {"clock_ms", ClockMs()}, {"seq", seq}, {"born", m_born}};
     Client(ip, port).Call("POST", "/v1/instances/" + m_id + "/heartbeat", body.dump(), "", 900);
   }
 
@@ -603,7 +638,16 @@
     if (!body.is_object()) return {400, "{}"};
     const auto expected = request.headers.find("expect-instance");
     if (expected != request.headers.end() && expected->second != m_id) return {421, "{}"};
+    const int life = m_life;
+    if (dark) {
+      while (dark) Sleep(1);
+      return {};
+    }
     const Response response = Carry(request.path, body);
+    if (life != m_life) {
+      while (dark) Sleep(1);
+      return {};  // the connection broke with the life that was called
+    }
     if (!answers(request)) {
       Sleep(20'000);
       return {};
@@ -638,8 +682,9 @@
       const std::string spec = body.value("spec", "");
       m_runs[task] = {run, Now(), spec.find("lasts") != std::string::npos, work_ms,
                       spec.find("saves") != std::string::npos};
-      m_starts.push_back({Now(), task, run});
-      m_record.Add("run-start", {{"worker", m_id}, {"task", task}, {"run", run}, {"spec", spec}});
+      m_starts.push_back({Now(), task, run, labels});
+      m_record.Add("run-start", {{"worker", m_id}, {"task", task}, {"run", run}, {"spec", spec}, {"labels", labels},
+                                 {"born", m_born}});
       return Answer(200, json::object());
     }
     if (path == "/v1/run-stop") {
@@ -663,7 +708,7 @@
     });
     Extend(body);
     m_changed.wait_for(lock, std::chrono::milliseconds(std::min(body.value("wait_ms", 0), 2000)),
-                       [&] { return !m_ends.empty(); });
+                       [&, life = m_life.load()] { return !m_ends.empty() || life != m_life; });
     json running = json::array();
     for (const auto& [name, one] : m_runs) {
       const int percent =
@@ -690,8 +735,11 @@
   const std::string m_agent_ip;
   const int m_agent_port;
   const std::string m_address;
-  const std::int64_t m_born = UnixMs();
-  const std::int64_t m_began = Now();
+  std::int64_t m_born = UnixMs();
+  std::atomic<std::int64_t> m_began = Now();
+  std::atomic<std::int64_t> m_clock_at_birth = 400'000;
+  std::atomic<int> m_sequence = 0;
+  std::atomic<int> m_life = 0;
   std::mutex m_mutex;
   std::condition_variable m_changed;
   std::map<std::string, Run> m_runs;
