Log what a run that is given up may still hold, and both places of a run that is there twice

run_lost names the life, how long its worker was silent and what was known of a lease of its former life; worker_life of the owner names that lease; start names the life and the clock of the answer; unknown_run names where the task is recorded. Counts by reason: berylgauge_scheduler_lost_runs, and run-unknown among the decisions.

No decision has changed.

--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -289,6 +289,7 @@
            {{"worker", life.worker},
             {"born", life.born},
             {"token", m_fencing_token},
+            {"clock_ms", m_lists->clock_ms},
             {"runs", m_lists->runs.size()},
             {"ends", m_lists->ends.size()}});
   if (m_confirmed_life != life) m_unsettled_starts.clear();
@@ -625,6 +626,10 @@
            {{"task", attempt.call.task},
             {"run", attempt.call.run},
             {"epoch", attempt.epoch},
+            {"worker", attempt.call.life.worker},
+            {"born", attempt.call.life.born},
+            {"clock_ms", answer.clock_ms},
+            {"lease_end_ms", attempt.call.lease_end_ms},
             {"refusal", workflow::kStartRefusalNames.NameOf(answer.refusal)},
             {"unanswered", unanswered},
             {"ms", absl::ToInt64Milliseconds(m_loop.Now() - attempt.begun)}});
--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -1,9 +1,12 @@
 #include "control/entry_node.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
 
+#include "base/absl_string_view.h"
 #include "base/event_log.h"
 #include "base/stable_hash.h"
 #include "control/member_record.h"
@@ -41,6 +44,9 @@
 constexpr const char* kDecisionsMetric = "berylgauge_scheduler_decisions";
 constexpr const char* kDecisionsHelp = "Decisions since this entry became the owner";
 
+constexpr const char* kLostRunsMetric = "berylgauge_scheduler_lost_runs";
+constexpr const char* kLostRunsHelp = "Runs given up without an end since this entry became the owner";
+
 struct DecisionCount {
   const char* label;
   std::uint64_t workflow::SchedulerCounts::*value;
@@ -52,6 +58,7 @@
     {"kind=\"end-failed\"", &workflow::SchedulerCounts::ends_failed},
     {"kind=\"end-lost\"", &workflow::SchedulerCounts::ends_lost},
     {"kind=\"end-other\"", &workflow::SchedulerCounts::ends_other},
+    {"kind=\"run-unknown\"", &workflow::SchedulerCounts::unknown_runs},
     {"kind=\"end-unmatched\"", &workflow::SchedulerCounts::ends_unmatched},
     {"kind=\"refused-start\"", &workflow::SchedulerCounts::refused_starts},
     {"kind=\"quarantine\"", &workflow::SchedulerCounts::quarantines},
@@ -158,6 +165,10 @@
     m_metrics.GetGauge(kDecisionsMetric, kDecisionsHelp, count.label)
         .Set(static_cast<std::int64_t>(scheduler->counts().*count.value));
   }
+  for (const auto& [reason, name] : workflow::kRunLossNames.entries()) {
+    m_metrics.GetGauge(kLostRunsMetric, kLostRunsHelp, absl::StrCat("reason=\"", ToAbsl(name), "\""))
+        .Set(static_cast<std::int64_t>(scheduler->counts().lost_runs[static_cast<std::size_t>(reason)]));
+  }
 }
 
 bool EntryNode::IsReady(MonotonicTime now) const {
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -4,6 +4,7 @@
 #include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -87,6 +88,8 @@
   std::uint64_t ends_failed = 0;
   std::uint64_t ends_lost = 0;  ///< lapsed leases, lives that ended, runs that never began
   std::uint64_t ends_other = 0;
+  std::array<std::uint64_t, kRunLossNames.entries().size()> lost_runs{};  ///< the same by `RunLoss`
+  std::uint64_t unknown_runs = 0;    ///< listed as running by a worker on which they are not, or no longer, placed
   std::uint64_t ends_unmatched = 0;  ///< listed by a worker for a run that is not, or no longer, placed there
   std::uint64_t refused_starts = 0;
   std::uint64_t quarantines = 0;   ///< workers taken out
@@ -178,6 +181,8 @@
   /// Ends that hold although their life is over.
   void ApplyPastEnds(const PastEnds& past, MonotonicTime now);
   void LogUnmatchedEnd(const WorkerLife& life, const RunEnd& end);
+  /// Nothing if the task's job is not, or no longer, known.
+  std::optional<TaskProgress> RecordedProgress(const std::string& task);
   /// A worker has shown that the present run of the task is, or was, carried out.
   void NoteBegun(PoolWorker* worker, TaskRef task);
   static void NoteAtWork(WorkflowJob& job, MonotonicTime at);
@@ -207,6 +212,9 @@
   /// that call out.
   void LoseSettledRuns(PoolWorker& worker, MonotonicTime now);
   void CompareRuns(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
+  /// The worker lists a run that is not placed there.
+  void StopUnknownRun(const PoolWorker& worker, const ActiveRun& run);
+  static std::int64_t RemainingFormerLeaseMs(const PoolWorker& worker, MonotonicTime now);
   void MoveLastingTasks(PoolWorker& worker);
   void NoteProgress(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
   void RefreshInterference(MonotonicTime now);
--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -118,10 +118,8 @@
 }
 
 void Scheduler::LogUnmatchedEnd(const WorkerLife& life, const RunEnd& end) {
-  const std::optional<TaskName> name = TaskName::Parse(end.task);
-  const WorkflowStep* step = name ? FindStep(name->step) : nullptr;
-  const bool is_known = step != nullptr && name->index < static_cast<int>(step->tasks.size());
-  const TaskProgress recorded = is_known ? step->tasks[static_cast<std::size_t>(name->index)] : TaskProgress{};
+  const std::optional<TaskProgress> known = RecordedProgress(end.task);
+  const TaskProgress recorded = known.value_or(TaskProgress{});
   LogEvent(LogLevel::kInfo, "end_unmatched",
            {{"task", end.task},
             {"run", end.run},
@@ -129,11 +127,18 @@
             {"born", life.born},
             {"end", kRunEndKindNames.NameOf(end.kind)},
             {"number", end.number},
-            {"job_known", is_known},
+            {"job_known", known.has_value()},
             {"recorded_run", recorded.run},
             {"recorded_worker", recorded.worker}});
 }
 
+std::optional<TaskProgress> Scheduler::RecordedProgress(const std::string& task) {
+  const std::optional<TaskName> name = TaskName::Parse(task);
+  const WorkflowStep* step = name ? FindStep(name->step) : nullptr;
+  if (step == nullptr || name->index >= static_cast<int>(step->tasks.size())) return std::nullopt;
+  return step->tasks[static_cast<std::size_t>(name->index)];
+}
+
 void Scheduler::FinishRun(TaskRef task, RunEndKind kind, const std::string& checkpoint, MonotonicTime now) {
   WorkflowStep& step = *task.step;
   WorkflowJob& job = *step.job;
@@ -207,14 +212,20 @@
   WorkflowStep& step = *task.step;
   const TaskProgress& progress = step.tasks[static_cast<std::size_t>(task.index)];
   const TaskRuntime& runtime = step.runtimes[static_cast<std::size_t>(task.index)];
+  const PoolWorker* worker = m_workers.FindLife({.worker = progress.worker, .born = progress.worker_born});
+  const MonotonicTime silent_since = worker == nullptr ? m_claimed_at : worker->clock_read_at;
   ++m_counts.ends_lost;
+  ++m_counts.lost_runs[static_cast<std::size_t>(reason)];
   LogEvent(LogLevel::kInfo, "run_lost",
            {{"task", step.TaskNameOf(task.index)},
             {"run", progress.run},
             {"worker", progress.worker},
+            {"born", progress.worker_born},
             {"reason", kRunLossNames.NameOf(reason)},
             {"begun", runtime.has_begun},
-            {"settled", runtime.is_start_settled}});
+            {"settled", runtime.is_start_settled},
+            {"silent_ms", absl::ToInt64Milliseconds(now - silent_since)},
+            {"former_lease_ms", worker == nullptr ? 0 : RemainingFormerLeaseMs(*worker, now)}});
   m_quarantine.RecordTrialAborted(WorkerId(progress.worker));
   Release(task, {}, now);
   if (step.definition->gang) SettleGang(step, task.index, RunEndKind::kLapsed, now);
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -117,9 +117,13 @@
   worker.ends_applied = 0;
   worker.ends_durable = 0;
   worker.avoid_until = MonotonicTime();
-  LogEvent(
-      LogLevel::kInfo, "worker_life",
-      {{"worker", report.life.worker}, {"born", report.life.born}, {"agent", worker.agent}, {"zone", worker.zone}});
+  LogEvent(LogLevel::kInfo, "worker_life",
+           {{"worker", report.life.worker},
+            {"born", report.life.born},
+            {"agent", worker.agent},
+            {"zone", worker.zone},
+            {"clock_ms", report.worker_clock_ms},
+            {"former_lease_ms", RemainingFormerLeaseMs(worker, now)}});
   LoseOrphansOfHost(worker.agent, report.life.worker, now);
   const auto orphans = m_orphans.find(report.life.worker);
   if (orphans == m_orphans.end()) return;
@@ -232,9 +236,7 @@
   for (const TaskRef task : to_stop) OrderStop(task);
   LoseRuns(worker, not_begun, RunLoss::kOtherLife, now);
   for (const ActiveRun& run : report.runs) {
-    if (expected.contains(run.task)) continue;
-    LogEvent(LogLevel::kWarning, "unknown_run", {{"task", run.task}, {"run", run.run}, {"worker", worker.life.worker}});
-    m_stops.push_back({.agent = worker.agent, .life = worker.life, .task = run.task, .run = run.run});
+    if (!expected.contains(run.task)) StopUnknownRun(worker, run);
   }
 }
 
@@ -275,10 +277,24 @@
   LearnInterference(worker, now);
   // An end that is on its way arrives in the same report or a later one; asking costs one call.
   for (const TaskRef task : missing) OrderStop(task);
-  for (const auto& [name, run] : listed) {
-    LogEvent(LogLevel::kWarning, "unknown_run", {{"task", name}, {"run", run->run}, {"worker", worker.life.worker}});
-    m_stops.push_back({.agent = worker.agent, .life = worker.life, .task = run->task, .run = run->run});
-  }
+  for (const auto& [name, run] : listed) StopUnknownRun(worker, *run);
+}
+
+void Scheduler::StopUnknownRun(const PoolWorker& worker, const ActiveRun& run) {
+  const TaskProgress recorded = RecordedProgress(run.task).value_or(TaskProgress{});
+  ++m_counts.unknown_runs;
+  LogEvent(LogLevel::kWarning, "unknown_run",
+           {{"task", run.task},
+            {"run", run.run},
+            {"worker", worker.life.worker},
+            {"born", worker.life.born},
+            {"recorded_run", recorded.run},
+            {"recorded_worker", recorded.worker}});
+  m_stops.push_back({.agent = worker.agent, .life = worker.life, .task = run.task, .run = run.run});
+}
+
+std::int64_t Scheduler::RemainingFormerLeaseMs(const PoolWorker& worker, MonotonicTime now) {
+  return worker.former_lease_until <= now ? 0 : absl::ToInt64Milliseconds(worker.former_lease_until - now);
 }
 
 double Scheduler::KnownLoss(const StepDefinition& serving, const InterferenceModel::FillingUse& use) const {
