Keep what the owner said of tasks whose starts are under way

Cause: an agent drops the traits of tasks that its worker does not list, once they are more than 64 beyond twice the listed ones.

Traits that the owner named in the last 5 s are kept. The new test fails on the code before (3 of 3 runs).

--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -21,7 +21,9 @@
 /// Lives of the worker of which ends are kept.
 constexpr std::size_t kMaxPastLives = 4;
 
-/// Traits kept of tasks that are not listed, because their starts are under way.
+/// Traits of tasks that are not listed are kept for this time, in which a start is answered and a list follows.
+constexpr absl::Duration kUnlistedTraitsKept = absl::Seconds(5);
+/// Fewer of them are kept for longer, which saves the search for them.
 constexpr std::size_t kSpareTraits = 64;
 
 }  // namespace
@@ -411,7 +413,9 @@
     for (const workflow::InterferenceEntry& entry : request.interference) m_interference.Set(entry);
   }
   // Sent once to a new agent, which may not know its worker yet; they belong to the tasks, whatever life they run in.
-  for (const TaskTraits& traits : request.traits) m_traits[traits.task] = traits;
+  for (const TaskTraits& traits : request.traits) {
+    m_traits[traits.task] = {.traits = traits, .told_at = m_loop.Now()};
+  }
   if (m_watch) FlushWatch();  // the owner gave the former one up
   m_watch = request;
   m_watch_reply = std::move(reply);
@@ -491,11 +495,12 @@
                        .lease_end_ms = request.lease_end_ms};
       // A former process of this agent may have made the call.
       if (order.was_sent) m_unsettled_starts.insert(attempt->key());
-      m_traits[order.task] = {.task = order.task,
-                              .fills_idle_cpu = order.fills_idle_cpu,
-                              .tail_target_ms = order.tail_target_ms,
-                              .image = order.image,
-                              .demand_cpu = order.demand_cpu};
+      m_traits[order.task] = {.traits = {.task = order.task,
+                                         .fills_idle_cpu = order.fills_idle_cpu,
+                                         .tail_target_ms = order.tail_target_ms,
+                                         .image = order.image,
+                                         .demand_cpu = order.demand_cpu},
+                              .told_at = m_loop.Now()};
       starts.push_back(std::move(attempt));
     }
   }
@@ -710,8 +715,8 @@
   for (const ActiveRun& run : m_lists->runs) {
     const auto traits = m_traits.find(run.task);
     if (traits == m_traits.end()) continue;
-    fills = fills || traits->second.fills_idle_cpu;
-    serves = serves || traits->second.tail_target_ms > 0;
+    fills = fills || traits->second.traits.fills_idle_cpu;
+    serves = serves || traits->second.traits.tail_target_ms > 0;
   }
   return fills && serves;
 }
@@ -719,15 +724,16 @@
 std::vector<workflow::MeasuredRun> AgentNode::MeasuredRuns() const {
   std::vector<workflow::MeasuredRun> runs;
   for (const ActiveRun& run : m_lists->runs) {
-    const auto traits = m_traits.find(run.task);
-    if (traits == m_traits.end()) continue;
+    const auto found = m_traits.find(run.task);
+    if (found == m_traits.end()) continue;
+    const TaskTraits& traits = found->second.traits;
     runs.push_back({.task = run.task,
                     .run = run.run,
-                    .image = traits->second.image,
-                    .fills_idle_cpu = traits->second.fills_idle_cpu,
-                    .tail_target_ms = traits->second.tail_target_ms,
+                    .image = traits.image,
+                    .fills_idle_cpu = traits.fills_idle_cpu,
+                    .tail_target_ms = traits.tail_target_ms,
                     .measured = run.measured,
-                    .demand_cpu = traits->second.demand_cpu});
+                    .demand_cpu = traits.demand_cpu});
   }
   return runs;
 }
@@ -736,7 +742,9 @@
   if (m_traits.size() > 2 * m_lists->runs.size() + kSpareTraits) {
     absl::flat_hash_set<std::string> present;
     for (const ActiveRun& run : m_lists->runs) present.insert(run.task);
-    absl::erase_if(m_traits, [&](const auto& entry) { return !present.contains(entry.first); });
+    absl::erase_if(m_traits, [&](const auto& entry) {
+      return !present.contains(entry.first) && m_loop.Now() - entry.second.told_at > kUnlistedTraitsKept;
+    });
   }
   for (const workflow::PaceChange& change : m_pace.Decide(MeasuredRuns(), m_interference, m_loop.Now())) {
     SendPace(change);
@@ -744,13 +752,15 @@
 }
 
 void AgentNode::PaceStarted(const StartCall& call, bool is_settled) {
-  const auto traits = m_traits.find(call.task);
-  if (traits == m_traits.end() || !traits->second.fills_idle_cpu || !m_lists || !IsPresent(call.life)) return;
+  const auto found = m_traits.find(call.task);
+  if (found == m_traits.end() || !m_lists || !IsPresent(call.life)) return;
+  const TaskTraits& traits = found->second.traits;
+  if (!traits.fills_idle_cpu) return;
   const workflow::MeasuredRun filler{.task = call.task,
                                      .run = call.run,
-                                     .image = traits->second.image,
+                                     .image = traits.image,
                                      .fills_idle_cpu = true,
-                                     .demand_cpu = traits->second.demand_cpu};
+                                     .demand_cpu = traits.demand_cpu};
   const workflow::PaceChange change = m_pace.DecideStart(filler, MeasuredRuns(), m_interference);
   // A run that was there before may have another pace than a new one.
   if (change.percent < 100 || !is_settled) SendPace(change);
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -187,7 +187,11 @@
   bool m_flush_deferred = false;
   MonotonicTime m_runs_sent_at = InfinitePast();
 
-  absl::flat_hash_map<std::string, TaskTraits> m_traits;
+  struct KnownTraits {
+    TaskTraits traits;
+    MonotonicTime told_at;  ///< when the owner named them last
+  };
+  absl::flat_hash_map<std::string, KnownTraits> m_traits;  ///< by task
   workflow::InterferenceTable m_interference;
   workflow::PaceController m_pace;
   std::shared_ptr<bool> m_alive;
--- a/tests/unit/control/agent_node_test.cc
+++ b/tests/unit/control/agent_node_test.cc
@@ -799,6 +799,31 @@
   CHECK(world.worker().newest_start.fencing_token == 53);
 }
 
+// Guards against filling tasks that are never slowed beside a serving task: many starts were under way when a list
+// without them came, and the agent forgot what they run.
+TEST_CASE("an agent paces runs of which many were started at once", "[agent]") {
+  constexpr int kFillingTasks = 100;
+  AgentWorld world;
+  world.Announce();
+  world.worker().vanished_starts = 5 * (kFillingTasks + 1);  // lists come before the starts are carried out
+  OrdersRequest request{
+      .life = {},
+      .lease_end_ms = 100,
+      .jobs = {{.payload = "p",
+                .starts = {{.task = "b.0.0.0", .run = 1, .tail_target_ms = 100, .demand_cpu = 1000, .image = "web"}}}}};
+  world.worker().measured = {{"b.0.0.0", 500}};
+  for (int i = 0; i < kFillingTasks; ++i) {
+    const std::string task = "a.0.0." + std::to_string(i);
+    world.worker().measured[task] = 4000;
+    request.jobs[0].starts.push_back(
+        {.task = task, .run = 1, .fills_idle_cpu = true, .demand_cpu = 4000, .image = "batch"});
+  }
+  REQUIRE(world.Order(5, request).has_value());
+  REQUIRE(world.worker().runs.size() == kFillingTasks + 1);
+  world.worker().paces = 0;
+  CHECK(WaitUntil(world.loop(), absl::Seconds(5), [&] { return world.worker().paces > 0; }));
+}
+
 // Guards against lists that do not show yet what calls of a former owner did (issue 22).
 TEST_CASE("a life is not confirmed to a new owner by a call with the former one's token", "[agent]") {
   AgentWorld world;
