Send a call with an effect only on a connection of the life that it is for

Cause: the header names the worker's id, which the next life has, too, and the agent's calls went out on any connection.

Change: a connection ends with the process at its other end. The port remembers which life has answered on each open connection (by its local port) and sends starts, stops, paces, and holds with a lease or an acknowledgement on those of the right life only (`ConnectionRule`). Where there is none, the call waits for up to 0.6 s while a call for the worker's lists, which has no effect, opens one. Calls for starts, stops and paces leave connections for holds, so that starts without an answer do not keep a lease from being extended. So a call reaches another life only if the platform carries it out late.

--- a/src/clients/async_http_client.h
+++ b/src/clients/async_http_client.h
@@ -43,6 +43,8 @@
   AsyncHttpClient(const AsyncHttpClient&) = delete;
   AsyncHttpClient& operator=(const AsyncHttpClient&) = delete;
 
+  EventLoop& loop() { return m_loop; }
+
   /// `request.body` is ignored in favour of `body`, which is kept until the end of the call.
   void Send(HttpRequest request, std::string body, absl::Duration timeout, Callback callback);
 
--- a/src/clients/http_exchange.cc
+++ b/src/clients/http_exchange.cc
@@ -4,6 +4,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <curl/curl.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -89,6 +90,8 @@
   set(CURLOPT_MAXCONNECTS, 1L);
   set(CURLOPT_PREREQFUNCTION, &HttpExchange::OnRequestStart);
   set(CURLOPT_PREREQDATA, static_cast<void*>(this));
+  set(CURLOPT_OPENSOCKETFUNCTION, &HttpExchange::OnOpenSocket);
+  set(CURLOPT_OPENSOCKETDATA, static_cast<void*>(this));
   set(CURLOPT_HEADERFUNCTION, &HttpExchange::OnHeaderLine);
   set(CURLOPT_HEADERDATA, static_cast<void*>(this));
   set(CURLOPT_WRITEFUNCTION, &HttpExchange::OnBody);
@@ -140,7 +143,17 @@
                      [&](const auto& header) { return absl::EqualsIgnoreCase(header.first, name); });
 }
 
-int HttpExchange::OnRequestStart(void* self, char*, char*, int, int) {
+int HttpExchange::OnOpenSocket(void* self, int, curl_sockaddr* address) {
+  auto* exchange = static_cast<HttpExchange*>(self);
+  if (!exchange->m_request.connections.may_open) {
+    exchange->m_lacks_connection = true;
+    return CURL_SOCKET_BAD;
+  }
+  exchange->m_has_opened = true;
+  return socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+}
+
+int HttpExchange::OnRequestStart(void* self, char*, char*, int, int local_port) {
   auto* exchange = static_cast<HttpExchange*>(self);
   // libcurl sends a request again by itself when a reused connection is closed before the first byte of the answer.
   // The peer may have run the request by then, so the second transmission is prevented.
@@ -148,6 +161,12 @@
     exchange->m_rejection = "the connection was closed before the answer";
     return CURL_PREREQFUNC_ABORT;
   }
+  const ConnectionRule& rule = exchange->m_request.connections;
+  if (rule.may_use && !rule.may_use(local_port, exchange->m_has_opened)) {
+    exchange->m_lacks_connection = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  exchange->m_response.local_port = local_port;
   exchange->m_request_started = true;
   return CURL_PREREQFUNC_OK;
 }
@@ -240,6 +259,7 @@
     const bool unknown_protocol = code == CURLE_UNSUPPORTED_PROTOCOL;
     return MayHaveRun(unknown_protocol ? FailureCode::kCorrupt : CodeOf(code), std::move(message));
   }
+  if (m_lacks_connection) return NotRun(FailureCode::kRefused, "no connection that the request may use");
   long os_error = 0;
   curl_easy_getinfo(curl, CURLINFO_OS_ERRNO, &os_error);
   if (code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED) {
--- a/src/clients/http_exchange.h
+++ b/src/clients/http_exchange.h
@@ -12,6 +12,7 @@
 #include "clients/http_message.h"
 
 struct curl_slist;
+struct curl_sockaddr;
 
 namespace berylgauge {
 
@@ -42,7 +43,8 @@
  private:
   static constexpr std::size_t kErrorTextSize = 256;  ///< required by CURLOPT_ERRORBUFFER
 
-  static int OnRequestStart(void* self, char*, char*, int, int);
+  static int OnRequestStart(void* self, char*, char*, int, int local_port);
+  static int OnOpenSocket(void* self, int purpose, curl_sockaddr* address);
   static std::size_t OnHeaderLine(char* data, std::size_t size, std::size_t count, void* self);
   static std::size_t OnBody(char* data, std::size_t size, std::size_t count, void* self);
 
@@ -69,6 +71,8 @@
   bool m_headers_complete = false;
   /// Set before the first byte of the request is passed to the connection; stays set whatever follows.
   bool m_request_started = false;
+  bool m_has_opened = false;        ///< a connection for this request
+  bool m_lacks_connection = false;  ///< the request's rule allows none of those that there are
   std::array<char, kErrorTextSize> m_error_text{};
   std::string m_rejection;  ///< why this class ended the exchange; empty if it did not
 };
--- a/src/clients/http_message.h
+++ b/src/clients/http_message.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <string_view>
 
+#include "clients/connection_rule.h"
 #include "clients/header_list.h"
 
 namespace berylgauge {
@@ -13,6 +14,7 @@
   std::string url;             ///< "http://HOST[:PORT][/PATH][?QUERY]"; path and query are sent exactly as given
   HeaderList headers;          ///< without the fields that frame the message: connection, content-length, expect, ...
   std::string_view body = {};  ///< not copied; must live until the call returns
+  ConnectionRule connections = {};
 };
 
 /// A whole answer.
@@ -20,6 +22,7 @@
   int status = 0;
   HeaderList headers;  ///< as received, without trailers
   std::string body;    ///< without chunk encoding; a content encoding is left as it is
+  int local_port = 0;  ///< of the connection; tells apart those to one address that are open at the same time
 
   /// Value of the first header with this lower-case name; empty if it is absent.
   std::string_view Header(std::string_view name) const {
--- a/tests/unit/platform/odd_entries_test.cc
+++ b/tests/unit/platform/odd_entries_test.cc
@@ -1,7 +1,16 @@
+#include <absl/time/clock.h>
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <cstdint>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
 
 #include "clients/async_http_client.h"
 #include "platform/http_keyed_log.h"
@@ -195,5 +204,97 @@
   CHECK(DecodeJobRequest(With(valid, row.field, row.replacement), "00000000000000a1", {}).has_value() == row.valid);
 }
 
+/// A worker that answers one connection after the other, each call for its lists after a pause. It closes the first
+/// connections after their answer.
+class SlowWorker {
+ public:
+  static constexpr int kClosedConnections = 3;
+  static constexpr absl::Duration kPause = absl::Milliseconds(400);
+
+  SlowWorker() : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    REQUIRE(bind(m_socket, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    REQUIRE(listen(m_socket, 16) == 0);
+    REQUIRE(getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+    m_port = ntohs(address.sin_port);
+    m_thread = std::thread([this] { Run(); });
+  }
+  ~SlowWorker() {
+    shutdown(m_socket, SHUT_RDWR);
+    m_thread.join();
+    close(m_socket);
+  }
+  SlowWorker(const SlowWorker&) = delete;
+  SlowWorker& operator=(const SlowWorker&) = delete;
+
+  HostPort address() const { return {.host = "127.0.0.1", .port = m_port}; }
+  int starts() const { return m_starts; }
+
+ private:
+  void Run() {
+    for (int number = 1;; ++number) {
+      const int connection = accept(m_socket, nullptr, nullptr);
+      if (connection < 0) return;
+      Serve(connection, number <= kClosedConnections);
+      close(connection);
+    }
+  }
+
+  void Serve(int connection, bool is_closed) {
+    std::array<char, 4096> buffer{};  // each request of this test arrives as a whole
+    for (;;) {
+      const ssize_t size = read(connection, buffer.data(), buffer.size());
+      if (size <= 0) return;
+      std::string body = R"({"clock_ms":1})";
+      if (std::string_view(buffer.data(), static_cast<std::size_t>(size)).starts_with("POST /v1/hold")) {
+        absl::SleepFor(kPause);
+        body = R"({"clock_ms":1,"born":5,"running":[],"ended":[]})";
+      } else {
+        ++m_starts;
+      }
+      const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" +
+                                 (is_closed ? "Connection: close\r\n\r\n" : "\r\n") + body;
+      if (send(connection, answer.data(), answer.size(), MSG_NOSIGNAL) < 0 || is_closed) return;
+    }
+  }
+
+  const int m_socket;
+  int m_port = 0;
+  std::atomic<int> m_starts{0};
+  std::thread m_thread;
+};
+
+// Guards against a start that reaches the worker long after its order: the owner counts on an agent that gives a start
+// up 1.5 s after it, and on a call that is sent or has failed within its time limit (issue 46).
+TEST_CASE("a call is not sent after its time limit", "[platform]") {
+  SlowWorker worker;
+  EventLoop loop;
+  std::unique_ptr<AsyncHttpClient> client;
+  std::unique_ptr<HttpWorkerPort> port;
+  std::atomic<bool> is_over = false;
+  const absl::Time begun = absl::Now();
+  loop.RunSync([&] {
+    client = std::make_unique<AsyncHttpClient>(loop);
+    port = std::make_unique<HttpWorkerPort>(*client, worker.address());
+    port->Start({.life = {.worker = "w1", .born = 5},
+                 .fencing_token = 1,
+                 .task = "a0.0.0.0",
+                 .run = 1,
+                 .payload = "{}",
+                 .lease_end_ms = 4500},
+                absl::Milliseconds(600), [&](const Result<workflow::StartAnswer>&) { is_over = true; });
+  });
+  while (!is_over && absl::Now() - begun < absl::Seconds(10)) absl::SleepFor(absl::Milliseconds(5));
+  CHECK(absl::Now() - begun < absl::Milliseconds(1200));
+  CHECK(worker.starts() == 0);
+  loop.RunSync([&] {
+    port.reset();
+    client.reset();
+  });
+}
+
 }  // namespace
 }  // namespace berylgauge::platform
