Close the connections of a stand-in worker at its death

A real process's connections end with it. Those of the leased worker's stand-in stayed open over a rebirth, so a test could not show on which connection a call for the former life reaches the next one, and a request that had arrived just before the death could still take effect after the birth.

At a death the stand-in now closes all connections but those whose newest request is a control call, idle ones and those with a call under way; such a call has no effect later unless it is kept. The new control call close-connections does the same while the worker lives on.

--- a/tests/standins/leased_worker_service.cc
+++ b/tests/standins/leased_worker_service.cc
@@ -167,6 +167,7 @@
   m_record.Add("death", {{"born", m_life.born}});
   m_life.runs.clear();
   m_is_up = false;
+  CloseConnections();
   m_changed.notify_all();
 }
 
@@ -248,7 +249,7 @@
   const std::optional<WorkerCall> call = CallAt(request.path);
   if (!call) return StandinResponse::Error(404, "no such path: " + request.path);
   std::unique_lock lock(m_mutex);
-  if (!m_is_up) return {.closed = true};
+  if (!m_is_up || request.IsCut()) return {.closed = true};
   if (m_faults.keep.contains(*call)) return Keep(*call, request, lock);
   StandinResponse answer = CarryOut(*call, request);
   if (*call == WorkerCall::kHold && answer.status == 200) return AnswerHold(request, lock);
--- a/tests/standins/standin_message.h
+++ b/tests/standins/standin_message.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <atomic>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -17,6 +19,10 @@
   HeaderList headers;  ///< names in lower case
   std::string body;
   int peer_port = 0;  ///< tells connections apart
+  /// Set when the stand-in closes the connection by itself, whatever is under way on it.
+  std::shared_ptr<const std::atomic<bool>> is_cut;
+
+  bool IsCut() const { return is_cut != nullptr && *is_cut; }
 };
 
 /// Answer of a stand-in.
--- a/tests/standins/standin_server.cc
+++ b/tests/standins/standin_server.cc
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <chrono>
@@ -48,6 +49,22 @@
   return ntohs(reinterpret_cast<const sockaddr_in*>(info->client_addr)->sin_port);
 }
 
+void OnConnection(void* self, MHD_Connection* connection, void** context, MHD_ConnectionNotificationCode code) {
+  auto* server = static_cast<StandinServer*>(self);
+  if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+    *context =
+        server->AddConnection(MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd);
+  } else {
+    server->RemoveConnection(static_cast<StandinServer::Connection*>(*context));
+    *context = nullptr;
+  }
+}
+
+StandinServer::Connection& ConnectionOf(MHD_Connection* connection) {
+  const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  return *static_cast<StandinServer::Connection*>(info->socket_context);
+}
+
 MHD_Result OnRequest(void* self, MHD_Connection* connection, const char* path, const char* method, const char*,
                      const char* data, std::size_t* size, void** context) {
   auto* incoming = static_cast<IncomingRequest*>(*context);
@@ -68,6 +85,7 @@
   MHD_get_connection_values(connection, MHD_HEADER_KIND, &OnHeader, &request);
   MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &OnArgument, &request);
   auto* server = static_cast<StandinServer*>(self);
+  server->NoteRequest(ConnectionOf(connection), request);
   server->AddOpenRequests(1);
   incoming->counted = true;
   return server->Answer(connection, request) ? MHD_YES : MHD_NO;
@@ -107,6 +125,8 @@
   return queued == MHD_YES;
 }
 
+bool IsControl(const StandinRequest& request) { return request.path.starts_with("/control/"); }
+
 std::int64_t NumberOf(const StandinRequest& request, const std::string& key) {
   std::int64_t number = 0;
   const auto it = request.query.find(key);
@@ -125,10 +145,12 @@
   if (inet_pton(AF_INET, address.c_str(), &socket_address.sin_addr) != 1) {
     return NotRun(FailureCode::kInvalidArgument, "not an IPv4 address: " + address, "address");
   }
-  m_daemon = MHD_start_daemon(
-      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL, static_cast<std::uint16_t>(port),
-      nullptr, nullptr, &OnRequest, this, MHD_OPTION_SOCK_ADDR, &socket_address, MHD_OPTION_URI_LOG_CALLBACK, &OnUri,
-      nullptr, MHD_OPTION_NOTIFY_COMPLETED, &OnCompleted, this, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  m_service.SetConnectionCloser([this] { CloseConnections(); });
+  m_daemon = MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
+                              static_cast<std::uint16_t>(port), nullptr, nullptr, &OnRequest, this,
+                              MHD_OPTION_SOCK_ADDR, &socket_address, MHD_OPTION_URI_LOG_CALLBACK, &OnUri, nullptr,
+                              MHD_OPTION_NOTIFY_COMPLETED, &OnCompleted, this, MHD_OPTION_NOTIFY_CONNECTION,
+                              &OnConnection, this, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
   if (m_daemon == nullptr)
     return NotRun(FailureCode::kUnavailable, absl::StrCat("cannot listen on ", address, ":", port));
   return static_cast<int>(MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port);
@@ -157,8 +179,38 @@
   m_changed.notify_all();
 }
 
+StandinServer::Connection* StandinServer::AddConnection(int socket) {
+  auto connection = std::make_unique<Connection>();
+  connection->socket = socket;
+  Connection* added = connection.get();
+  const std::lock_guard lock(m_connections_mutex);
+  m_connections.insert(std::move(connection));
+  return added;
+}
+
+void StandinServer::RemoveConnection(Connection* connection) {
+  const std::lock_guard lock(m_connections_mutex);
+  std::erase_if(m_connections, [&](const auto& present) { return present.get() == connection; });
+}
+
+void StandinServer::NoteRequest(Connection& connection, StandinRequest& request) {
+  const std::lock_guard lock(m_connections_mutex);
+  connection.is_control = IsControl(request);
+  request.is_cut = connection.is_cut;
+}
+
+void StandinServer::CloseConnections() {
+  const std::lock_guard lock(m_connections_mutex);
+  for (const std::unique_ptr<Connection>& connection : m_connections) {
+    if (connection->is_control) continue;
+    *connection->is_cut = true;
+    // The library closes the socket when it next looks at it; the peer sees the end now.
+    shutdown(connection->socket, SHUT_RDWR);
+  }
+}
+
 bool StandinServer::Answer(MHD_Connection* connection, const StandinRequest& request) {
-  if (request.path.starts_with("/control/")) return Send(connection, HandleControl(request));
+  if (IsControl(request)) return Send(connection, HandleControl(request));
   bool unavailable = false;
   if (!WaitForFaults(unavailable)) return false;
   if (unavailable) return Send(connection, StandinResponse::Error(503, "outage"));
@@ -172,6 +224,10 @@
     return StandinResponse::Json(m_record.Read(static_cast<std::size_t>(NumberOf(request, "from")),
                                                absl::Milliseconds(NumberOf(request, "wait_ms"))));
   }
+  if (request.path == "/control/close-connections") {
+    CloseConnections();
+    return StandinResponse::Json(nlohmann::json::object());
+  }
   if (request.path != "/control/faults") return m_service.HandleControl(request);
   return request.method == "GET" ? StandinResponse::Json(FaultsToJson()) : SetFaults(request);
 }
--- a/tests/standins/standin_server.h
+++ b/tests/standins/standin_server.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
+#include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 
 #include "base/enum_names.h"
@@ -55,6 +58,20 @@
   /// connection.
   void AddOpenRequests(int change);
 
+  /// One connection for as long as the library has it.
+  struct Connection {
+    int socket = -1;
+    bool is_control = false;  ///< its newest request is a control call
+    std::shared_ptr<std::atomic<bool>> is_cut = std::make_shared<std::atomic<bool>>(false);
+  };
+
+  /// Called by the library when it has accepted a connection, and before it closes the socket.
+  Connection* AddConnection(int socket);
+  void RemoveConnection(Connection* connection);
+
+  /// Called with each whole request before it is answered.
+  void NoteRequest(Connection& connection, StandinRequest& request);
+
  private:
   StandinResponse HandleControl(const StandinRequest& request);
   StandinResponse SetFaults(const StandinRequest& request);
@@ -64,6 +81,8 @@
   bool WaitForFaults(bool& unavailable);
   bool TakeLostAnswer();
 
+  void CloseConnections();
+
   StandinService& m_service;
   EventRecord& m_record;
   MHD_Daemon* m_daemon = nullptr;
@@ -72,6 +91,8 @@
   CommonFaults m_faults;
   int m_open_requests = 0;
   bool m_stopped = false;
+  std::mutex m_connections_mutex;  ///< no other lock is taken while it is held
+  std::set<std::unique_ptr<Connection>> m_connections;
 };
 
 }  // namespace berylgauge
--- a/tests/standins/standin_service.h
+++ b/tests/standins/standin_service.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <functional>
+#include <utility>
+
 #include "base/json_object_reader.h"
 #include "standin_message.h"
 
@@ -26,6 +29,10 @@
   /// The service's own faults as an object.
   virtual nlohmann::json Faults() const = 0;
 
+  /// Called once, before the first request. `close` closes all connections but those of control calls at once; requests
+  /// under way on them get no answer. It may be called from any thread, also with the service's own locks held.
+  void SetConnectionCloser(std::function<void()> close) { m_close_connections = std::move(close); }
+
   /// Called before the server stops, while it still answers.
   virtual void Drain() {}
 
@@ -34,6 +41,14 @@
 
   /// Ends every call that blocks.
   virtual void Stop() = 0;
+
+ protected:
+  void CloseConnections() const {
+    if (m_close_connections) m_close_connections();
+  }
+
+ private:
+  std::function<void()> m_close_connections;
 };
 
 }  // namespace berylgauge
