Test a takeover while a worker is cut off with a lease of its former life

A call for the former life names a time on the former clock and so gives the next life a lease of up to 10 s, also for runs that begin later. The owner that confirmed the life knew of it; an owner that took over never heard of the worker and gave its runs up 4.6 s after its claim.

The new test has two entries, two workers and tasks of 12 s. Both workers are born again and carry a kept hold of the former life out before their first heartbeat; the owner starts tasks there; then the agent of one is paused and the owner is killed and started again. No task may run twice, and the job is done.

--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -1,5 +1,6 @@
 #include <absl/time/clock.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <future>
 #include <set>
@@ -292,6 +293,56 @@
   CHECK(cluster.DoneRuns() == rebirth.done_runs);
 }
 
+/// Returns when `is_so` holds; fails the test if it does not in time.
+template <typename Condition>
+void WaitUntil(Condition is_so) {
+  const absl::Time limit = absl::Now() + kLimit;
+  while (!is_so()) {
+    REQUIRE(absl::Now() < limit);
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+}
+
+/// Whether the worker keeps a call that names a time on its present clock.
+bool KeepsLease(Standin& worker) {
+  const std::vector<nlohmann::json> kept = worker.Events("kept");
+  return std::any_of(kept.begin(), kept.end(), [](const nlohmann::json& call) { return call.contains("until_ms"); });
+}
+
+/// Lets all workers be born again with a lease of their former lives, and returns when the owner knows the next lives.
+void BeginLivesWithFormerLeases(PlatformCluster& cluster, int workers, int owner) {
+  for (int i = 0; i < workers; ++i) {
+    cluster.worker(i).WaitForEvents("leased", 1, kLimit);
+    cluster.worker(i).SetFaults({{"keep", {"hold"}}});
+  }
+  for (int i = 0; i < workers; ++i) WaitUntil([&] { return KeepsLease(cluster.worker(i)); });
+  const int known_lives = cluster.LoggedByEntry(owner, "worker_life");
+  for (int i = 0; i < workers; ++i) cluster.worker(i).Control("rebirth", {{"down_ms", 0}, {"play_kept", {"hold"}}});
+  for (int i = 0; i < workers; ++i) REQUIRE(cluster.worker(i).Events("leased").size() == 2);
+  WaitUntil([&] { return cluster.LoggedByEntry(owner, "worker_life") == known_lives + workers; });
+}
+
+// Guards against a new owner that starts tasks again although their worker, of which it hears nothing, holds their runs
+// by a lease of its former life (issue 46).
+TEST_CASE("no task runs twice when its worker is cut off with a lease of its former life and the owner is lost") {
+  constexpr int kWorkers = 2;
+  PlatformCluster cluster(2, kWorkers, {.work_ms = 12'000, .hold_max_ms = 10'000, .worker_clock_ms = 60'000});
+  const int owner = cluster.LoggedByEntry(1, "owner_begins") > 0 ? 1 : 0;
+  BeginLivesWithFormerLeases(cluster, kWorkers, owner);
+  REQUIRE(cluster.Call(1 - owner, "POST", "/q/" + std::string(kJob), kFourTasks).status == 200);
+  WaitUntil([&] { return EventsOf(cluster, kWorkers, "run-start").size() == kFour; });
+  absl::SleepFor(absl::Seconds(1));  // the owner has recorded what it knows of the runs
+  const int holder = cluster.worker(0).Events("run-start").empty() ? 1 : 0;
+  cluster.agent(holder).Pause();
+  cluster.entry(owner).Kill();
+  cluster.StartEntry(owner);  // it need not wait for grants of its former process
+  CHECK(cluster.WaitForState(1 - owner, kJob, "done", kLimit));
+  const std::string violation = cluster.Violation();
+  INFO(violation);
+  CHECK(violation.empty());
+  CHECK(cluster.DoneRuns() == kFour);
+}
+
 constexpr std::size_t kManyTasks = 700;
 constexpr const char* kManySmallTasks = R"({"spec":"s","steps":[{"count":700,"cpu":10,"mem_mb":1,"est_ms":100}]})";
 constexpr int kNeverFailMs = 600'000;
