--- a/tests/unit/platform/http_worker_port_test.cc
+++ b/tests/unit/platform/http_worker_port_test.cc
@@ -192,6 +192,23 @@
   CHECK(world.worker().Events("run-start").empty());
 }
 
+// Guards against a start that the worker gets after the agent has taken it for given up, because each of the calls that
+// it takes to send it may last as long as the whole.
+TEST_CASE("a call ends within its timeout, also when it has to open a connection", "[http]") {
+  constexpr absl::Duration kShortTimeout = absl::Milliseconds(600);
+  constexpr int kDelayMs = 450;
+  PortWorld world;
+  const WorkerLife life = world.ReadLife();
+  world.Reconnect();
+  world.worker().SetFaults({{"delay_ms", kDelayMs}});
+  const absl::Time begun = absl::Now();
+  const Result<StartAnswer> answer =
+      world.Wait<StartAnswer>([&](auto done) { world.port().Start(StartOf(life), kShortTimeout, std::move(done)); });
+  CHECK(absl::Now() - begun < kShortTimeout + absl::Milliseconds(150));
+  REQUIRE_FALSE(answer.has_value());
+  CHECK(answer.error().verdict == Verdict::kMayHaveRun);  // sent after the lists had come
+}
+
 // Guards against calls that fail for good once the worker has closed a connection that was not in use.
 TEST_CASE("a call whose connection was closed while idle goes out on a new one", "[http]") {
   PortWorld world;
