Count the time of late calls from the order of a start, and allow for two of them

A start may be sent to a silent worker until its lease is over, and the agent repeats it for 1.5 s, so the time in which its call may be carried out does not begin with the worker's last sign. After the start, a late call that extends the lease of the same unknown life may follow. And a run that was carried over into a young life was given up although that life may hold a former lease.

--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -369,6 +369,9 @@
     LogEvent(LogLevel::kInfo, "starts_resumed", {{"epoch", m_options.record.epoch}, {"host", agent}});
   }
   request.lease_end_ms = request.jobs.empty() ? 0 : m_scheduler->LeaseEndFor(*worker);
+  for (const JobStarts& job : request.jobs) {
+    for (const StartOrder& start : job.starts) m_scheduler->OnStartSent(start, m_loop.Now());
+  }
   link->second->SendOrders(std::move(request));
 }
 
--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -147,6 +147,7 @@
       TaskRuntime& runtime = step->runtimes[static_cast<std::size_t>(index)];
       runtime.stage = RunStage::kUnknown;
       runtime.is_start_settled = task.bound != RunBound::kNone;
+      runtime.ordered_at = m_claimed_at + m_options.former_owner_grants;
       m_orphans[task.worker].push_back({.step = step.get(), .index = index});
     }
     steps.push_back(std::move(step));
@@ -360,6 +361,7 @@
     TaskRuntime& runtime = ref->step->runtimes[static_cast<std::size_t>(ref->index)];
     runtime.stage = RunStage::kStarting;
     runtime.is_start_settled = false;
+    runtime.ordered_at = now;
     runtime.started_at = now;  // until the answer tells better
     if (PoolWorker* worker = m_workers.FindLife(order.life)) worker->starting[*ref] = now;
     allowed.push_back(std::move(order));
@@ -395,6 +397,11 @@
   return worker->condition == WorkerCondition::kReady && !m_limits.evacuated_zones.contains(worker->zone);
 }
 
+void Scheduler::OnStartSent(const StartOrder& order, MonotonicTime now) {
+  const std::optional<TaskRef> ref = FindRun(order.task, order.run, order.life);
+  if (ref) ref->step->runtimes[static_cast<std::size_t>(ref->index)].ordered_at = now;
+}
+
 bool Scheduler::IsStarting(const StartOrder& order) {
   const std::optional<TaskRef> ref = FindRun(order.task, order.run, order.life);
   return ref && ref->step->runtimes[static_cast<std::size_t>(ref->index)].stage == RunStage::kStarting;
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -125,6 +125,8 @@
   void OnReport(const std::string& agent, const WorkerReport& report, MonotonicTime now);
   /// The agent was started again and has no list of the worker yet: nothing more is placed there until it has.
   void OnWorkerUnknown(const WorkerLife& life);
+  /// The start is sent, or sent again.
+  void OnStartSent(const StartOrder& order, MonotonicTime now);
   void OnStartAnswer(const std::string& task, int run, const WorkerLife& life, const StartAnswer& answer,
                      MonotonicTime now);
   /// A stop was answered: the run is listed as ended, or will never be there.
@@ -212,8 +214,8 @@
   void SettleStart(const PoolWorker* worker, TaskRef task, MonotonicTime now);
   /// Sees to it that stronger bounds of runs are stored within a while.
   void RecordBounds(MonotonicTime now);
-  /// For how long after the last sign of a worker, or the last grant of its owner, a run with that bound may go on.
-  absl::Duration LongestRunAfterSilence(RunBound bound) const;
+  /// For how long after the last order or grant a run with that bound may go on.
+  absl::Duration LongestRunAfterOrder(RunBound bound) const;
   /// A run of the worker's former life, until the lists of the present one tell whether that carried its start out.
   void CarryOver(PoolWorker& worker, TaskRef task, MonotonicTime now);
   void LoseOrphansOfHost(const std::string& agent, const std::string& present_worker, MonotonicTime now);
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -426,15 +426,15 @@
 void Scheduler::LapseLeases(MonotonicTime now) {
   for (PoolWorker* worker : m_workers.workers()) {
     const absl::Duration silence = now - worker->clock_read_at;
-    if (silence <= LongestRunAfterSilence(RunBound::kGrantedLease)) continue;
+    if (silence <= LongestRunAfterOrder(RunBound::kGrantedLease)) continue;
     worker->reconciled = false;
     const bool is_former_lease_over = now > worker->former_lease_until;
-    const bool is_late_start_over = silence > LongestRunAfterSilence(RunBound::kNone);
     std::vector<TaskRef> lapsed;
     for (const auto& [task, held] : worker->runs) {
       TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
       const bool was_sent = runtime.stage != RunStage::kRecording;
-      const bool is_lapsed = runtime.is_start_settled ? is_former_lease_over : is_late_start_over;
+      const bool is_late_start_over = now - runtime.ordered_at > LongestRunAfterOrder(RunBound::kNone);
+      const bool is_lapsed = is_former_lease_over && (runtime.is_start_settled || is_late_start_over);
       if (is_lapsed || !was_sent) lapsed.push_back(task);
       // A call that is made from now on could be carried out after the run was given up.
       if (runtime.stage == RunStage::kStarting) runtime.stage = RunStage::kUnknown;
@@ -443,11 +443,12 @@
   }
 }
 
-absl::Duration Scheduler::LongestRunAfterSilence(RunBound bound) const {
+absl::Duration Scheduler::LongestRunAfterOrder(RunBound bound) const {
   const absl::Duration longest_lease = m_options.longest_lease * m_options.clock_tolerance;
   switch (bound) {
     case RunBound::kNone:
-      return m_options.late_call_limit + longest_lease;
+      // The start is carried out late, then a call that extends the lease of the life that took it.
+      return 2 * m_options.late_call_limit + longest_lease;
     case RunBound::kLongestLease:
       return longest_lease;
     case RunBound::kGrantedLease:
@@ -459,12 +460,12 @@
 void Scheduler::LapseFormerWorkers(MonotonicTime now) {
   // The last grant or order of a former owner counts as the last sign of its workers.
   const absl::Duration silence = now - m_claimed_at - m_options.former_owner_grants;
-  if (m_orphans.empty() || silence <= LongestRunAfterSilence(RunBound::kGrantedLease)) return;
+  if (m_orphans.empty() || silence <= LongestRunAfterOrder(RunBound::kGrantedLease)) return;
   std::vector<TaskRef> lapsed;
   for (const auto& [worker, tasks] : m_orphans) {
     const std::size_t before = lapsed.size();
     std::copy_if(tasks.begin(), tasks.end(), std::back_inserter(lapsed), [&](TaskRef task) {
-      return silence > LongestRunAfterSilence(task.step->tasks[static_cast<std::size_t>(task.index)].bound);
+      return silence > LongestRunAfterOrder(task.step->tasks[static_cast<std::size_t>(task.index)].bound);
     });
     if (lapsed.size() == before) continue;
     LogEvent(LogLevel::kInfo, "former_worker_lapsed",
