--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -70,9 +70,11 @@
 void Scheduler::NoteListed(PoolWorker& worker, TaskRef task, const ActiveRun& run, MonotonicTime now) {
   NoteBegun(&worker, task);
   const TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
-  // A call without an answer has been carried out in this life by then.
+  // Calls without an answer have been carried out in this life by then. Its clock is the time of the list, which may
+  // arrive late.
   const bool are_calls_over =
-      runtime.stage == RunStage::kRunning && now - runtime.started_at > m_options.late_call_limit;
+      runtime.stage == RunStage::kRunning && runtime.started_clock_ms > 0 &&
+      worker.clock_ms - runtime.started_clock_ms > absl::ToInt64Milliseconds(m_options.late_call_limit);
   if (runtime.is_start_settled || are_calls_over) SettleStart(&worker, task, now);
   const bool stands_still = task.step->definition->fills_idle_cpu && run.measured == 0;
   // An agent repeats the list of a worker that does not answer it.
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -470,6 +470,30 @@
   CHECK(world.PlaceOf("a0.0.0.0") == "w2");
 }
 
+// Guards against a start that counts as settled by a list that is older than the last time at which its call may be
+// carried out: an agent repeats the list of a worker that does not answer (issue 46).
+TEST_CASE("a list that is repeated does not settle a start", "[scheduler]") {
+  SchedulerWorld world;
+  PlayedWorker& worker = world.AddWorker("w1");
+  worker.settles_starts = false;
+  world.Submit(SingleStepJob("a0", ShortStep(1)));
+  REQUIRE(world.PlaceOf("a0.0.0.0") == "w1");
+  world.AddWorker("w2");
+  // The clock of the worker, and so its list, stays the one of the start.
+  world.Sleep(absl::Milliseconds(15'100));
+  worker.clock_zero_ms += 15'100;
+  world.Settle();
+  CHECK(world.StartsOf("a0.0.0.0") == 1);
+  world.Sleep(absl::Milliseconds(25'100));
+  worker.clock_zero_ms += 25'100;
+  world.Settle();
+  CHECK(world.StartsOf("a0.0.0.0") == 1);
+  world.Sleep(absl::Milliseconds(400));
+  worker.clock_zero_ms += 400;
+  world.Settle();
+  CHECK(world.StartsOf("a0.0.0.0") == 2);
+}
+
 // Guards against a worker that stays unused because its host's time of day was set back before it was started again.
 TEST_CASE("a worker's new life may be born earlier by its clock", "[scheduler]") {
   SchedulerWorld world;
