Take leases of a former life into account when a worker's id returns to its host

The owner remembers the ids of a host's former workers while such a call is possible. "a worker whose id returns to its host may hold the lease of a former life" fails on the code before.

--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -94,7 +94,11 @@
   }
   // Calls for a former life had no effect since the life was confirmed. Whether there was a former life is not known
   // where this owner meets the host's worker for the first time.
-  const bool may_hold_former_lease = is_same_worker || worker.life.worker.empty();
+  const bool is_first = worker.life.worker.empty();
+  if (!is_same_worker && !is_first) worker.former_ids[worker.life.worker] = now;
+  std::erase_if(worker.former_ids,
+                [&](const auto& former) { return now - former.second > LongestRunAfterOrder(RunBound::kNone); });
+  const bool may_hold_former_lease = is_same_worker || is_first || worker.former_ids.contains(report.life.worker);
   worker.former_lease_until = may_hold_former_lease ? now + m_options.longest_lease * m_options.clock_tolerance -
                                                           absl::Milliseconds(report.confirmed_ms)
                                                     : InfinitePast();
--- a/src/workflow/worker_pool.h
+++ b/src/workflow/worker_pool.h
@@ -46,9 +46,10 @@
   std::string rack;  ///< label that names its rack; empty if none does
   std::vector<std::string> labels;
   Resources capacity;
-  bool reconciled = false;      ///< its list of runs was compared with the records
-  std::int64_t clock_ms = 0;    ///< newest reading of its steady clock
-  MonotonicTime clock_read_at;  ///< when that reading arrived here
+  bool reconciled = false;                          ///< its list of runs was compared with the records
+  std::int64_t clock_ms = 0;                        ///< newest reading of its steady clock
+  MonotonicTime clock_read_at;                      ///< when that reading arrived here
+  std::map<std::string, MonotonicTime> former_ids;  ///< of the host's workers: when another id followed
   /// Until then the worker may hold a lease that a call for its former life has given it.
   MonotonicTime former_lease_until = InfinitePast();
   std::int64_t ends_applied = 0;              ///< number of the last end taken into the state
