--- a/src/control/worker_port.h
+++ b/src/control/worker_port.h
@@ -62,8 +62,9 @@
 ///
 /// A failure with verdict `kMayHaveRun` means that the call may take effect now or later. The failure has the code
 /// `kConnectionRefused` if no process listens at the worker's address, `kExpired` if the worker there has another id,
-/// and `kConflict` if it has seen a higher fence token. A worker that was started again under its id accepts calls for
-/// its former life, so only `HoldAnswer::born` tells which life answered.
+/// and `kConflict` if it has seen a higher fence token or, for stops and paces, is in another life. A call with an
+/// effect never reaches another life, unless it has no answer and is carried out late: a start is then refused with
+/// `kOtherLife`, and the lists that answer a hold are those of the other life (`HoldAnswer::born`).
 class WorkerPort {
  public:
   virtual ~WorkerPort() = default;
