--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -242,6 +242,7 @@
             {"reason", kRunLossNames.NameOf(reason)},
             {"begun", runtime.has_begun},
             {"settled", runtime.is_start_settled},
+            {"bound", kRunBoundNames.NameOf(progress.bound)},
             {"silent_ms", absl::ToInt64Milliseconds(now - silent_since)},
             {"former_lease_ms", worker == nullptr ? 0 : RemainingFormerLeaseMs(*worker, now)}});
   m_quarantine.RecordTrialAborted(WorkerId(progress.worker));
