Refuse submissions that wait behind an append without an answer as not stored

Cause: when the store falls silent, the first append of an entry has no answer, and everything that arrives behind it waits for up to 5 s. Clients got 504 at their deadline for jobs of which nothing had been sent, and may not try those elsewhere. Change: once the store has been failing for refuse_after_failing, what waits for its first append is refused as not stored; the front passes it on to a peer or answers 503.

--- a/src/control/submission_queue.cc
+++ b/src/control/submission_queue.cc
@@ -8,6 +8,9 @@
 namespace berylgauge::control {
 namespace {
 
+/// Between two looks at the store while submissions wait behind an append without an answer.
+constexpr absl::Duration kRefusalCheckInterval = absl::Milliseconds(100);
+
 LogWriterOptions WithLimit(LogWriterOptions writer, absl::Duration send_limit) {
   writer.send_limit = send_limit;
   return writer;
@@ -22,12 +25,18 @@
       m_writer(loop, log, WithLimit(std::move(writer), options.send_limit)),
       m_alive(std::make_shared<bool>(true)) {}
 
+SubmissionQueue::~SubmissionQueue() {
+  *m_alive = false;
+  m_loop.CancelTimer(m_refusal_timer);
+}
+
 void SubmissionQueue::Add(std::vector<KeyedRecord> records, Callback callback) {
   if (m_waiting.size() >= m_options.max_waiting || IsRefusing(m_loop.Now())) {
     m_loop.Defer([callback = std::move(callback)]() mutable { callback(AppendOutcome::kNothingDone); });
     return;
   }
   m_waiting.push_back({.records = std::move(records), .callback = std::move(callback), .added_at = m_loop.Now()});
+  ScheduleRefusal();
   if (m_flush_deferred || m_writer.is_busy()) return;
   // At the end of the turn, so that requests that arrived together share an append.
   m_flush_deferred = true;
@@ -50,6 +59,24 @@
   }
 }
 
+void SubmissionQueue::ScheduleRefusal() {
+  if (m_refusal_scheduled || m_waiting.empty()) return;
+  m_refusal_scheduled = true;
+  m_refusal_timer = m_loop.AddTimer(m_loop.Now() + kRefusalCheckInterval, [this] {
+    m_refusal_scheduled = false;
+    if (IsRefusing(m_loop.Now())) RefuseWaiting();
+    ScheduleRefusal();
+  });
+}
+
+void SubmissionQueue::RefuseWaiting() {
+  std::deque<Item> waiting;
+  waiting.swap(m_waiting);
+  if (waiting.empty()) return;
+  LogEvent(LogLevel::kWarning, "submissions_refused_unsent", {{"items", waiting.size()}});
+  for (Item& item : waiting) item.callback(AppendOutcome::kNothingDone);
+}
+
 void SubmissionQueue::Flush() {
   if (m_writer.is_busy()) return;
   DropLate();
@@ -79,11 +106,9 @@
   const bool is_known = answer.outcome != AppendOutcome::kUnknown;
   const AppendOutcome outcome = stored || !is_known ? answer.outcome : AppendOutcome::kNothingDone;
   std::vector<Item> sent = std::exchange(m_sent, {});
-  std::deque<Item> waiting;
-  // While the store refuses, those that wait would only be refused one give-up time later.
-  if (!stored) waiting.swap(m_waiting);
   for (Item& item : sent) item.callback(outcome);
-  for (Item& item : waiting) item.callback(AppendOutcome::kNothingDone);
+  // While the store refuses, those that wait would only be refused one give-up time later.
+  if (!stored) RefuseWaiting();
   if (m_writer.failing_since()) {
     Probe();
     return;
--- a/src/control/submission_queue.h
+++ b/src/control/submission_queue.h
@@ -22,7 +22,8 @@
   /// A submission of which nothing can have been stored is refused after this time, while the client can still try
   /// another entry within its deadline (3 s).
   absl::Duration give_up_after = absl::Milliseconds(700);
-  /// Submissions are refused at once while the store has refused appends for this long.
+  /// Submissions are refused at once while the store has refused appends for this long, and so are those that wait for
+  /// their first append by then: nothing of them was sent, and another entry may take them.
   absl::Duration refuse_after_failing = absl::Milliseconds(700);
   /// Nothing waits longer than this for its first append, and no append is repeated for longer: another entry may have
   /// accepted the job again, and its records are removed some time after its end.
@@ -37,6 +38,7 @@
   using Callback = absl::AnyInvocable<void(AppendOutcome)>;
 
   SubmissionQueue(EventLoop& loop, KeyedLog& log, LogWriterOptions writer, const SubmissionQueueOptions& options = {});
+  ~SubmissionQueue();
 
   void Add(std::vector<KeyedRecord> records, Callback callback);
 
@@ -54,6 +56,9 @@
 
   void Flush();
   void DropLate();
+  /// Looks again whether those that wait have to be refused, while any does.
+  void ScheduleRefusal();
+  void RefuseWaiting();
   void OnWritten(const AppendAnswer& answer);
   /// Repeats an append without effect until the store takes it: submissions are refused meanwhile, so none of them
   /// would show that the store is back.
@@ -65,6 +70,8 @@
   std::deque<Item> m_waiting;
   std::vector<Item> m_sent;
   bool m_flush_deferred = false;
+  EventLoop::TimerId m_refusal_timer;
+  bool m_refusal_scheduled = false;
   std::shared_ptr<bool> m_alive;
 };
 
--- a/tests/unit/control/log_writer_test.cc
+++ b/tests/unit/control/log_writer_test.cc
@@ -1,7 +1,10 @@
 #include "control/log_writer.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "control/partition_tail.h"
 #include "control/submission_queue.h"
@@ -61,6 +64,44 @@
   loop.RunSync([&] { queue.reset(); });
 }
 
+// Guards against the answer "outcome unknown" for a submission of which nothing was sent: the store falls silent under
+// load, and everything that arrives behind the append without an answer waits for it beyond the clients' deadline.
+TEST_CASE("submissions behind an append without an answer are refused as not stored", "[log]") {
+  EventLoop loop;
+  MemoryStore store;
+  MemoryKeyedLog log(loop, store);
+  log.faults.is_cut = true;
+  std::optional<AppendOutcome> sent;
+  std::vector<AppendOutcome> waiting;
+  std::unique_ptr<SubmissionQueue> queue;
+  constexpr std::size_t kWaiting = 20;
+  loop.RunSync([&] {
+    queue = std::make_unique<SubmissionQueue>(
+        loop, log, LogWriterOptions{.partition = kPartition, .producer = "p"},
+        SubmissionQueueOptions{.refuse_after_failing = absl::Milliseconds(50), .send_limit = absl::Minutes(1)});
+    queue->Add({{.key = "first", .value = "1"}}, [&](AppendOutcome outcome) { sent = outcome; });
+  });
+  REQUIRE(WaitUntil(loop, absl::Seconds(5), [&] { return log.appends == 1; }));
+  loop.RunSync([&] {
+    for (std::size_t i = 0; i < kWaiting; ++i) {
+      queue->Add({{.key = "later" + std::to_string(i), .value = "1"}},
+                 [&](AppendOutcome outcome) { waiting.push_back(outcome); });
+    }
+  });
+  REQUIRE(WaitUntil(loop, absl::Seconds(10), [&] { return waiting.size() == kWaiting; }));
+  loop.RunSync([&] {
+    CHECK(!sent.has_value());  // it may be stored
+    CHECK(std::count(waiting.begin(), waiting.end(), AppendOutcome::kNothingDone) == kWaiting);
+    log.faults.is_cut = false;
+  });
+  REQUIRE(WaitUntil(loop, absl::Seconds(10), [&] { return sent.has_value(); }));
+  loop.RunSync([&] {
+    CHECK(sent == AppendOutcome::kStored);
+    CHECK(store.Get(kPartition).records.size() == 1);  // none of those that were refused
+    queue.reset();
+  });
+}
+
 // Guards against an append that the store carries out after a submission was given up, and against a queue that takes
 // nothing more after that (issue 28).
 TEST_CASE("an append without an answer is kept from being stored after its limit", "[log]") {
