Test the memory of processes under crowds of large requests

Clients can exhaust the memory of an entry or an agent with bodies of legal size that stall before their end.

--- a/tests/process/platform_cluster.cc
+++ b/tests/process/platform_cluster.cc
@@ -80,6 +80,18 @@
   return "127." + std::to_string(m_addresses.number()) + "." + std::to_string(group) + "." + std::to_string(i + 1);
 }
 
+std::string PlatformCluster::ClientListener(int entry) const {
+  return AddressOf(kEntryGroup, entry) + ":" + kClientPort;
+}
+
+std::string PlatformCluster::ReadinessListener(int entry) const {
+  return AddressOf(kEntryGroup, entry) + ":" + kReadyPort;
+}
+
+std::string PlatformCluster::HeartbeatListener(int agent) const {
+  return AddressOf(kAgentGroup, agent) + ":" + kHeartbeatPort;
+}
+
 std::string PlatformCluster::WriteSettings(const std::string& host, bool is_agent, int i) {
   const std::string address = AddressOf(is_agent ? kAgentGroup : kEntryGroup, i);
   nlohmann::json settings = {{"node", host},
@@ -89,6 +101,7 @@
                              {"port_range", {7720, 7735}},
                              {"platform", {{"addr", m_store->Address()}}},
                              {"bounds", {{"grace_s", 6}, {"hold_max_ms", m_options.hold_max_ms}}}};
+  if (m_options.memory_mb > 0) settings["limits"] = {{"memory_mb", m_options.memory_mb}};
   if (is_agent) {
     settings["listen"] = {{"control", address + ":" + kHeartbeatPort}};
     settings["app"] = address + ":" + std::to_string(kWorkerPort);
--- a/tests/process/platform_cluster.h
+++ b/tests/process/platform_cluster.h
@@ -19,6 +19,7 @@
   int hold_max_ms = 6000;   ///< longest lease of a worker
   int worker_clock_ms = 0;  ///< clocks of the workers at their start
   int attempts = 2;         ///< failed runs of a task after which its job has failed
+  int memory_mb = 0;        ///< memory of each host in its settings; 0 leaves it out
 };
 
 /// Entries and agents as on the shared platform, with stand-ins for its store and workers, on an address range of their
@@ -35,6 +36,11 @@
   Standin& store() { return *m_store; }
   Standin& worker(int i) { return *m_workers[static_cast<std::size_t>(i)]; }
 
+  /// Address and port of listeners, "IP:PORT".
+  std::string ClientListener(int entry) const;
+  std::string ReadinessListener(int entry) const;
+  std::string HeartbeatListener(int agent) const;
+
   /// Events of this name that an entry has logged.
   int LoggedByEntry(int i, const std::string& event) const;
 
