Bound the memory that requests of web listeners use

Each connection could buffer a body of the greatest size, and stalled peers held their memory and their places for up to 90 s.

RequestMemory accounts for header blocks, bodies and responses by connection and address, and names the connections to close when the budget or the places of a listener are used up; dispatched requests are never named. WebServer closes what it names and rejects with 503, Retry-After and not-run. Bodies over the limit are freed when the discarding begins, and the receipt of a body has a time-out of its own. Without a RequestMemory listeners behave as before.

Tested: all tests of web_test, the former ones unchanged.

--- a/src/web/connection_acceptor.cc
+++ b/src/web/connection_acceptor.cc
@@ -111,7 +111,7 @@
     const std::string address = IpAddressOf(peer.get());
     if (!Admit(address)) {
       close(socket);
-    } else if (!m_on_connection(socket, peer)) {
+    } else if (!m_on_connection(socket, peer, IsOverLimit())) {
       Release(address);
     }
   }
@@ -128,7 +128,12 @@
 
 bool ConnectionAcceptor::IsFull() const {
   const std::lock_guard lock(m_mutex);
-  return m_connections >= m_limits.connections;
+  return m_connections >= m_limits.connections + m_limits.replacements;
+}
+
+bool ConnectionAcceptor::IsOverLimit() const {
+  const std::lock_guard lock(m_mutex);
+  return m_connections > m_limits.connections;
 }
 
 void ConnectionAcceptor::Wake() const {
--- a/src/web/connection_acceptor.h
+++ b/src/web/connection_acceptor.h
@@ -14,6 +14,7 @@
 /// Limits on the connections of a listener.
 struct AcceptorLimits {
   int connections = 1;           ///< further ones wait in the queue of the operating system
+  int replacements = 0;          ///< accepted all the same, each in place of one that is closed for it
   int connections_per_peer = 0;  ///< further ones are closed at once; 0 means no limit
 };
 
@@ -23,8 +24,9 @@
 /// removes the listening socket from its epoll set at the same time ("Failed to remove listen FD from epoll set").
 class ConnectionAcceptor {
  public:
-  /// Takes over the socket; returns false if it has closed it instead. Called on the acceptor's thread.
-  using OnConnection = std::function<bool(int socket, const ListenerAddress& peer)>;
+  /// Takes over the socket; returns false if it has closed it instead. `is_replacement` means that there are more
+  /// connections than the limit. Called on the acceptor's thread.
+  using OnConnection = std::function<bool(int socket, const ListenerAddress& peer, bool is_replacement)>;
 
   ConnectionAcceptor() = default;
   ~ConnectionAcceptor();
@@ -47,6 +49,7 @@
   void AcceptWaiting();
   bool Admit(const std::string& peer);
   bool IsFull() const;
+  bool IsOverLimit() const;
   void Wake() const;
 
   AcceptorLimits m_limits;
--- a/src/web/microhttpd_server.cc
+++ b/src/web/microhttpd_server.cc
@@ -4,6 +4,7 @@
 #include <absl/strings/match.h>
 #include <microhttpd.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -32,14 +33,34 @@
 /// Connections for which each thread of the library has room, as a multiple of those that the acceptor admits. The
 /// library divides its limit among its threads, and one thread can receive all connections. It still counts a closed
 /// connection for a moment after it has notified this server, when the acceptor can admit another one in its place. At
-/// worst, all connections of a thread have been replaced before the first of them is no longer counted.
-constexpr std::intptr_t kLibraryLimitFactor = 2;
+/// worst, all connections of a thread have been replaced before the first of them is no longer counted; the acceptor's
+/// replacements add to that.
+constexpr std::intptr_t kLibraryLimitFactor = 3;
 
 /// Interval at which overdue transfers are looked for.
 constexpr std::chrono::milliseconds kOverdueCheckInterval{250};
 
 constexpr std::chrono::steady_clock::time_point kNoDeadline = std::chrono::steady_clock::time_point::max();
 
+/// Memory of a connection beside its header block: the library's and this server's own structures, about 2 KB.
+constexpr std::size_t kConnectionBytes = 4096;
+
+/// The body exists twice while a request is decoded and queued.
+constexpr std::size_t kBodyCopies = 2;
+
+/// First allocation for a body of unknown length; most bodies of jobs fit.
+constexpr std::size_t kFirstBodyCapacity = 4096;
+
+/// Connections accepted beyond the limit while others are closed for them, as a part of the limit.
+constexpr int kReplacementDivisor = 8;
+
+/// Longest wait of a new connection for others that are being closed; the library takes a few milliseconds for that.
+constexpr std::chrono::milliseconds kClosingWait{200};
+/// Connections of other listeners are closed without a notification here.
+constexpr std::chrono::milliseconds kClosingCheckInterval{5};
+
+constexpr const char* kRetryAfterSeconds = "1";
+
 constexpr int kContentTooLarge = 413;
 constexpr int kUriTooLong = 414;
 constexpr int kHeaderFieldsTooLarge = 431;
@@ -123,6 +144,29 @@
   (void)send(socket, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
 }
 
+WebResponse MemoryRejection() {
+  WebResponse response = JsonErrorResponse(
+      {.code = FailureCode::kOverloaded, .message = "the memory for requests is used up", .field = {}});
+  response.headers.emplace_back("Retry-After", kRetryAfterSeconds);
+  return response;
+}
+
+/// Allocation for a body of at least `needed` bytes; a declared length is allocated as a whole, so that nothing is
+/// copied as the body grows.
+std::size_t BodyCapacity(std::size_t present, std::size_t needed, std::size_t declared, std::size_t limit) {
+  if (needed <= present) return present;
+  if (needed <= declared) return declared;
+  return std::max({needed, std::min(2 * present, limit), std::min(kFirstBodyCapacity, limit)});
+}
+
+/// Unlike std::string::reserve, allocates no more than `capacity`.
+void Grow(std::string& body, std::size_t capacity) {
+  std::string grown;
+  grown.reserve(capacity);
+  grown.append(body);
+  body = std::move(grown);
+}
+
 }  // namespace
 
 /// Functions in the form that libmicrohttpd calls; the closure is the server.
@@ -187,14 +231,13 @@
 
   constexpr unsigned int kFlags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG |
                                   MHD_USE_NO_LISTEN_SOCKET | MHD_USE_ITC;
-  const std::size_t head_block = kHeadBlockFactor * (options.max_url_bytes + options.max_header_bytes);
   // The acceptor enforces the limits on connections; the library's own limit must never refuse what the acceptor has
   // admitted.
   const std::intptr_t library_limit = kLibraryLimitFactor * options.max_connections * options.threads;
   std::vector<MHD_OptionItem> items = {
       {MHD_OPTION_CONNECTION_LIMIT, library_limit, nullptr},
       {MHD_OPTION_CONNECTION_TIMEOUT, options.idle_timeout_s, nullptr},
-      {MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::intptr_t>(head_block), nullptr},
+      {MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::intptr_t>(HeadBlockBytes()), nullptr},
   };
   if (options.threads > 1) items.push_back({MHD_OPTION_THREAD_POOL_SIZE, options.threads, nullptr});
   items.push_back({MHD_OPTION_END, 0, nullptr});
@@ -206,14 +249,18 @@
                               MHD_OPTION_UNESCAPE_CALLBACK, &MicrohttpdCallbacks::KeepEscapes, nullptr,  //
                               MHD_OPTION_ARRAY, items.data(), MHD_OPTION_END);
   if (m_daemon == nullptr) return NotRun(FailureCode::kUnavailable, "the listener's threads cannot be started");
-  const AcceptorLimits limits{.connections = options.max_connections,
-                              .connections_per_peer = options.max_connections_per_peer};
-  Result<int> port =
-      m_acceptor.Start(options.address, options.port, limits, [this](int socket, const ListenerAddress& peer) {
-        // The library closes the socket itself if it cannot take it.
-        return MHD_add_connection(m_daemon, socket, peer.get(), peer.size) == MHD_YES;
-      });
+  AcceptorLimits limits{.connections = options.max_connections,
+                        .connections_per_peer = options.max_connections_per_peer};
+  if (options.memory) {
+    limits.replacements = 1 + options.max_connections / kReplacementDivisor;
+    options.memory->AddListener(*this);
+  }
+  Result<int> port = m_acceptor.Start(options.address, options.port, limits,
+                                      [this](int socket, const ListenerAddress& peer, bool is_replacement) {
+                                        return TakeOver(socket, peer, is_replacement);
+                                      });
   if (!port) {
+    if (options.memory) options.memory->RemoveListener(*this);
     MHD_stop_daemon(std::exchange(m_daemon, nullptr));
     return port;
   }
@@ -246,6 +293,87 @@
   MHD_stop_daemon(m_daemon);
   m_daemon = nullptr;
   m_overdue_thread.join();
+  if (!m_options.memory) return;
+  m_options.memory->RemoveListener(*this);
+  for (const auto& [socket, id] : std::exchange(m_admitted, {})) m_options.memory->Remove(id);
+}
+
+bool MicrohttpdServer::TakeOver(int socket, const ListenerAddress& peer, bool is_replacement) {
+  ConnectionId id = 0;
+  if (m_options.memory) {
+    const std::optional<ConnectionId> opened = OpenInMemory(IpAddressOf(peer.get()), is_replacement);
+    if (!opened) {
+      SendRefusal(socket, MemoryRejection());
+      close(socket);
+      return false;
+    }
+    id = *opened;
+    const std::lock_guard lock(m_mutex);
+    m_admitted[socket] = id;
+  }
+  // The library closes the socket itself if it cannot take it.
+  if (MHD_add_connection(m_daemon, socket, peer.get(), peer.size) == MHD_YES) return true;
+  if (m_options.memory) {
+    const std::lock_guard lock(m_mutex);
+    m_admitted.erase(socket);
+    m_options.memory->Remove(id);
+  }
+  return false;
+}
+
+std::optional<ConnectionId> MicrohttpdServer::OpenInMemory(const std::string& peer, bool is_replacement) {
+  const auto limit = std::chrono::steady_clock::now() + kClosingWait;
+  while (true) {
+    const RequestMemory::Decision decision =
+        m_options.memory->Open(*this, peer, HeadBlockBytes() + kConnectionBytes, is_replacement, m_clock.Now());
+    CarryOut(decision);
+    if (decision.granted) return decision.connection;
+    if (!decision.retry) return std::nullopt;
+    if (std::chrono::steady_clock::now() > limit) {
+      CarryOut(m_options.memory->Reject(peer, m_clock.Now()));
+      return std::nullopt;
+    }
+    std::unique_lock lock(m_mutex);
+    m_connection_closed.wait_for(lock, kClosingCheckInterval);
+  }
+}
+
+void MicrohttpdServer::CarryOut(const RequestMemory::Decision& decision) {
+  m_options.memory->Close(decision.named);
+  if (!decision.report) return;
+  LogEvent(LogLevel::kWarning, "request_memory_used_up",
+           {{"closed", decision.report->closed},
+            {"rejected", decision.report->rejected},
+            {"used_bytes", decision.report->used_bytes},
+            {"budget_bytes", m_options.memory->budget_bytes()},
+            {"peer", decision.report->peer}});
+}
+
+void MicrohttpdServer::CloseForMemory(const std::vector<ConnectionId>& connections) {
+  const std::lock_guard lock(m_mutex);
+  for (const ConnectionId id : connections) {
+    const auto it = m_connections_by_id.find(id);
+    if (it == m_connections_by_id.end()) continue;
+    WebConnection& state = *it->second;
+    const std::lock_guard body_lock(state.body_mutex);
+    state.closed_for_memory = true;
+    std::string().swap(state.request.body);
+    if (state.receives_body) SendRefusal(state.socket, MemoryRejection());
+    // The library notifies this server before it closes a socket, so the number cannot belong to another one.
+    shutdown(state.socket, SHUT_RDWR);
+  }
+}
+
+bool MicrohttpdServer::ReserveBody(const WebConnection& state, std::size_t capacity) {
+  if (!m_options.memory) return true;
+  const RequestMemory::Decision decision =
+      m_options.memory->ReserveBody(state.id, kBodyCopies * capacity, m_clock.Now());
+  CarryOut(decision);
+  return decision.granted;
+}
+
+std::size_t MicrohttpdServer::HeadBlockBytes() const {
+  return kHeadBlockFactor * (m_options.max_url_bytes + m_options.max_header_bytes);
 }
 
 void MicrohttpdServer::OnOpen(MHD_Connection* connection, void** context) {
@@ -257,6 +385,12 @@
       std::chrono::steady_clock::now() + std::chrono::seconds(m_options.idle_timeout_s + m_options.transfer_timeout_s);
   *context = state.get();
   const std::lock_guard lock(m_mutex);
+  if (const auto admitted = m_admitted.extract(state->socket)) {
+    state->id = admitted.mapped();
+    m_connections_by_id.emplace(state->id, state.get());
+    // Named before it could be found here. What is named from now on is found.
+    if (m_options.memory->IsNamed(state->id)) shutdown(state->socket, SHUT_RDWR);
+  }
   m_connections.emplace(state.get(), std::move(state));
 }
 
@@ -265,8 +399,15 @@
   if (state == nullptr) return;
   OnCompleted(*state);
   m_acceptor.Release(state->peer);
-  const std::lock_guard lock(m_mutex);
-  m_connections.erase(state);
+  const ConnectionId id = state->id;
+  {
+    const std::lock_guard lock(m_mutex);
+    m_connections_by_id.erase(id);
+    m_connections.erase(state);
+  }
+  if (!m_options.memory) return;
+  m_options.memory->Remove(id);
+  m_connection_closed.notify_all();
 }
 
 bool MicrohttpdServer::OnAccess(MHD_Connection* connection, WebConnection& state, const char* method,
@@ -278,9 +419,15 @@
   }
   if (!state.dispatched) {
     SetDeadline(state, std::nullopt);
+    {
+      const std::lock_guard lock(state.body_mutex);
+      state.receives_body = false;
+    }
     if (state.discarded_bytes > 0) {
       state.close_after_answer = true;
       state.exchange->Answer(JsonErrorResponse(TooLargeBody(m_options.max_body_bytes), kContentTooLarge));
+    } else if (m_options.memory && !m_options.memory->BeginDispatch(state.id)) {
+      return false;
     } else {
       Dispatch(state);
     }
@@ -343,15 +490,37 @@
   // The library is lenient about chunk lines and trailers as well. Nothing that follows a chunked body is read as
   // another request, so that a different reading by a proxy has no effect.
   state.close_after_answer = !request.Header("transfer-encoding").empty();
-  SetDeadline(state, std::chrono::seconds(m_options.transfer_timeout_s));
-  return true;
+  state.declared_bytes = too_large ? 0 : declared;
+  const int timeout_s = m_options.body_timeout_s > 0 ? m_options.body_timeout_s : m_options.transfer_timeout_s;
+  SetDeadline(state, std::chrono::seconds(timeout_s));
+  const std::lock_guard lock(state.body_mutex);
+  state.receives_body = declared > 0 || state.close_after_answer;
+  return !state.closed_for_memory;
 }
 
 bool MicrohttpdServer::OnBody(WebConnection& state, const char* data, std::size_t size) {
   std::string& body = state.request.body;
-  if (state.discarded_bytes == 0 && size <= m_options.max_body_bytes - body.size()) {
-    body.append(data, size);
-    return true;
+  std::size_t capacity = 0;
+  {
+    const std::lock_guard lock(state.body_mutex);
+    if (state.closed_for_memory) return false;
+    if (state.discarded_bytes > 0 || size > m_options.max_body_bytes - body.size()) return DiscardBody(state, size);
+    const std::size_t present = body.empty() ? 0 : body.capacity();
+    capacity = BodyCapacity(present, body.size() + size, state.declared_bytes, m_options.max_body_bytes);
+  }
+  // Without the lock, because other connections may be closed for this one, and this one for others at the same time.
+  if (!ReserveBody(state, capacity)) return false;
+  const std::lock_guard lock(state.body_mutex);
+  if (state.closed_for_memory) return false;
+  if (capacity > body.capacity()) Grow(body, capacity);
+  body.append(data, size);
+  return true;
+}
+
+bool MicrohttpdServer::DiscardBody(WebConnection& state, std::size_t size) {
+  if (state.discarded_bytes == 0) {
+    std::string().swap(state.request.body);
+    if (m_options.memory) m_options.memory->ReleaseBody(state.id);
   }
   state.discarded_bytes += size;
   if (state.discarded_bytes <= kMaxDiscardedBytes) return true;
@@ -375,6 +544,7 @@
     response = Unanswered(FailureCode::kInternal, "the handler returned an invalid status");
   }
   const int status = response.status;
+  if (m_options.memory) m_options.memory->AddResponse(state.id, response.body.size());
   MHD_Response* answer = MakeResponse(response);
   if (answer == nullptr) return false;
   for (const auto& [name, value] : response.headers) {
@@ -413,11 +583,17 @@
   const std::lock_guard lock(m_mutex);
   m_exchanges.erase(state.exchange);
   state.exchange.reset();
-  state.request = WebRequest();
+  {
+    const std::lock_guard body_lock(state.body_mutex);
+    state.request = WebRequest();
+    state.receives_body = false;
+  }
   state.target.clear();
   state.dispatched = false;
   state.close_after_answer = false;
   state.discarded_bytes = 0;
+  state.declared_bytes = 0;
+  if (m_options.memory) m_options.memory->EndRequest(state.id, m_clock.Now());
   state.deadline =
       std::chrono::steady_clock::now() + std::chrono::seconds(m_options.idle_timeout_s + m_options.transfer_timeout_s);
 }
--- a/src/web/microhttpd_server.h
+++ b/src/web/microhttpd_server.h
@@ -9,8 +9,12 @@
 #include <thread>
 #include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
+#include "base/clock.h"
 #include "web/connection_acceptor.h"
+#include "web/connection_closer.h"
+#include "web/request_memory.h"
 #include "web/web_connection.h"
 #include "web/web_server.h"
 
@@ -22,7 +26,7 @@
 struct MicrohttpdCallbacks;
 
 /// `WebServer` on libmicrohttpd: a pool of threads, each with its own epoll set, and an acceptor.
-class MicrohttpdServer final : public WebServer {
+class MicrohttpdServer final : public WebServer, public ConnectionCloser {
  public:
   MicrohttpdServer() = default;
   ~MicrohttpdServer() override;
@@ -33,10 +37,20 @@
   void BeginShutdown() override;
   int OpenRequests() const override;
   void Stop() override;
+  void CloseForMemory(const std::vector<ConnectionId>& connections) override;
 
  private:
   friend struct MicrohttpdCallbacks;
 
+  /// Passes an accepted socket to the library, unless there is no memory for it.
+  bool TakeOver(int socket, const ListenerAddress& peer, bool is_replacement);
+  std::optional<ConnectionId> OpenInMemory(const std::string& peer, bool is_replacement);
+  /// Closes what was named and logs the report.
+  void CarryOut(const RequestMemory::Decision& decision);
+  /// False if the connection is to be closed.
+  bool ReserveBody(const WebConnection& state, std::size_t capacity);
+  std::size_t HeadBlockBytes() const;
+
   void OnOpen(MHD_Connection* connection, void** context);
   void OnClose(void** context);
   /// Processes a step of a request; false closes the connection at once.
@@ -46,6 +60,7 @@
 
   bool OnHead(MHD_Connection* connection, WebConnection& state, const char* method, const char* version);
   bool OnBody(WebConnection& state, const char* data, std::size_t size);
+  bool DiscardBody(WebConnection& state, std::size_t size);
   void Dispatch(WebConnection& state);
   bool Queue(MHD_Connection* connection, WebConnection& state, WebResponse response);
   bool Refuse(MHD_Connection* connection, WebConnection& state, int status, const Failure& failure);
@@ -55,6 +70,7 @@
 
   WebServerOptions m_options;
   Handler m_handler;
+  SystemClock m_clock;
   ConnectionAcceptor m_acceptor;
   MHD_Daemon* m_daemon = nullptr;
   std::atomic<bool> m_shutting_down{false};
@@ -62,7 +78,10 @@
   mutable std::mutex m_mutex;
   std::condition_variable m_stop_changed;
   bool m_stopping = false;
+  std::condition_variable m_connection_closed;
   std::unordered_map<WebConnection*, std::unique_ptr<WebConnection>> m_connections;
+  std::unordered_map<ConnectionId, WebConnection*> m_connections_by_id;
+  std::unordered_map<int, ConnectionId> m_admitted;  ///< by socket, until the library reports the connection
   std::unordered_set<std::shared_ptr<WebExchange>> m_exchanges;
   std::thread m_overdue_thread;
 };
--- a/src/web/web_server.h
+++ b/src/web/web_server.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/failure.h"
+#include "web/request_memory.h"
 
 namespace berylgauge {
 
@@ -47,6 +48,10 @@
   int idle_timeout_s = 30;  ///< longest silence of a peer
   /// Longest time for the header, for the body and for taking the answer; cuts off peers that send a byte now and then.
   int transfer_timeout_s = 60;
+  int body_timeout_s = 0;  ///< longest time for the body; 0 means `transfer_timeout_s`
+  /// Shared by the listeners of a process. Null means that memory is limited by the number of connections only and that
+  /// further connections wait; otherwise connections are closed when memory or places are used up.
+  std::shared_ptr<RequestMemory> memory;
 };
 
 /// Listens for HTTP/1.1 requests of callers, endpoints or operators.
