--- a/tests/unit/platform/decode_test.cc
+++ b/tests/unit/platform/decode_test.cc
@@ -184,6 +184,8 @@
   CHECK(settings->role == PlatformRole::kAgent);
   CHECK(settings->internal_port == 7);
   CHECK(settings->store.ToString() == "10.0.0.2:5");
+  CHECK(settings->memory_mb == 0);
+  CHECK(settings->max_descriptors == 0);
   CHECK(!ParsePlatformSettings("{}"));
   CHECK(!ParsePlatformSettings("x"));
 }
--- a/tests/unit/platform/process_parts_test.cc
+++ b/tests/unit/platform/process_parts_test.cc
@@ -20,5 +20,28 @@
   CHECK(MakeSchedulerOptions(settings).retention == row.retention);
 }
 
+struct MemoryRow {
+  const char* limits;
+  std::size_t budget;
+};
+
+// Guards against requests that may fill the memory of a host, and against a budget that refuses each request because
+// the platform sends no limit or an odd one.
+TEST_CASE("requests get a quarter of the host's memory", "[process]") {
+  const MemoryRow row =
+      GENERATE(MemoryRow{"{}", 64'000'000}, MemoryRow{R"({"memory_mb":160})", 40'000'000},
+               MemoryRow{R"({"memory_mb":512})", 128'000'000}, MemoryRow{R"({"memory_mb":1})", 4'000'000},
+               MemoryRow{R"({"memory_mb":-1})", 64'000'000}, MemoryRow{R"({"memory_mb":"160"})", 64'000'000});
+  CAPTURE(row.limits);
+  const Result<PlatformSettings> settings = ParsePlatformSettings(
+      std::string(
+          R"({"node":"e","ip":"10.0.0.1","serves":["edge"],"listen":{"front":"10.0.0.1:81","ready":"10.0.0.1:82"},)"
+          R"("port_range":[7,9],"platform":{"addr":"10.0.0.2:5"},"limits":)") +
+      row.limits + "}");
+  REQUIRE(settings.has_value());
+  MetricsRegistry metrics;
+  CHECK(MakeRequestMemory(*settings, metrics)->budget_bytes() == row.budget);
+}
+
 }  // namespace
 }  // namespace berylgauge::platform
