Add settings for the request memory of the plain installation

entry.request_memory_mb (512) and agent.request_memory_mb (64) bound the memory of the callers', operators' and local listeners. The entry's value must be at least 4 times max_request_bytes, so that a single large request fits.

--- a/src/daemon/agent/agent_node.cc
+++ b/src/daemon/agent/agent_node.cc
@@ -69,13 +69,15 @@
                         });
   if (!internal_port) return tl::make_unexpected(internal_port.error());
 
+  m_request_memory = std::make_shared<RequestMemory>(agent.request_memory_bytes, &m_metrics);
   m_local = MakeWebServer();
   const Result<int> local_port = m_local->Start(
       {.address = agent.local.address,
        .port = agent.local.port,
        .threads = 1,
        .max_connections = 100,
-       .max_body_bytes = kMaxAnnouncementBytes},
+       .max_body_bytes = kMaxAnnouncementBytes,
+       .memory = m_request_memory},
       [this](const WebRequest& request, const WebServer::Responder& responder) { HandleLocal(request, responder); });
   if (!local_port) return tl::make_unexpected(local_port.error());
 
--- a/src/daemon/agent/agent_node.h
+++ b/src/daemon/agent/agent_node.h
@@ -41,6 +41,7 @@
   const DaemonSettings m_settings;
   const SystemClock m_clock;
   MetricsRegistry m_metrics;
+  std::shared_ptr<RequestMemory> m_request_memory;
   HttpClient m_worker_http;
   HttpClient m_endpoint_http;
   std::unique_ptr<WorkerClient> m_worker;
--- a/src/daemon/entry/entry_node.cc
+++ b/src/daemon/entry/entry_node.cc
@@ -57,6 +57,7 @@
       m_entry(settings.node_id),
       m_incarnation(RandomIncarnation()),
       m_started(m_clock.Now()),
+      m_request_memory(std::make_shared<RequestMemory>(settings.entry->request_memory_bytes, &m_metrics)),
       m_log(std::make_unique<HttpLogClient>(m_log_http, AuthorityOf(settings.entry->log_url))),
       m_loop("entry-clients"),
       m_agents(StreamClientFactory(m_loop, &m_metrics)),
@@ -171,11 +172,14 @@
   m_operator_api = std::make_unique<OperatorApi>(context, std::move(*token),
                                                  HealthHandler(m_metrics, [this] { return WhyNotReady(); }));
   m_operators = MakeWebServer();
-  const Result<int> port = m_operators->Start(
-      {.address = entry.operators.address, .port = entry.operators.port, .threads = 1, .max_connections = 200},
-      [this](WebRequest request, const WebServer::Responder& responder) {
-        m_operator_api->Handle(std::move(request), responder);
-      });
+  const Result<int> port = m_operators->Start({.address = entry.operators.address,
+                                               .port = entry.operators.port,
+                                               .threads = 1,
+                                               .max_connections = 200,
+                                               .memory = m_request_memory},
+                                              [this](WebRequest request, const WebServer::Responder& responder) {
+                                                m_operator_api->Handle(std::move(request), responder);
+                                              });
   if (!port) return tl::make_unexpected(port.error());
   return {};
 }
@@ -186,7 +190,8 @@
   const Result<int> port = m_callers->Start({.address = entry.callers.address,
                                              .port = entry.callers.port,
                                              .max_connections = entry.max_callers_connections,
-                                             .max_body_bytes = entry.max_request_bytes},
+                                             .max_body_bytes = entry.max_request_bytes,
+                                             .memory = m_request_memory},
                                             [this](WebRequest request, const WebServer::Responder& responder) {
                                               m_router.Handle(std::move(request), responder);
                                             });
--- a/src/daemon/entry/entry_node.h
+++ b/src/daemon/entry/entry_node.h
@@ -64,6 +64,7 @@
   const SystemClock m_clock;
   const MonotonicTime m_started;
   MetricsRegistry m_metrics;
+  std::shared_ptr<RequestMemory> m_request_memory;
   HttpClient m_log_http;
   std::unique_ptr<LogClient> m_log;
   EventLoop m_loop;
--- a/src/settings/agent_settings.h
+++ b/src/settings/agent_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -19,6 +20,7 @@
   std::vector<IpPort> entries;  ///< internal listeners of entries; one that is reachable suffices
   std::int64_t reserve_cpu_millis = 0;
   std::int64_t reserve_memory_mb = 0;
+  std::size_t request_memory_bytes = 0;  ///< for the connections and requests of endpoints
 };
 
 }  // namespace berylgauge
--- a/src/settings/entry_settings.h
+++ b/src/settings/entry_settings.h
@@ -19,6 +19,7 @@
   int job_shares = 0;
   std::size_t max_request_bytes = 0;
   int max_callers_connections = 0;
+  std::size_t request_memory_bytes = 0;  ///< for the connections and requests of callers and operators
   absl::Duration request_timeout;
   int retry_budget_percent = 0;
 };
--- a/src/settings/settings_reader.cc
+++ b/src/settings/settings_reader.cc
@@ -19,6 +19,11 @@
 /// An agent whose heartbeats are late once or twice is not silent yet.
 constexpr int kHeartbeatsBeforeSilent = 3;
 
+/// A body exists twice while it is decoded; the rest is for other connections.
+constexpr std::size_t kRequestsInMemory = 4;
+
+constexpr std::size_t kBytesPerMb = 1'000'000;
+
 std::string MillisecondsText(absl::Duration duration) { return std::to_string(absl::ToInt64Milliseconds(duration)); }
 
 TimingSettings ReadTiming(SettingsSection section) {
@@ -84,11 +89,18 @@
           section.Integer("max_request_bytes", {.default_value = 1048576, .min = 1024, .max = 67108864})),
       .max_callers_connections = static_cast<int>(
           section.Integer("max_callers_connections", {.default_value = 1000, .min = 1, .max = 100000})),
+      .request_memory_bytes =
+          kBytesPerMb * static_cast<std::size_t>(
+                            section.Integer("request_memory_mb", {.default_value = 512, .min = 16, .max = 1000000})),
       .request_timeout = section.Milliseconds("request_timeout_ms", {.default_value = 10000, .min = 10, .max = 600000}),
       .retry_budget_percent =
           static_cast<int>(section.Integer("retry_budget_percent", {.default_value = 10, .min = 0, .max = 100})),
   };
   CheckListeners(section, {{"callers", entry.callers}, {"operators", entry.operators}, {"internal", entry.internal}});
+  if (entry.request_memory_bytes < kRequestsInMemory * entry.max_request_bytes) {
+    section.AddError("request_memory_mb",
+                     "must be at least 4 times max_request_bytes, else large requests are never served");
+  }
   if (entry.request_timeout > timing.shutdown_limit) {
     section.AddError("request_timeout_ms",
                      "is " + MillisecondsText(entry.request_timeout) + ", must be at most shutdown_limit_ms (" +
@@ -108,6 +120,8 @@
       .entries = section.IpPorts("entries", kMaxEntries),
       .reserve_cpu_millis = section.Integer("reserve_cpu_millis", {.default_value = 100, .min = 0, .max = 1000000}),
       .reserve_memory_mb = section.Integer("reserve_memory_mb", {.default_value = 256, .min = 0, .max = 10000000}),
+      .request_memory_bytes = kBytesPerMb * static_cast<std::size_t>(section.Integer(
+                                                "request_memory_mb", {.default_value = 64, .min = 16, .max = 1000000})),
   };
   CheckListeners(section, {{"local", agent.local}, {"internal", agent.internal}});
   for (const IpPort& entry : agent.entries) {
--- a/tests/unit/settings/settings_test.cc
+++ b/tests/unit/settings/settings_test.cc
@@ -90,12 +90,14 @@
   CHECK(entry.entry.value().job_shares == 8);
   CHECK(entry.entry->callers.ToString() == "127.0.0.1:8080");
   CHECK(entry.entry->internal.ToString() == "127.0.0.1:8082");
+  CHECK(entry.entry->request_memory_bytes == 512'000'000);
 
   const DaemonSettings agent = ParseSettings(AgentDocument().dump(), errors);
   CHECK(errors.ToFailure().message.empty());
   CHECK(agent.role == DaemonRole::kAgent);
   CHECK_FALSE(agent.entry.has_value());
   CHECK(agent.agent.value().worker_id.value() == "w1");
+  CHECK(agent.agent->request_memory_bytes == 64'000'000);
   CHECK(agent.agent->entries == std::vector<IpPort>{{.address = "127.0.0.1", .port = 8082}});
 }
 
@@ -123,6 +125,13 @@
       {"entry", R"({"/agent": {}})", {"$.agent"}},
       {"entry", R"({"/agent": 5})", {"$.agent", "$.agent"}},
       {"agent", R"({"/entry": {"callers_port": 1}})", {"$.entry"}},
+      // Memory for requests: ranges, contradictions.
+      {"agent", R"({"/agent/request_memory_mb": 15})", {"$.agent.request_memory_mb"}},
+      {"entry", R"({"/entry/request_memory_mb": 1000001})", {"$.entry.request_memory_mb"}},
+      {"entry",
+       R"({"/entry/request_memory_mb": 16, "/entry/max_request_bytes": 4000001})",
+       {"$.entry.request_memory_mb"}},
+      {"entry", R"({"/entry/request_memory_mb": 16, "/entry/max_request_bytes": 4000000})", {}},
       // Timing: types, ranges, contradictions.
       {"entry", R"({"/timing": []})", {"$.timing"}},
       {"entry", R"({"/timing/heartbeat": 500})", {"$.timing.heartbeat"}},
