Do not wait for memory during a shutdown

The acceptor hands over what the operating system has accepted before it stops, and waited up to 200 ms for each of these connections while many were being closed. Tested: web_test.

--- a/src/web/microhttpd_server.cc
+++ b/src/web/microhttpd_server.cc
@@ -329,7 +329,8 @@
     CarryOut(decision);
     if (decision.granted) return decision.connection;
     if (!decision.retry) return std::nullopt;
-    if (std::chrono::steady_clock::now() > limit) {
+    // During a shutdown the acceptor must not be held up by each connection that waits.
+    if (m_shutting_down || std::chrono::steady_clock::now() > limit) {
       CarryOut(m_options.memory->Reject(peer, m_clock.Now()));
       return std::nullopt;
     }
