Place tasks that prefer a rack by the locality policy

Cause: tasks were placed far although near capacity was due within the time that this costs, and near although the worker there was slower than a far one. Change: PlaceTask and PlaceGang ask LocalityPolicy; ScheduleRetry sees to a call at the end of the wait and when the bound of a job without a run begins to hold. PlaceTask returns true for a task that waits, so that its search does not count as one that found no worker. PlaceWaiting empties the outlooks of the former pass. run_placed reports the decision, placement_delayed the begin of a wait; counters for near, far and delayed placements.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -65,6 +65,9 @@
     {"kind=\"trial\"", &workflow::SchedulerCounts::trials},
     {"kind=\"readmission\"", &workflow::SchedulerCounts::readmissions},
     {"kind=\"move\"", &workflow::SchedulerCounts::moves},
+    {"kind=\"placed-near\"", &workflow::SchedulerCounts::near_placements},
+    {"kind=\"placed-far\"", &workflow::SchedulerCounts::far_placements},
+    {"kind=\"placement-delayed\"", &workflow::SchedulerCounts::delayed_placements},
     {"kind=\"job-done\"", &workflow::SchedulerCounts::jobs_done},
     {"kind=\"job-failed\"", &workflow::SchedulerCounts::jobs_failed},
 };
--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -30,7 +30,8 @@
     : m_options(options),
       m_claimed_at(now),
       m_quarantine(options.quarantine),
-      m_policy(m_interference, options.placement) {}
+      m_policy(m_interference, options.placement),
+      m_locality(options.locality) {}
 
 void Scheduler::SetLimits(PlacementLimits limits) {
   m_limits = std::move(limits);
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -18,9 +18,12 @@
 #include "schedule/worker_quarantine.h"
 #include "workflow/interference_model.h"
 #include "workflow/job_index.h"
+#include "workflow/locality_history.h"
+#include "workflow/locality_policy.h"
 #include "workflow/orders.h"
 #include "workflow/placement_policy.h"
 #include "workflow/quarantine_filter.h"
+#include "workflow/rack_outlook.h"
 #include "workflow/readmission_reason.h"
 #include "workflow/run_loss.h"
 #include "workflow/worker_pool.h"
@@ -84,6 +87,7 @@
   /// in one call, because one record more may follow.
   std::size_t max_batch_bytes = std::size_t{1} << 20;
   PlacementOptions placement;
+  LocalityPolicyOptions locality;
 };
 
 /// Counters of decisions, for metrics.
@@ -101,6 +105,10 @@
   std::uint64_t trials = 0;        ///< runs placed on workers that are out
   std::uint64_t readmissions = 0;  ///< workers let back in
   std::uint64_t moves = 0;         ///< filling tasks stopped to run faster elsewhere
+  /// Runs of tasks that prefer a rack, by where they were placed, and those among them that waited for it.
+  std::uint64_t near_placements = 0;
+  std::uint64_t far_placements = 0;
+  std::uint64_t delayed_placements = 0;
   std::uint64_t jobs_done = 0;
   std::uint64_t jobs_failed = 0;
 };
@@ -248,9 +256,53 @@
     QuarantineAccess access = QuarantineAccess::kNone;
   };
   void PlaceTasks(WorkflowStep& step, QuarantineFilter& filter, std::vector<FailedSearch>& failed, MonotonicTime now);
-  /// Returns false if no worker takes the task.
+  /// Returns false if no worker has room for the task; true if it was placed, or waits for room near its data although
+  /// another worker has some.
   bool PlaceTask(WorkflowStep& step, int index, QuarantineAccess access, QuarantineFilter& filter, MonotonicTime now);
   bool PlaceGang(WorkflowStep& step, QuarantineAccess access, QuarantineFilter& filter, MonotonicTime now);
+  /// Workers for a task, or for all members of a gang.
+  struct WorkerChoice {
+    std::vector<PoolWorker*> workers;  ///< empty if they do not all find one
+    double speed = 1;                  ///< expected of the slowest
+    bool is_waiting = false;           ///< for near capacity, although workers have room
+  };
+  /// Candidates of one rack, which is named by `rack` or, for the rack of a step's data, by a label of its workers.
+  struct WorkerGroup {
+    std::string label;
+    std::optional<std::string> rack;
+    std::vector<PoolWorker*> workers;
+  };
+  struct SplitCandidates {
+    std::vector<WorkerGroup> near;  ///< each satisfies the preference of the step
+    std::vector<WorkerGroup> far;   ///< those that do not, in the order of preference
+  };
+  /// When near workers are expected to have room for the task or the gang.
+  struct ExpectedCapacity {
+    MonotonicTime at = InfiniteFuture();
+    RackOutlook* outlook = nullptr;
+    std::vector<RackOutlook::Slot> slots;  ///< one for each task
+  };
+  /// Chooses workers by locality for the task, or for the whole gang.
+  WorkerChoice ChooseByLocality(WorkflowStep& step, int index, QuarantineAccess access, const QuarantineFilter& filter,
+                                MonotonicTime now);
+  /// Whether the tasks of the step run faster near their data or near one another.
+  static bool PrefersRack(const StepDefinition& definition);
+  static SplitCandidates SplitByLocality(const StepDefinition& definition, const std::vector<PoolWorker*>& candidates);
+  /// Chooses from the first group that has room.
+  WorkerChoice ChooseFromFirst(WorkflowStep& step, int index, const std::vector<WorkerGroup>& groups,
+                               MonotonicTime now);
+  WorkerChoice ChooseFrom(WorkflowStep& step, int index, const std::vector<PoolWorker*>& candidates, MonotonicTime now);
+  WorkerChoice ChooseForGang(WorkflowStep& step, const std::vector<PoolWorker*>& candidates, MonotonicTime now);
+  /// Whether a start on one of the workers is likely to fail or to stay without an answer.
+  bool IsDoubtful(const WorkflowStep& step, int index, const WorkerChoice& choice, MonotonicTime now) const;
+  ExpectedCapacity ExpectCapacity(const WorkflowStep& step, int index, const std::vector<WorkerGroup>& groups,
+                                  MonotonicTime now);
+  RackOutlook& OutlookOf(const WorkerGroup& group, MonotonicTime now);
+  void NoteDecision(WorkflowStep& step, int index, const LocalityDecision& decision, MonotonicTime now);
+  /// Counts and learns from the placement of a task that prefers a rack.
+  void CountLocality(WorkflowStep& step, int index, const PoolWorker& worker, MonotonicTime now);
+  /// Whether the task, or the gang of which it is the first member, waits for near capacity.
+  static bool IsWaitingForRack(const WorkflowStep& step, int index);
   QuarantineAccess AccessOf(const WorkflowStep& step, int index, const QuarantineFilter& filter,
                             MonotonicTime now) const;
   /// Whether the task may be the trial of a worker in quarantine, which is likely to fail.
@@ -290,6 +342,9 @@
   absl::flat_hash_map<std::string, std::vector<TaskRef>> m_orphans;  ///< placed by a former owner, by worker id
   InterferenceModel m_interference;
   PlacementPolicy m_policy;  ///< uses `m_interference`
+  LocalityPolicy m_locality;
+  LocalityHistory m_locality_history;
+  absl::flat_hash_map<std::string, std::unique_ptr<RackOutlook>> m_outlooks;  ///< of this pass of placement, by rack
   MonotonicTime m_interference_refreshed_at = InfinitePast();
   SchedulerCounts m_counts;
   bool m_placement_due = true;
--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -37,6 +37,7 @@
 
 void Scheduler::PlaceWaiting(MonotonicTime now) {
   m_next_retry = InfiniteFuture();
+  m_outlooks.clear();
   for (const PoolWorker* worker : m_workers.workers()) {
     if (worker->avoid_until > now) m_next_retry = std::min(m_next_retry, worker->avoid_until);
   }
@@ -72,6 +73,18 @@
   }
   const MonotonicTime any_speed_from = m_policy.AnySpeedFrom(step, now);
   if (any_speed_from > now) m_next_retry = std::min(m_next_retry, any_speed_from);
+  if (PrefersRack(*step.definition)) {
+    bool is_waiting = false;
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+      if (step.tasks[i].state != TaskState::kWaiting || !IsWaitingForRack(step, static_cast<int>(i))) continue;
+      is_waiting = true;
+      const MonotonicTime until = step.runtimes[i].locality.decision.wait_until;
+      if (until > now) m_next_retry = std::min(m_next_retry, until);
+    }
+    // The bound of a job without a run begins to hold by time alone, when its runs no longer count as being at work.
+    const MonotonicTime bound = step.PatienceEnds(m_options.placement.slow_worker_patience, now);
+    if (is_waiting && bound > now) m_next_retry = std::min(m_next_retry, bound);
+  }
   if (!filter.HasQuarantined()) return;
   const MonotonicTime ends = QuarantineEndsFor(step, static_cast<int>(step.LongestWaitingTask()), now);
   m_next_retry = std::min(m_next_retry, ends > now ? ends : filter.NextEarlyTrial());
@@ -106,11 +119,12 @@
                           MonotonicTime now) {
   const QuarantineAccess first =
       MayTry(step, index) ? std::min(access, QuarantineAccess::kTrial) : QuarantineAccess::kNone;
-  PoolWorker* worker = m_policy.Choose(step, index, filter.Candidates(first), m_limits, now);
-  if (worker == nullptr && access != first) {
-    worker = m_policy.Choose(step, index, filter.Candidates(access), m_limits, now);
-  }
-  if (worker == nullptr) return false;
+  WorkerChoice choice = ChooseByLocality(step, index, first, filter, now);
+  if (choice.is_waiting) return true;
+  if (choice.workers.empty() && access != first) choice = ChooseByLocality(step, index, access, filter, now);
+  if (choice.is_waiting) return true;
+  if (choice.workers.empty()) return false;
+  PoolWorker* worker = choice.workers.front();
   Place(step, index, *worker, step.tasks[static_cast<std::size_t>(index)].run + 1, now);
   filter.OnPlaced(*worker);
   return true;
@@ -200,7 +214,8 @@
 }
 
 bool Scheduler::PlaceGang(WorkflowStep& step, QuarantineAccess access, QuarantineFilter& filter, MonotonicTime now) {
-  const std::vector<PoolWorker*>& candidates = filter.Candidates(access);
+  // The search with less access has found workers, and the gang waits for better ones.
+  if (access != QuarantineAccess::kNone && IsWaitingForRack(step, 0)) return false;
   int run = 0;
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
     if (step.tasks[i].state != TaskState::kWaiting) return false;
@@ -210,37 +225,15 @@
     }
     run = std::max(run, step.tasks[i].run + 1);
   }
-  std::vector<std::vector<PoolWorker*>> groups;
-  if (step.definition->same_rack) {
-    std::map<std::string, std::vector<PoolWorker*>> racks;
-    for (PoolWorker* worker : candidates) racks[worker->rack].push_back(worker);
-    for (auto& [rack, workers] : racks) groups.push_back(std::move(workers));
+  const WorkerChoice choice = ChooseByLocality(step, 0, access, filter, now);
+  if (choice.workers.empty()) return false;
+  for (std::size_t i = 0; i < choice.workers.size(); ++i) {
+    step.runtimes[i].locality = step.runtimes[0].locality;
+    Place(step, static_cast<int>(i), *choice.workers[i], run, now);
   }
-  // Spread over racks a gang is slower, but better than never.
-  groups.push_back(candidates);
-  for (const std::vector<PoolWorker*>& group : groups) {
-    std::vector<PoolWorker*> chosen;
-    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-      PoolWorker* worker = m_policy.Choose(step, static_cast<int>(i), group, m_limits, now);
-      if (worker == nullptr) break;
-      // Attached at once, so that the next member sees what is left.
-      m_workers.Attach(*worker, {.step = &step, .index = static_cast<int>(i)});
-      step.tasks[i].worker = worker->life.worker;
-      step.tasks[i].state = TaskState::kPlaced;
-      chosen.push_back(worker);
-    }
-    for (std::size_t i = 0; i < chosen.size(); ++i) {
-      m_workers.Detach(*chosen[i], {.step = &step, .index = static_cast<int>(i)});
-      step.tasks[i].worker.clear();
-      step.tasks[i].state = TaskState::kWaiting;
-    }
-    if (chosen.size() < step.tasks.size()) continue;
-    for (std::size_t i = 0; i < chosen.size(); ++i) Place(step, static_cast<int>(i), *chosen[i], run, now);
-    for (const PoolWorker* worker : chosen) filter.OnPlaced(*worker);
-    UpdateWaiting(step);
-    return true;
-  }
-  return false;
+  for (const PoolWorker* worker : choice.workers) filter.OnPlaced(*worker);
+  UpdateWaiting(step);
+  return true;
 }
 
 void Scheduler::Place(WorkflowStep& step, int index, PoolWorker& worker, int run, MonotonicTime now) {
@@ -262,6 +255,8 @@
   --step.job->waiting;
   step.job->last_placed = now;
   ++m_counts.placements;
+  CountLocality(step, index, worker, now);
+  const LocalityWait& locality = step.runtimes[i].locality;
   LogEvent(LogLevel::kInfo, "run_placed",
            {{"task", step.TaskNameOf(index)},
             {"run", run},
@@ -269,6 +264,9 @@
             {"worker", worker.life.worker},
             {"quarantined", is_out},
             {"waited_ms", absl::ToInt64Milliseconds(now - step.runtimes[i].waiting_since)},
+            {"locality", kLocalityChoiceNames.NameOf(locality.decision.choice)},
+            {"locality_wait_ms", absl::ToInt64Milliseconds(locality.WaitedAt(now))},
+            {"locality_reason", kLocalityReasonNames.NameOf(locality.decision.reason)},
             {"free_cpu", worker.Free().cpu_millis},
             {"filling_cpu", worker.filling_cpu},
             {"serving", worker.serving_tasks}});
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -12,6 +12,7 @@
 #include "base/monotonic_time.h"
 #include "workflow/job_definition.h"
 #include "workflow/job_phase.h"
+#include "workflow/locality_wait.h"
 #include "workflow/serving_load.h"
 #include "workflow/step_progress.h"
 #include "workflow/task_name.h"
@@ -44,6 +45,7 @@
   std::string checkpoint;          ///< newest that the worker listed for the present run
   int percent = 0;                 ///< of its work, as listed last
   std::int64_t measured = 0;
+  LocalityWait locality;  ///< what was decided of its rack
 };
 
 struct WorkflowJob;
--- /dev/null
+++ b/tests/unit/workflow/locality_wait_test.cc
@@ -0,0 +1,246 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+
+#include "scheduler_world.h"
+#include "workflow/scheduler.h"
+
+namespace berylgauge::workflow {
+namespace {
+
+constexpr absl::Duration kTick = absl::Milliseconds(50);
+/// Declared run time of a task near its data.
+constexpr int kEstimateMs = 2000;
+const char* const kNearRack = "r1-1";
+const char* const kFarRack = "r1-2";
+
+SchedulerOptions WithFarX(double far_x) {
+  SchedulerOptions options;
+  options.locality.far_x = far_x;
+  return options;
+}
+
+void AddWorkers(SchedulerWorld& world, const std::string& rack, int count, int slots) {
+  for (int i = 0; i < count; ++i) {
+    PlayedWorker& worker = world.AddWorker(rack + "-" + std::to_string(i));
+    worker.labels = {"a", rack};
+    worker.rack = rack;
+    worker.capacity = {.cpu_millis = 1000 * slots, .memory_mb = 64000};
+  }
+}
+
+/// A task that takes one slot.
+StepDefinition NearStep(int tasks) {
+  return {.task_count = tasks,
+          .demand = {.cpu_millis = 1000, .memory_mb = 100},
+          .estimate_ms = kEstimateMs,
+          .data_rack = kNearRack};
+}
+
+/// Lets time pass in small steps, without a report of the worker `silent`.
+void Pass(SchedulerWorld& world, absl::Duration duration, const std::string& silent = {}) {
+  for (absl::Duration passed = kTick; passed <= duration; passed += kTick) {
+    world.Sleep(kTick);
+    world.SettleWithout(silent);
+  }
+}
+
+/// A near worker with one slot, in which a task has 500 ms left, and a far one; job "b0" has just been submitted.
+void BeginWait(SchedulerWorld& world, const StepDefinition& waiting) {
+  AddWorkers(world, kNearRack, 1, 1);
+  AddWorkers(world, kFarRack, 1, 8);
+  world.Submit(SingleStepJob("a0", NearStep(1)));
+  REQUIRE(world.PlaceOf("a0.0.0.0") == "r1-1-0");
+  Pass(world, absl::Milliseconds(1500));
+  world.Submit(SingleStepJob("b0", waiting));
+}
+
+// Guards against a task that takes a far worker although a near one becomes free within the time that this costs.
+TEST_CASE("a task waits for a near worker that becomes free soon", "[locality]") {
+  SchedulerWorld world(WithFarX(2));
+  BeginWait(world, NearStep(1));
+  CHECK(world.PlaceOf("b0.0.0.0").empty());
+  Pass(world, absl::Milliseconds(600));
+  world.End("a0.0.0.0", RunEndKind::kDone);
+  world.Settle();
+  CHECK(world.PlaceOf("b0.0.0.0") == "r1-1-0");
+  CHECK(world.scheduler().counts().near_placements == 2);
+  CHECK(world.scheduler().counts().delayed_placements == 1);
+}
+
+// Guards against a wait that nothing ends: no event tells that the capacity did not become available.
+TEST_CASE("a task whose near capacity does not become available is placed far at the named time", "[locality]") {
+  SchedulerWorld world(WithFarX(2));
+  BeginWait(world, NearStep(1));
+  Pass(world, absl::Milliseconds(700));
+  CHECK(world.PlaceOf("b0.0.0.0").empty());
+  CHECK(world.scheduler().NextDeadline(world.now()) == world.now() + absl::Milliseconds(50));
+  Pass(world, absl::Milliseconds(50));
+  CHECK(world.PlaceOf("b0.0.0.0") == "r1-2-0");
+  CHECK(world.scheduler().counts().far_placements == 1);
+}
+
+struct LossRow {
+  const char* name;
+  bool is_silent;  ///< otherwise its process is gone
+  int within_ms;   ///< after the loss the task must be placed
+};
+
+// Guards against a task that goes on waiting for a worker that was lost.
+TEST_CASE("a task is placed far if its near worker is lost during the wait", "[locality]") {
+  const LossRow row = GENERATE(LossRow{"gone", false, 0}, LossRow{"silent", true, 650});
+  INFO(row.name);
+  SchedulerWorld world(WithFarX(2));
+  BeginWait(world, NearStep(1));
+  Pass(world, absl::Milliseconds(100));
+  REQUIRE(world.PlaceOf("b0.0.0.0").empty());
+  if (!row.is_silent) {
+    world.worker("r1-1-0").condition = WorkerCondition::kGone;
+    world.worker("r1-1-0").runs.clear();
+  }
+  world.SettleWithout(row.is_silent ? "r1-1-0" : "");
+  Pass(world, absl::Milliseconds(row.within_ms), row.is_silent ? "r1-1-0" : "");
+  CHECK(world.PlaceOf("b0.0.0.0") == "r1-2-0");
+  CHECK(world.violations().empty());
+}
+
+struct OwnerRow {
+  const char* name;
+  bool is_replaced;
+};
+
+// Guards against a job that has no run for 3 s beside free workers, because its long tasks would gain by waiting. The
+// runs on the near rack are longer than estimated; a successor of the owner does not know of the wait.
+TEST_CASE("a job without a run is started within 3 s, near or far", "[locality]") {
+  const OwnerRow row = GENERATE(OwnerRow{"same owner", false}, OwnerRow{"the owner is replaced", true});
+  INFO(row.name);
+  SchedulerWorld world(WithFarX(3));
+  AddWorkers(world, kNearRack, 1, 1);
+  AddWorkers(world, kFarRack, 1, 8);
+  StepDefinition step = NearStep(1);
+  step.estimate_ms = 10'000;
+  world.Submit(SingleStepJob("a0", step));
+  Pass(world, absl::Milliseconds(8500));
+  world.Submit(SingleStepJob("b0", step));
+  CHECK(world.PlaceOf("b0.0.0.0").empty());
+  Pass(world, absl::Milliseconds(1000));
+  if (row.is_replaced) world.Replace(WithFarX(3));
+  Pass(world, absl::Milliseconds(2000));
+  CHECK(world.PlaceOf("b0.0.0.0") == "r1-2-0");
+}
+
+// Guards against a search that ends at a task which waits for its rack: nothing was found out about other workers.
+TEST_CASE("a task that waits for its rack keeps no other task from free workers", "[locality]") {
+  const std::string rack = GENERATE("", kFarRack);
+  INFO("rack of the other job: " << rack);
+  SchedulerWorld world(WithFarX(2));
+  BeginWait(world, NearStep(4));
+  CHECK(world.PlaceOf("b0.0.0.0").empty());
+  CHECK(world.PlaceOf("b0.0.0.3") == "r1-2-0");  // three tasks are ahead of it
+  StepDefinition other = NearStep(2);
+  other.data_rack = rack;
+  world.Submit(SingleStepJob("c0", other));
+  CHECK(world.PlaceOf("c0.0.0.0") == "r1-2-0");
+  CHECK(world.PlaceOf("c0.0.0.1") == "r1-2-0");
+}
+
+// Guards against a gang that is spread over racks although one rack has room for it soon, and one that waits forever.
+TEST_CASE("a gang waits for room on one rack for a bounded time", "[locality]") {
+  const bool becomes_free = GENERATE(true, false);
+  SchedulerWorld world(WithFarX(2));
+  AddWorkers(world, kNearRack, 1, 2);
+  AddWorkers(world, kFarRack, 1, 1);
+  world.Submit(SingleStepJob("a0", NearStep(1)));
+  Pass(world, absl::Milliseconds(1500));
+  StepDefinition gang = NearStep(2);
+  gang.data_rack.clear();
+  gang.gang = true;
+  gang.same_rack = true;
+  world.Submit(SingleStepJob("b0", gang));
+  CHECK(world.RunningTasks() == 1);
+  Pass(world, absl::Milliseconds(500));
+  if (becomes_free) world.End("a0.0.0.0", RunEndKind::kDone);
+  Pass(world, absl::Milliseconds(300));
+  CHECK(world.PlaceOf("b0.0.0.0") == "r1-1-0");
+  CHECK(world.PlaceOf("b0.0.0.1") == (becomes_free ? "r1-1-0" : "r1-2-0"));
+}
+
+/// Ends each run after its time: `far_x` times as long outside the near rack.
+class RunClock {
+ public:
+  RunClock(SchedulerWorld& world, double far_x) : m_world(world), m_far_x(far_x) {}
+
+  void Tick() {
+    std::map<std::string, std::string> places;
+    for (const char* name : {"r1-1-0", "r1-1-1", "r1-2-0", "r1-2-1", "r1-2-2"}) {
+      for (const auto& [task, run] : m_world.worker(name).runs) places[task] = name;
+    }
+    for (const auto& [task, place] : places) {
+      const MonotonicTime begun = m_begun.emplace(task, m_world.now()).first->second;
+      const bool is_near = place.starts_with(kNearRack);
+      const absl::Duration length = absl::Milliseconds(kEstimateMs) * (is_near ? 1 : m_far_x);
+      if (m_world.now() - begun >= length) m_world.End(task, RunEndKind::kDone);
+    }
+  }
+
+ private:
+  SchedulerWorld& m_world;
+  double m_far_x;
+  std::map<std::string, MonotonicTime> m_begun;
+};
+
+// The load: 30 jobs that want a rack with 4 slots, and far workers with room for all. Guards against jobs that all wait
+// for the contended rack, and against none that waits, so that all run `far_x` times as long.
+TEST_CASE("of many jobs that want one rack, those wait that gain by it", "[locality]") {
+  constexpr int kJobs = 30;
+  SchedulerWorld world(WithFarX(2));
+  AddWorkers(world, kNearRack, 2, 2);
+  AddWorkers(world, kFarRack, 3, 20);
+  RunClock runs(world, 2);
+  world.Submit(SingleStepJob("first", NearStep(4)));
+  REQUIRE(world.scheduler().counts().near_placements == 4);
+  runs.Tick();
+  for (int i = 0; i < 24; ++i) {
+    Pass(world, kTick);
+    runs.Tick();
+  }
+  const MonotonicTime submitted = world.now();  // the first runs have 800 ms left
+  for (int i = 0; i < kJobs; ++i) world.Submit(SingleStepJob("j" + std::to_string(i), NearStep(1)));
+  CHECK(world.scheduler().WaitingTasks() == 4);  // as many as the rack will have slots for
+  CHECK(world.scheduler().counts().far_placements == kJobs - 4);
+  while (world.scheduler().counts().jobs_done < kJobs + 1 && world.now() - submitted < absl::Seconds(20)) {
+    Pass(world, kTick);
+    runs.Tick();
+  }
+  CHECK(world.scheduler().counts().near_placements == 8);
+  CHECK(world.now() - submitted <= absl::Milliseconds(4200));  // no job takes longer than one far run
+  CHECK(world.violations().empty());
+}
+
+// Guards against jobs that go on waiting for a rack although no wait succeeds: a run there has no progress, and always
+// seems to end in 1.2 s.
+TEST_CASE("jobs seldom wait for a rack while no wait for it succeeds", "[locality]") {
+  constexpr int kJobs = 20;
+  SchedulerWorld world(WithFarX(2));
+  AddWorkers(world, kNearRack, 1, 1);
+  AddWorkers(world, kFarRack, 1, 100);
+  StepDefinition step = NearStep(1);
+  step.saves_progress = true;
+  world.Submit(SingleStepJob("a0", step));
+  world.End("a0.0.0.0", RunEndKind::kStopped, "0a");
+  world.worker("r1-1-0").percents["a0.0.0.0"] = 40;
+  world.Settle();
+  REQUIRE(world.PlaceOf("a0.0.0.0") == "r1-1-0");
+  for (int i = 0; i < kJobs; ++i) {
+    Pass(world, absl::Seconds(2));
+    world.Submit(SingleStepJob("j" + std::to_string(i), NearStep(1)));
+  }
+  Pass(world, absl::Seconds(2));
+  CHECK(world.RunningTasks() == kJobs + 1);
+  CHECK(world.scheduler().counts().delayed_placements >= 1);
+  CHECK(world.scheduler().counts().delayed_placements <= kJobs / 2);
+}
+
+}  // namespace
+}  // namespace berylgauge::workflow
