Test that a filling task is not kept on a slow near worker

Guards against the former rule that took a near worker with room however slow the task would be there.

--- a/tests/unit/workflow/locality_wait_test.cc
+++ b/tests/unit/workflow/locality_wait_test.cc
@@ -130,6 +130,30 @@
   CHECK(world.PlaceOf("b0.0.0.0") == "r1-2-0");
 }
 
+struct SlowRow {
+  double far_x;
+  const char* place;
+};
+
+// Guards against a filling task that gets a near worker on which serving tasks leave it too little processor time.
+TEST_CASE("a filling task takes the near worker only if it is not slower than a far one", "[locality]") {
+  const SlowRow row = GENERATE(SlowRow{1.5, "r1-2-0"}, SlowRow{3, "r1-1-0"});
+  CAPTURE(row.far_x);
+  SchedulerWorld world(WithFarX(row.far_x));
+  AddWorkers(world, kNearRack, 1, 4);
+  AddWorkers(world, kFarRack, 1, 16);
+  StepDefinition serving = LastingStep(1);
+  serving.tail_target_ms = 50;
+  serving.required_label = kNearRack;
+  world.Submit(SingleStepJob("serving", serving));
+  Pass(world, absl::Milliseconds(1500));  // until it takes the reserve of short tasks
+  REQUIRE(world.RunningTasks() == 1);
+  StepDefinition filling = FillingStep(1);  // the serving task leaves it 60% of its demand
+  filling.data_rack = kNearRack;
+  world.Submit(SingleStepJob("filling", filling));
+  CHECK(world.PlaceOf("filling.0.0.0") == row.place);
+}
+
 // Guards against a search that ends at a task which waits for its rack: nothing was found out about other workers.
 TEST_CASE("a task that waits for its rack keeps no other task from free workers", "[locality]") {
   const std::string rack = GENERATE("", kFarRack);
