--- a/tests/unit/workflow/locality_wait_test.cc
+++ b/tests/unit/workflow/locality_wait_test.cc
@@ -242,28 +242,94 @@
   CHECK(world.violations().empty());
 }
 
-// Guards against jobs that go on waiting for a rack although no wait succeeds: a run there has no progress, and always
-// seems to end in 1.2 s.
+// Guards against jobs that go on waiting for a rack although no wait succeeds: the runs there have no progress, and
+// always seem to end in 1.2 s.
 TEST_CASE("jobs seldom wait for a rack while no wait for it succeeds", "[locality]") {
-  constexpr int kJobs = 20;
+  constexpr int kJobs = 30;
+  constexpr int kSlots = 4;
   SchedulerWorld world(WithFarX(2));
-  AddWorkers(world, kNearRack, 1, 1);
+  AddWorkers(world, kNearRack, 1, kSlots);
   AddWorkers(world, kFarRack, 1, 100);
-  StepDefinition step = NearStep(1);
+  StepDefinition step = NearStep(kSlots);
   step.saves_progress = true;
   world.Submit(SingleStepJob("a0", step));
-  world.End("a0.0.0.0", RunEndKind::kStopped, "0a");
-  world.worker("r1-1-0").percents["a0.0.0.0"] = 40;
+  for (int i = 0; i < kSlots; ++i) {
+    const std::string task = "a0.0.0." + std::to_string(i);
+    world.End(task, RunEndKind::kStopped, "0a");
+    world.worker("r1-1-0").percents[task] = 40;
+  }
   world.Settle();
-  REQUIRE(world.PlaceOf("a0.0.0.0") == "r1-1-0");
+  REQUIRE(world.worker("r1-1-0").runs.size() == kSlots);
   for (int i = 0; i < kJobs; ++i) {
-    Pass(world, absl::Seconds(2));
+    Pass(world, absl::Milliseconds(200));
     world.Submit(SingleStepJob("j" + std::to_string(i), NearStep(1)));
   }
   Pass(world, absl::Seconds(2));
-  CHECK(world.RunningTasks() == kJobs + 1);
-  CHECK(world.scheduler().counts().delayed_placements >= 1);
-  CHECK(world.scheduler().counts().delayed_placements <= kJobs / 2);
+  CHECK(world.RunningTasks() == kJobs + kSlots);
+  // The first ones, of which nothing was known yet, and some later ones.
+  CHECK(world.scheduler().counts().delayed_placements >= kSlots);
+  CHECK(world.scheduler().counts().delayed_placements <= 2 * kSlots);
+}
+
+// Guards against a job that has no run for 3 s, because a task of it has begun to wait while another one was at work.
+TEST_CASE("a task no longer waits for its rack when the other run of its job is lost", "[locality]") {
+  SchedulerWorld world(WithFarX(3));
+  AddWorkers(world, kNearRack, 1, 1);
+  AddWorkers(world, kFarRack, 2, 8);
+  StepDefinition step = NearStep(1);
+  step.estimate_ms = 10'000;
+  world.Submit(SingleStepJob("a0", step));
+  Pass(world, absl::Seconds(2));
+  step.task_count = 2;
+  world.Submit(SingleStepJob("b0", step));
+  const std::string lost = world.PlaceOf("b0.0.0.0");
+  REQUIRE(lost.starts_with(kFarRack));  // the near run is expected to last for longer than a job may have no run
+  Pass(world, absl::Seconds(3));
+  REQUIRE(world.PlaceOf("b0.0.0.1").empty());
+  Pass(world, absl::Seconds(2), lost);
+  CHECK(world.PlaceOf("b0.0.0.1") == (lost == "r1-2-0" ? "r1-2-1" : "r1-2-0"));
+}
+
+// Guards against a task that runs again on a worker where it failed, for the sake of its data.
+TEST_CASE("a task that failed on the near worker takes a far one", "[locality]") {
+  SchedulerWorld world(WithFarX(3));
+  AddWorkers(world, kNearRack, 1, 1);
+  AddWorkers(world, kFarRack, 1, 1);
+  world.Submit(SingleStepJob("a0", NearStep(1)));
+  REQUIRE(world.PlaceOf("a0.0.0.0") == "r1-1-0");
+  world.End("a0.0.0.0", RunEndKind::kFailed);
+  Pass(world, absl::Milliseconds(100));
+  CHECK(world.PlaceOf("a0.0.0.0") == "r1-2-0");
+}
+
+// Guards against a gang that waits for its rack and is placed on workers in quarantine meanwhile.
+TEST_CASE("a gang that waits for its rack is kept from workers in quarantine", "[locality]") {
+  SchedulerWorld world(WithFarX(2));
+  AddWorkers(world, "r1-3", 1, 2);
+  for (const char* id : {"j0", "j1", "j2"}) {
+    JobDefinition job = SingleStepJob(id, ShortStep(1));
+    job.queue.max_attempts = 1;
+    world.Submit(job);
+    world.End(std::string(id) + ".0.0.0", RunEndKind::kFailed);
+    world.Settle();
+  }
+  REQUIRE(world.scheduler().QuarantinedWorkers() == 1);
+  AddWorkers(world, kNearRack, 1, 2);
+  AddWorkers(world, kFarRack, 1, 1);
+  world.Settle();
+  world.Submit(SingleStepJob("a0", NearStep(1)));
+  REQUIRE(world.PlaceOf("a0.0.0.0") == "r1-1-0");
+  Pass(world, absl::Milliseconds(1100));
+  StepDefinition gang = NearStep(2);
+  gang.data_rack.clear();
+  gang.gang = true;
+  gang.same_rack = true;
+  world.Submit(SingleStepJob("b0", gang));
+  Pass(world, absl::Milliseconds(1200));  // the quarantine keeps it from no worker after 1 s
+  CHECK(world.PlaceOf("b0.0.0.0").empty());
+  world.End("a0.0.0.0", RunEndKind::kDone);
+  world.Settle();
+  CHECK(world.worker("r1-1-0").runs.size() == 2);
 }
 
 }  // namespace
