--- a/tests/unit/workflow/locality_wait_test.cc
+++ b/tests/unit/workflow/locality_wait_test.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -26,7 +27,7 @@
     PlayedWorker& worker = world.AddWorker(rack + "-" + std::to_string(i));
     worker.labels = {"a", rack};
     worker.rack = rack;
-    worker.capacity = {.cpu_millis = 1000 * slots, .memory_mb = 64000};
+    worker.capacity = {.cpu_millis = std::int64_t{1000} * slots, .memory_mb = 64000};
   }
 }
 
@@ -246,14 +247,14 @@
 // always seem to end in 1.2 s.
 TEST_CASE("jobs seldom wait for a rack while no wait for it succeeds", "[locality]") {
   constexpr int kJobs = 30;
-  constexpr int kSlots = 4;
+  constexpr std::size_t kSlots = 4;
   SchedulerWorld world(WithFarX(2));
   AddWorkers(world, kNearRack, 1, kSlots);
   AddWorkers(world, kFarRack, 1, 100);
-  StepDefinition step = NearStep(kSlots);
+  StepDefinition step = NearStep(static_cast<int>(kSlots));
   step.saves_progress = true;
   world.Submit(SingleStepJob("a0", step));
-  for (int i = 0; i < kSlots; ++i) {
+  for (std::size_t i = 0; i < kSlots; ++i) {
     const std::string task = "a0.0.0." + std::to_string(i);
     world.End(task, RunEndKind::kStopped, "0a");
     world.worker("r1-1-0").percents[task] = 40;
