Mix images of serving tasks on a worker only where no clean worker is left

Cause: a worker without serving tasks cost 30,000 and its free processors, a second image on a worker 40,000. Change: the cost of a further image exceeds what any worker has free. Test: "a serving task shares a worker with another image only if no worker is without serving tasks" failed before in its rows with large workers.

--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -20,9 +20,11 @@
 constexpr double kNearlyFullSpeed = 0.9;
 /// Weights of the expected speed, and of one serving task, against a thousandth of an idle core.
 constexpr double kSpeedWeight = 2e5;
-/// Cost of the first serving task on a worker, and of one more image beside others, in thousandths of a free core.
+/// Cost of the first serving task on a worker, and of one more image beside others, in thousandths of a free core. The
+/// latter exceeds what any worker has free: where most pairs of images interfere, hardly any filling task runs at full
+/// speed beside two serving images.
 constexpr double kCleanWorkerCost = 3e4;
-constexpr double kMixedImagesCost = 4e4;
+constexpr double kMixedImagesCost = 4e5;
 constexpr double kServingWeight = 1e4;
 /// Weight of the harm to serving tasks: more than that of all serving tasks of a worker.
 constexpr double kHarmWeight = 2e5;
