Learn the work of tasks from the progress of their runs

Declared durations are wrong by factors of 0.2 to 5, and most runs of filler tasks are throttled, so neither the declaration nor the time of a run tells how long a task takes.

TaskWork counts work as time at full speed between the lists of a worker. DurationModel derives the work of a step as the weighted median over its completed and active tasks, predicts steps without measurements by their image (decaying, with spread), and gives the expected remaining work and time of a run. kFirstFigureAfter moves to workflow_job.h, because two modules use it.

Tested: workflow_test "[durations]": declarations off by 0.2 to 5, throttled and slow runs, resumed runs, silent workers, unknown images, and the property that an estimate lies between the observed ratios. With time counted instead of work, four rows of the first test, the tests of active and of stalled runs and the property fail.

--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -17,8 +17,6 @@
 /// Part of the loss that is expected by the present estimates that counts when the undisturbed rate is derived. Below
 /// 1, so that estimates that are too high do not confirm themselves.
 constexpr double kCreditedLoss = 0.4;
-/// Until this time after its start a run may have no figure although it is at work.
-constexpr absl::Duration kFirstFigureAfter = absl::Milliseconds(1200);
 
 /// A run is judged by its speed from this time after its start.
 constexpr absl::Duration kSettledAfter = absl::Milliseconds(1200);
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,7 @@
 #include "workflow/serving_load.h"
 #include "workflow/step_progress.h"
 #include "workflow/task_name.h"
+#include "workflow/task_work.h"
 
 namespace berylgauge::workflow {
 
@@ -44,10 +46,21 @@
   std::string checkpoint;          ///< newest that the worker listed for the present run
   int percent = 0;                 ///< of its work, as listed last
   std::int64_t measured = 0;
+  TaskWork work;  ///< of the task's runs so far, measured by this owner
+};
+
+/// What was learned from the runs of a step; see `DurationModel`.
+struct StepDurations {
+  absl::Duration work;  ///< of a typical task, as run time at full speed; 0 before there is enough to tell
+  double spread = 0;    ///< standard deviation of the logarithm of the work of its tasks
+  MonotonicTime refreshed_at = InfinitePast();
 };
 
 struct WorkflowJob;
 
+/// Until this time after its start a run may have no figure although it is at work.
+inline constexpr absl::Duration kFirstFigureAfter = absl::Milliseconds(1200);
+
 /// A run that was listed as being at work counts as such for this long: the lists of a worker that reports are at most
 /// 1.9 s apart (0.9 s between two calls, each held for up to 1 s).
 inline constexpr absl::Duration kListValidity = absl::Seconds(2);
@@ -74,11 +87,21 @@
   int failed_gang_run = 0;   ///< newest run of the gang whose failure was counted
   MonotonicTime deadline;    ///< objective of the occurrence
   MonotonicTime late_until;  ///< after this the occurrence counts for nothing
-  absl::Duration remaining;  ///< estimate from the begin of this step to the end of the occurrence
+  absl::Duration remaining;  ///< learned estimate: until the end of the occurrence if its waiting tasks begin now
+  StepDurations durations;   ///< learned from its runs
   ServingLoad serving_load;  ///< of its tasks, if they serve
 
   bool IsDone() const { return done == static_cast<int>(tasks.size()); }
   std::string TaskNameOf(int index) const { return name + "." + std::to_string(index); }
+  /// Speed of the task's run, as a share of full speed; nothing before its first figure. Only tasks that fill idle
+  /// processors are throttled, others have the processors that they ask for.
+  std::optional<double> SpeedOf(int index, MonotonicTime now) const {
+    if (!definition->fills_idle_cpu) return 1;
+    const TaskRuntime& runtime = runtimes[static_cast<std::size_t>(index)];
+    if (runtime.measured == 0 && now - runtime.started_at < kFirstFigureAfter) return std::nullopt;
+    const auto demand = static_cast<double>(std::max<std::int64_t>(definition->demand.cpu_millis, 1));
+    return std::clamp(static_cast<double>(runtime.measured) / demand, 0.0, 1.0);
+  }
   /// Index of the task that waits longest; the first one if none waits.
   std::size_t LongestWaitingTask() const {
     std::size_t longest = 0;
