Decide by learned durations on migration and on the prospect of jobs

A throttled filler task was migrated by its declared duration, and a job counted as in time or late by the declared duration of its steps, both of which are wrong by factors of 0.2 to 5.

IsWorthMoving compares the learned remaining time of the run with its learned remaining work elsewhere. The remaining critical path of every unfinished occurrence is estimated from learned durations every 500 ms and when it is created. The objective stays as declared. Learned steps, measured tasks and changed prospects are counted; duration_learned and run_ended log the figures.

Tested: workflow_test (112 test cases) and control_test pass. With the declared duration in IsWorthMoving and without the estimates of the critical path the new tests fail.

--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -153,6 +153,7 @@
     steps.push_back(std::move(step));
   }
   RefreshReadySteps(steps, now);
+  RefreshRemaining(definition, steps, now);
 }
 
 void Scheduler::RefreshReadySteps(std::vector<std::unique_ptr<WorkflowStep>>& steps, MonotonicTime now) {
@@ -255,6 +256,7 @@
   RetireJobs(now);
   RecordBounds(now);
   RefreshInterference(now);
+  RefreshRemaining(now);
   MoveSlowFillers(now);
   if (m_placement_due || now >= m_next_retry) PlaceWaiting(now);
   LogLongWaits(now);
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -16,6 +16,7 @@
 
 #include "base/monotonic_time.h"
 #include "schedule/worker_quarantine.h"
+#include "workflow/duration_model.h"
 #include "workflow/interference_model.h"
 #include "workflow/job_index.h"
 #include "workflow/orders.h"
@@ -80,6 +81,8 @@
   /// the workers.
   std::size_t least_moves = 4;
   double moves_per_worker = 0.2;
+  /// Time between two estimates of the remaining critical paths; a third of the shortest filler task (1.4 s).
+  absl::Duration remaining_interval = absl::Milliseconds(500);
   /// Size of the step records in a batch beyond which the others wait for the next one; half of what the platform takes
   /// in one call, because one record more may follow.
   std::size_t max_batch_bytes = std::size_t{1} << 20;
@@ -97,10 +100,13 @@
   std::uint64_t unknown_runs = 0;    ///< listed as running by a worker on which they are not, or no longer, placed
   std::uint64_t ends_unmatched = 0;  ///< listed by a worker for a run that is not, or no longer, placed there
   std::uint64_t refused_starts = 0;
-  std::uint64_t quarantines = 0;   ///< workers taken out
-  std::uint64_t trials = 0;        ///< runs placed on workers that are out
-  std::uint64_t readmissions = 0;  ///< workers let back in
-  std::uint64_t moves = 0;         ///< filling tasks stopped to run faster elsewhere
+  std::uint64_t quarantines = 0;       ///< workers taken out
+  std::uint64_t trials = 0;            ///< runs placed on workers that are out
+  std::uint64_t readmissions = 0;      ///< workers let back in
+  std::uint64_t moves = 0;             ///< filling tasks stopped to run faster elsewhere
+  std::uint64_t measured_tasks = 0;    ///< completed with a known amount of work
+  std::uint64_t learned_steps = 0;     ///< whose duration was learned from their own runs
+  std::uint64_t prospect_changes = 0;  ///< prospects of waiting steps that another estimate of their duration changed
   std::uint64_t jobs_done = 0;
   std::uint64_t jobs_failed = 0;
 };
@@ -236,6 +242,15 @@
   double KnownLoss(const StepDefinition& serving, const InterferenceModel::FillingUse& use) const;
   void MoveSlowFillers(MonotonicTime now);
   bool IsWorthMoving(const PoolWorker& worker, TaskRef task, MonotonicTime now) const;
+  /// Feeds `m_durations` with the progress of a run that its worker lists.
+  void LearnProgress(const PoolWorker& worker, TaskRef task, MonotonicTime now);
+  /// The same with the end of a run that has completed its task, before the run is released.
+  void LearnDone(TaskRef task, MonotonicTime now);
+  void NoteLearned(WorkflowStep& step, bool was_learned);
+  /// Estimates `WorkflowStep::remaining` of all unfinished occurrences by what was learned.
+  void RefreshRemaining(MonotonicTime now);
+  void RefreshRemaining(const JobDefinition& job, const std::vector<std::unique_ptr<WorkflowStep>>& steps,
+                        MonotonicTime now);
   void LapseLeases(MonotonicTime now);
   void LapseFormerWorkers(MonotonicTime now);
   void CreateDueOccurrences(MonotonicTime now, std::int64_t unix_now_ms);
@@ -288,6 +303,8 @@
   std::vector<StopOrder> m_stops;
   std::optional<Batch> m_batch;                                      ///< under way
   absl::flat_hash_map<std::string, std::vector<TaskRef>> m_orphans;  ///< placed by a former owner, by worker id
+  DurationModel m_durations;
+  MonotonicTime m_next_remaining;
   InterferenceModel m_interference;
   PlacementPolicy m_policy;  ///< uses `m_interference`
   MonotonicTime m_interference_refreshed_at = InfinitePast();
--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -167,7 +167,9 @@
             {"worker", worker},
             {"end", kRunEndKindNames.NameOf(kind)},
             {"ms", absl::ToInt64Milliseconds(now - step.runtimes[static_cast<std::size_t>(task.index)].started_at)},
-            {"estimate_ms", step.definition->estimate_ms}});
+            {"estimate_ms", step.definition->estimate_ms},
+            {"learned_ms", absl::ToInt64Milliseconds(m_durations.WorkOf(step, now).expected)}});
+  if (kind == RunEndKind::kDone) LearnDone(task, now);
   Release(task, checkpoint, now);
   if (kind == RunEndKind::kDone || kind == RunEndKind::kFailed) NoteAtWork(job, now);
   if (kind == RunEndKind::kDone) {
@@ -309,6 +311,7 @@
   }
   runtime.checkpoint.clear();
   runtime.percent = 0;
+  runtime.work.EndRun();
   --step.job->placed;
   ++step.job->waiting;
   m_placement_due = true;
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -148,6 +148,7 @@
   if (runtime.stage != RunStage::kStopping) runtime.stage = RunStage::kCarriedOver;
   runtime.is_start_settled = false;
   runtime.percent = 0;
+  runtime.work.EndRun();
   worker.starting.erase(task);
   MarkChanged(*task.step);
 }
@@ -272,6 +273,7 @@
     if (is_newly_at_work) RecordWorkerSuccess(worker.life.worker, ReadmissionReason::kRunAtWork, now);
     runtime.percent = run.percent;
     runtime.measured = run.measured;
+    LearnProgress(worker, task, now);
     if (!run.checkpoint.empty()) runtime.checkpoint = run.checkpoint;
   }
   LearnInterference(worker, now);
@@ -412,9 +414,9 @@
   const auto demand = static_cast<double>(std::max<std::int64_t>(definition.demand.cpu_millis, 1));
   const double speed = std::max(static_cast<double>(runtime.measured) / demand, kLowestSpeed);
   if (speed >= m_options.slow_filling_speed) return false;
-  const absl::Duration whole = absl::Milliseconds(definition.estimate_ms);
-  const absl::Duration remaining = (1 - std::min(runtime.percent, 100) / 100.0) * whole;
-  const absl::Duration allowed = remaining / speed - m_options.move_cost - m_options.least_gain;
+  const absl::Duration remaining = m_durations.RemainingWorkOf(*task.step, task.index, now).expected;
+  const absl::Duration allowed =
+      m_durations.RemainingOf(*task.step, task.index, now) - m_options.move_cost - m_options.least_gain;
   for (const PoolWorker* other : m_workers.workers()) {
     if (other == &worker || !m_policy.IsEligible(*task.step, *other, m_limits, now)) continue;
     if (!m_policy.HasRoom(*task.step, task.index, *other, now)) continue;
--- a/src/workflow/work_order.cc
+++ b/src/workflow/work_order.cc
@@ -15,11 +15,18 @@
 }  // namespace
 
 ChainTimes EstimateChains(const JobDefinition& job) {
+  std::vector<absl::Duration> declared;
+  declared.reserve(job.steps.size());
+  for (const StepDefinition& step : job.steps) declared.push_back(absl::Milliseconds(step.estimate_ms));
+  return EstimateChains(job, declared);
+}
+
+ChainTimes EstimateChains(const JobDefinition& job, const std::vector<absl::Duration>& durations) {
   ChainTimes times;
   times.from_steps.assign(job.steps.size(), absl::ZeroDuration());
   for (std::size_t i = job.steps.size(); i-- > 0;) {
     // So far the longest chain of the steps that come after this one.
-    times.from_steps[i] += absl::Milliseconds(job.steps[i].estimate_ms);
+    times.from_steps[i] += durations[i];
     times.whole = std::max(times.whole, times.from_steps[i]);
     for (const int before : job.steps[i].after) {
       absl::Duration& earlier = times.from_steps[static_cast<std::size_t>(before)];
--- a/src/workflow/work_order.h
+++ b/src/workflow/work_order.h
@@ -32,8 +32,12 @@
   std::vector<absl::Duration> from_steps;  ///< by step: from its begin to the end of the longest chain after it
 };
 
+/// The chains by the declared durations, from which the objective is derived.
 ChainTimes EstimateChains(const JobDefinition& job);
 
+/// The chains by the given duration of each step.
+ChainTimes EstimateChains(const JobDefinition& job, const std::vector<absl::Duration>& durations);
+
 /// Time since a reading of the time of day, 0 if there is none (0). Clocks of entries may differ, so it is bounded.
 absl::Duration AgeOf(std::int64_t begun_unix_ms, std::int64_t unix_now_ms);
 
