--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -17,8 +17,6 @@
 /// Part of the loss that is expected by the present estimates that counts when the undisturbed rate is derived. Below
 /// 1, so that estimates that are too high do not confirm themselves.
 constexpr double kCreditedLoss = 0.4;
-/// Until this time after its start a run may have no figure although it is at work.
-constexpr absl::Duration kFirstFigureAfter = absl::Milliseconds(1200);
 
 /// A run is judged by its speed from this time after its start.
 constexpr absl::Duration kSettledAfter = absl::Milliseconds(1200);
@@ -150,6 +148,7 @@
   if (runtime.stage != RunStage::kStopping) runtime.stage = RunStage::kCarriedOver;
   runtime.is_start_settled = false;
   runtime.percent = 0;
+  runtime.work.EndRun();
   worker.starting.erase(task);
   MarkChanged(*task.step);
 }
@@ -274,6 +273,7 @@
     if (is_newly_at_work) RecordWorkerSuccess(worker.life.worker, ReadmissionReason::kRunAtWork, now);
     runtime.percent = run.percent;
     runtime.measured = run.measured;
+    LearnProgress(worker, task, now);
     if (!run.checkpoint.empty()) runtime.checkpoint = run.checkpoint;
   }
   LearnInterference(worker, now);
@@ -414,9 +414,9 @@
   const auto demand = static_cast<double>(std::max<std::int64_t>(definition.demand.cpu_millis, 1));
   const double speed = std::max(static_cast<double>(runtime.measured) / demand, kLowestSpeed);
   if (speed >= m_options.slow_filling_speed) return false;
-  const absl::Duration whole = absl::Milliseconds(definition.estimate_ms);
-  const absl::Duration remaining = (1 - std::min(runtime.percent, 100) / 100.0) * whole;
-  const absl::Duration allowed = remaining / speed - m_options.move_cost - m_options.least_gain;
+  const absl::Duration remaining = m_durations.RemainingWorkOf(*task.step, task.index, now).expected;
+  const absl::Duration allowed =
+      m_durations.RemainingOf(*task.step, task.index, now) - m_options.move_cost - m_options.least_gain;
   for (const PoolWorker* other : m_workers.workers()) {
     if (other == &worker || !m_policy.IsEligible(*task.step, *other, m_limits, now)) continue;
     if (!m_policy.HasRoom(*task.step, task.index, *other, now)) continue;
