Order waiting steps by what is lacking and what remains, with a bound on each wait

Within a priority and prospect, steps waited by deadline alone. Under load many steps were worked on in part while the last tasks of others waited, and a job that could not be in time any more waited for as long as the load lasted.

Steps that lack few tasks now come first, then those of jobs that have begun, then the others; jobs in time by remaining work. Expired jobs stay ordered by deadline, because nobody gains from completing their steps first. A job that has had no run for 20 s comes first in its priority once in ten placements.

Tested with workflow_test: 105 cases pass. On the code before, the new test of the bounded wait fails (52 s and still waiting; the bound is 26 s).

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -65,6 +65,7 @@
     {"kind=\"trial\"", &workflow::SchedulerCounts::trials},
     {"kind=\"readmission\"", &workflow::SchedulerCounts::readmissions},
     {"kind=\"move\"", &workflow::SchedulerCounts::moves},
+    {"kind=\"aged-placement\"", &workflow::SchedulerCounts::aged_placements},
     {"kind=\"job-done\"", &workflow::SchedulerCounts::jobs_done},
     {"kind=\"job-failed\"", &workflow::SchedulerCounts::jobs_failed},
 };
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -97,10 +97,11 @@
   std::uint64_t unknown_runs = 0;    ///< listed as running by a worker on which they are not, or no longer, placed
   std::uint64_t ends_unmatched = 0;  ///< listed by a worker for a run that is not, or no longer, placed there
   std::uint64_t refused_starts = 0;
-  std::uint64_t quarantines = 0;   ///< workers taken out
-  std::uint64_t trials = 0;        ///< runs placed on workers that are out
-  std::uint64_t readmissions = 0;  ///< workers let back in
-  std::uint64_t moves = 0;         ///< filling tasks stopped to run faster elsewhere
+  std::uint64_t quarantines = 0;      ///< workers taken out
+  std::uint64_t trials = 0;           ///< runs placed on workers that are out
+  std::uint64_t readmissions = 0;     ///< workers let back in
+  std::uint64_t moves = 0;            ///< filling tasks stopped to run faster elsewhere
+  std::uint64_t aged_placements = 0;  ///< tasks placed because their jobs had waited for too long
   std::uint64_t jobs_done = 0;
   std::uint64_t jobs_failed = 0;
 };
@@ -296,6 +297,7 @@
   MonotonicTime m_next_retry = InfiniteFuture();  ///< when a pause of a worker or task ends
   MonotonicTime m_next_retirement;
   MonotonicTime m_next_move;
+  std::uint64_t m_next_aged_placement = 0;  ///< number of placements from which aged jobs may come first
   MonotonicTime m_next_wait_check;
 };
 
--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <span>
 #include <string>
 #include <utility>
 
@@ -42,9 +43,13 @@
   }
   QuarantineFilter filter(m_workers.workers(), m_quarantine, now);
   std::vector<WorkflowStep*> waiting(m_waiting.begin(), m_waiting.end());
-  SortByUrgency(waiting, now);
+  bool aged_first = m_counts.placements >= m_next_aged_placement;
+  SortByUrgency(waiting, aged_first ? AgedFirst::kYes : AgedFirst::kNo, now);
   std::vector<FailedSearch> failed;
-  for (WorkflowStep* step : waiting) {
+  for (std::size_t i = 0; i < waiting.size(); ++i) {
+    WorkflowStep* step = waiting[i];
+    const bool was_aged = aged_first && IsAged(*step, now);
+    const std::uint64_t placed_before = m_counts.placements;
     const QuarantineAccess access = WidestAccessOf(*step, filter, now);
     const bool is_hopeless =
         m_policy.AnySpeedFrom(*step, now) > now && std::any_of(failed.begin(), failed.end(), [&](const auto& other) {
@@ -59,6 +64,13 @@
         UpdateWaiting(*step);
       }
     }
+    const std::uint64_t placed = m_counts.placements - placed_before;
+    if (was_aged && placed > 0) {
+      m_counts.aged_placements += placed;
+      m_next_aged_placement = m_counts.placements + placed * kPlacementsPerAged;
+      aged_first = false;
+      SortByUrgency(std::span(waiting).subspan(i + 1), AgedFirst::kNo, now);
+    }
     // After the placements, because each of them lets the others of its job wait for a while.
     if (m_waiting.contains(step)) ScheduleRetry(*step, filter, now);
   }
@@ -169,7 +181,7 @@
   std::erase_if(waiting, [&](const WorkflowStep* step) {
     return now - step->runtimes[step->LongestWaitingTask()].waiting_since < kLongWait;
   });
-  SortByUrgency(waiting, now);
+  SortByUrgency(waiting, AgedFirst::kNo, now);
   if (waiting.size() > kMaxLoggedWaits) waiting.resize(kMaxLoggedWaits);
   for (const WorkflowStep* step : waiting) {
     const std::size_t i = step->LongestWaitingTask();
--- a/src/workflow/work_order.h
+++ b/src/workflow/work_order.h
@@ -3,6 +3,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <span>
 #include <vector>
 
 #include "base/enum_names.h"
@@ -39,9 +40,29 @@
 
 Prospect ProspectOf(const WorkflowStep& step, MonotonicTime now);
 
-/// Sorts steps that wait into the order in which they get room: by priority, then by prospect, then by deadline.
+/// A job without a run that has waited this long for room has aged. Far above the objectives of jobs that take seconds,
+/// so that those in time are rarely delayed, and well under the time for which clients follow a job.
+inline constexpr absl::Duration kAgedAfter = absl::Seconds(20);
+/// Other tasks that are placed for each task that is placed because its job has aged. With a larger share (one whole
+/// job in 2 s), a backlog of jobs that count for nothing any more took half of a small fleet.
+inline constexpr std::uint64_t kPlacementsPerAged = 10;
+
+/// Whether the job of a step that waits has had no run for `kAgedAfter`. Tasks that last have their own bounds.
+bool IsAged(const WorkflowStep& step, MonotonicTime now);
+
+enum class AgedFirst { kNo, kYes };
+
+/// Sorts steps that wait into the order in which they get room: by priority, then by prospect, then by what is lacking:
+/// steps that have begun and lack few tasks, other steps of jobs that have begun, those of jobs that have not. Then
+/// jobs in time come by remaining work, the shortest first, and others by deadline.
+///
+/// By deadline alone, jobs that can no longer be in time come first under overload and make the next ones late too. A
+/// step ends with its last task, so few jobs done completely count for more than many in part.
 ///
-/// By deadline alone, jobs that can no longer be in time come first under overload and make the next ones late too.
-void SortByUrgency(std::vector<WorkflowStep*>& steps, MonotonicTime now);
+/// With `kYes`, aged steps come first within their priority, the one that has waited longest before others. The caller
+/// asks for it after `kPlacementsPerAged` other placements for each task that it has placed so. This bounds the wait of
+/// every job: once it has aged, it is overtaken by at most so many tasks of its priority for each of its own tasks and
+/// of those of jobs that have waited longer.
+void SortByUrgency(std::span<WorkflowStep*> steps, AgedFirst aged, MonotonicTime now);
 
 }  // namespace berylgauge::workflow
