Move or restart the filling runs that decide the end of their step

Slow filling runs were judged one by one, by their declared duration and newest processor time.

StepCompletion estimates the remaining time of each run from its percentage and what it achieved since its start (RunPace), and the work of a task from the others of its step. A run is stopped if its step ends earlier by more than the cost, doubled for each earlier move, and only for a worker that promises full speed without known harm, on which it is then placed. Runs without checkpoints are restarted; a run that has done nothing is restarted 1 s after its start. Workers without serving tasks are looked at, too.

--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -23,6 +23,7 @@
 #include "workflow/quarantine_filter.h"
 #include "workflow/readmission_reason.h"
 #include "workflow/run_loss.h"
+#include "workflow/step_completion.h"
 #include "workflow/worker_pool.h"
 #include "workflow/worker_report.h"
 #include "workflow/workflow_job.h"
@@ -69,12 +70,14 @@
   /// itself both stay under the 3 s for which the platform accepts that a job has no run while there is room.
   absl::Duration quarantine_patience = absl::Seconds(1);
   absl::Duration longest_quarantine_patience = absl::Seconds(2);
-  /// A filling task that runs below this share of its speed is moved if another worker promises the higher one, and if
-  /// that saves at least this time after a restart from its checkpoint.
-  double slow_filling_speed = 0.5;
-  double good_filling_speed = 0.7;
-  absl::Duration move_cost = absl::Milliseconds(900);  ///< stop, placement and restore (600 ms)
-  absl::Duration least_gain = absl::Milliseconds(800);
+  /// When a slow filling task is stopped for the sake of its step.
+  StepCompletionOptions completion;
+  /// Least expected speed, and most expected harm to serving tasks, of a worker to which a slow filling task is moved.
+  /// Pairs of images that were never seen together have a harm of 0.2 and more.
+  double least_destination_speed = 0.9;
+  double most_destination_harm = 0.1;
+  /// A run below this share of its speed shows that its worker has less to offer than is expected of it.
+  double slow_filling_speed = 0.7;
   absl::Duration move_interval = absl::Milliseconds(500);
   /// Moves in one interval, because each changes the figures of the next: at least the first figure, and this share of
   /// the workers.
@@ -97,11 +100,14 @@
   std::uint64_t unknown_runs = 0;    ///< listed as running by a worker on which they are not, or no longer, placed
   std::uint64_t ends_unmatched = 0;  ///< listed by a worker for a run that is not, or no longer, placed there
   std::uint64_t refused_starts = 0;
-  std::uint64_t quarantines = 0;      ///< workers taken out
-  std::uint64_t trials = 0;           ///< runs placed on workers that are out
-  std::uint64_t readmissions = 0;     ///< workers let back in
-  std::uint64_t moves = 0;            ///< filling tasks stopped to run faster elsewhere
-  std::uint64_t aged_placements = 0;  ///< tasks placed because their jobs had waited for too long
+  std::uint64_t quarantines = 0;        ///< workers taken out
+  std::uint64_t trials = 0;             ///< runs placed on workers that are out
+  std::uint64_t readmissions = 0;       ///< workers let back in
+  std::uint64_t moves = 0;              ///< filling tasks stopped to run faster elsewhere
+  std::uint64_t restarts = 0;           ///< those of them that began anew
+  std::uint64_t destinations_used = 0;  ///< of them, those that got the worker that was chosen for them
+  std::uint64_t stragglers_left = 0;    ///< that no worker promised full speed, counted anew in each interval
+  std::uint64_t aged_placements = 0;    ///< tasks placed because their jobs had waited for too long
   std::uint64_t jobs_done = 0;
   std::uint64_t jobs_failed = 0;
 };
@@ -236,7 +242,29 @@
   /// Spare rate that a serving task is expected to lose beside filling tasks, 1/s.
   double KnownLoss(const StepDefinition& serving, const InterferenceModel::FillingUse& use) const;
   void MoveSlowFillers(MonotonicTime now);
-  bool IsWorthMoving(const PoolWorker& worker, TaskRef task, MonotonicTime now) const;
+  /// Takes the newest figures of filling tasks.
+  void ObserveFillers();
+  /// Work of one task of the step at full speed that is expected before its own tasks tell.
+  static absl::Duration ExpectedWork(const WorkflowStep& step);
+  static std::vector<OpenTask> OpenTasksOf(const WorkflowStep& step);
+  /// What is known of the end of the step if its runs may be moved to workers of that speed.
+  StepCompletion CompletionOf(const WorkflowStep& step, double destination_speed) const;
+  /// Workers on which filling tasks run slower than expected.
+  absl::flat_hash_set<const PoolWorker*> SlowWorkers() const;
+  /// A worker to which a slow filling task may be moved.
+  struct Destination {
+    PoolWorker* worker = nullptr;
+    double speed = 0;
+    double harm = 0;
+  };
+  /// The best ones of those not in `excluded` first.
+  std::vector<Destination> DestinationsFor(const WorkflowStep& step,
+                                           const absl::flat_hash_set<const PoolWorker*>& excluded,
+                                           MonotonicTime now) const;
+  void MoveStragglersOf(WorkflowStep& step, std::size_t most, absl::flat_hash_set<const PoolWorker*>& excluded,
+                        std::size_t& moved, MonotonicTime now);
+  /// Places tasks of the step that were stopped for a faster worker there, unless it has been taken meanwhile.
+  void PlaceMovedTasks(WorkflowStep& step, QuarantineFilter& filter, MonotonicTime now);
   void LapseLeases(MonotonicTime now);
   void LapseFormerWorkers(MonotonicTime now);
   void CreateDueOccurrences(MonotonicTime now, std::int64_t unix_now_ms);
@@ -298,6 +326,12 @@
   MonotonicTime m_next_retirement;
   MonotonicTime m_next_move;
   std::uint64_t m_next_aged_placement = 0;  ///< number of placements from which aged jobs may come first
+  /// A task that is being moved, and for how long its destination is meant for it.
+  struct PlannedMove {
+    WorkerLife destination;
+    MonotonicTime valid_until;
+  };
+  absl::flat_hash_map<std::string, PlannedMove> m_planned_moves;  ///< by task
   MonotonicTime m_next_wait_check;
 };
 
--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -50,6 +50,7 @@
     WorkflowStep* step = waiting[i];
     const bool was_aged = aged_first && IsAged(*step, now);
     const std::uint64_t placed_before = m_counts.placements;
+    PlaceMovedTasks(*step, filter, now);
     const QuarantineAccess access = WidestAccessOf(*step, filter, now);
     const bool is_hopeless =
         m_policy.AnySpeedFrom(*step, now) > now && std::any_of(failed.begin(), failed.end(), [&](const auto& other) {
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -20,11 +20,6 @@
 /// Until this time after its start a run may have no figure although it is at work.
 constexpr absl::Duration kFirstFigureAfter = absl::Milliseconds(1200);
 
-/// A run is judged by its speed from this time after its start.
-constexpr absl::Duration kSettledAfter = absl::Milliseconds(1200);
-/// A paused run counts as running at this speed, so that its remaining time is finite.
-constexpr double kLowestSpeed = 0.02;
-
 }  // namespace
 
 void Scheduler::OnReport(const std::string& agent, const WorkerReport& report, MonotonicTime now) {
@@ -378,55 +373,6 @@
   for (const TaskRef task : lasting) OrderStop(task);
 }
 
-void Scheduler::MoveSlowFillers(MonotonicTime now) {
-  if (now < m_next_move) return;
-  m_next_move = now + m_options.move_interval;
-  const auto share =
-      static_cast<std::size_t>(m_options.moves_per_worker * static_cast<double>(m_workers.workers().size()));
-  const std::size_t most = std::max(m_options.least_moves, share);
-  std::vector<TaskRef> moved;
-  for (const PoolWorker* worker : m_workers.workers()) {
-    if (worker->serving.empty() || worker->filling.empty()) continue;
-    for (const auto& [task, held] : worker->runs) {
-      if (moved.size() >= most) break;
-      if (IsWorthMoving(*worker, task, now)) moved.push_back(task);
-    }
-  }
-  for (const TaskRef task : moved) {
-    const TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
-    ++m_counts.moves;
-    LogEvent(LogLevel::kInfo, "run_moved",
-             {{"task", task.step->TaskNameOf(task.index)},
-              {"worker", task.step->tasks[static_cast<std::size_t>(task.index)].worker},
-              {"cpu", runtime.measured},
-              {"demand", task.step->definition->demand.cpu_millis},
-              {"percent", runtime.percent}});
-    OrderStop(task);
-  }
-}
-
-bool Scheduler::IsWorthMoving(const PoolWorker& worker, TaskRef task, MonotonicTime now) const {
-  const StepDefinition& definition = *task.step->definition;
-  const TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
-  if (!definition.fills_idle_cpu || !definition.saves_progress || definition.gang) return false;
-  // Two figures of half a second after the start, so that the start itself does not count as slow.
-  if (runtime.stage != RunStage::kRunning || now - runtime.started_at < kSettledAfter) return false;
-  const auto demand = static_cast<double>(std::max<std::int64_t>(definition.demand.cpu_millis, 1));
-  const double speed = std::max(static_cast<double>(runtime.measured) / demand, kLowestSpeed);
-  if (speed >= m_options.slow_filling_speed) return false;
-  const absl::Duration whole = absl::Milliseconds(definition.estimate_ms);
-  const absl::Duration remaining = (1 - std::min(runtime.percent, 100) / 100.0) * whole;
-  const absl::Duration allowed = remaining / speed - m_options.move_cost - m_options.least_gain;
-  for (const PoolWorker* other : m_workers.workers()) {
-    if (other == &worker || !m_policy.IsEligible(*task.step, *other, m_limits, now)) continue;
-    if (!m_policy.HasRoom(*task.step, task.index, *other, now)) continue;
-    if (m_quarantine.OutSince(WorkerId(other->life.worker)) != InfiniteFuture()) continue;
-    const double other_speed = m_policy.FillingSpeed(definition, *other);
-    if (other_speed >= m_options.good_filling_speed && remaining / other_speed < allowed) return true;
-  }
-  return false;
-}
-
 void Scheduler::LapseLeases(MonotonicTime now) {
   for (PoolWorker* worker : m_workers.workers()) {
     const absl::Duration silence = now - worker->clock_read_at;
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -12,6 +12,7 @@
 #include "base/monotonic_time.h"
 #include "workflow/job_definition.h"
 #include "workflow/job_phase.h"
+#include "workflow/run_pace.h"
 #include "workflow/serving_load.h"
 #include "workflow/step_progress.h"
 #include "workflow/task_name.h"
@@ -40,10 +41,11 @@
   MonotonicTime stopping_since = InfiniteFuture();  ///< first report after a stop was ordered
   MonotonicTime waiting_since;     ///< end of the newest run that has begun, or when the task's turn came
   MonotonicTime not_before;        ///< earliest time of the next run
-  std::vector<std::string> avoid;  ///< workers on which it failed
+  std::vector<std::string> avoid;  ///< workers on which it failed, or was so slow that it was stopped
   std::string checkpoint;          ///< newest that the worker listed for the present run
   int percent = 0;                 ///< of its work, as listed last
   std::int64_t measured = 0;
+  RunPace pace;  ///< of a filling task
 };
 
 struct WorkflowJob;
