Leave a filling run that pauses for one figure where it is

With a weight of 0.7 of the newest figure, a run at full speed was moved after one figure of 0, although a move (0.9 s) takes longer than such a pause (0.5 s). The newest figure and the mean since the start now count alike. Tested with workflow_test: 110 cases pass, with two new rows.

--- a/src/workflow/step_completion.cc
+++ b/src/workflow/step_completion.cc
@@ -8,9 +8,9 @@
 
 /// A run that stands still counts as running at this speed, so that its remaining time is finite.
 constexpr double kLowestSpeed = 0.02;
-/// Weight of the newest figure against the mean since the start: the pace of a run changes within seconds with the load
-/// of the serving tasks beside it.
-constexpr double kNewestWeight = 0.7;
+/// Weight of the newest figure against the mean since the start. The pace of a run changes within seconds with the load
+/// of the serving tasks beside it, but a pause of one figure (0.5 s) is shorter than a move.
+constexpr double kNewestWeight = 0.5;
 /// Least share of the work from which the work of the whole task is derived.
 constexpr double kLeastShare = 0.1;
 /// Fewer measured tasks of a step say less than the expected work.
--- a/tests/unit/workflow/step_completion_test.cc
+++ b/tests/unit/workflow/step_completion_test.cc
@@ -67,6 +67,8 @@
       {"little to gain for the work that is discarded", false, 2000, {}, {{40, 2400, 0.42, 0.42}}, kLeave, kSmallGain},
       {"others of its step end as late", true, 2000, {}, {{70, 4667, 0.3, 0.3}, {0, 100}}, kLeave, kNotDeciding},
       {"a run at full speed", true, 2000, {}, {{30, 600}, nearly_done}, kLeave, kNotDeciding},
+      {"a run that pauses for one figure", true, 2000, {}, {{60, 1200, 1, 0}, nearly_done}, kLeave, kNotDeciding},
+      {"a run that pauses for longer", true, 2000, {}, {{60, 2200, 0.55, 0}, nearly_done}, kMove, kGain},
       {"a run that was moved before", true, 2000, {}, {{40, 2000, 0.4, 0.4, 2}}, kLeave, kSmallGain},
       {"the same, with much to gain", true, 2000, {}, {{40, 2000, 0.4, 0.05, 2}}, kMove, kGain},
       {"the same without the other one", true, 2000, {}, {{70, 4667, 0.3, 0.3}}, kMove, kGain},
