--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -68,6 +68,10 @@
     {"kind=\"trial\"", &workflow::SchedulerCounts::trials},
     {"kind=\"readmission\"", &workflow::SchedulerCounts::readmissions},
     {"kind=\"move\"", &workflow::SchedulerCounts::moves},
+    {"kind=\"restart\"", &workflow::SchedulerCounts::restarts},
+    {"kind=\"move-as-planned\"", &workflow::SchedulerCounts::destinations_used},
+    {"kind=\"straggler-left\"", &workflow::SchedulerCounts::stragglers_left},
+    {"kind=\"aged-placement\"", &workflow::SchedulerCounts::aged_placements},
     {"kind=\"job-done\"", &workflow::SchedulerCounts::jobs_done},
     {"kind=\"job-failed\"", &workflow::SchedulerCounts::jobs_failed},
 };
