Probe unknown pairs of images with one filler task

Cause: the effect of a filler image on a serving image is unknown until they have run on one worker, and the filler tasks of a step are placed within one call. A whole step could be placed beside serving tasks that it disturbs heavily.

Change: InterferenceTable tells whether a pair is known. A worker where a filler task of the same image already runs beside a serving image of unknown effect is taken only if no other worker has room. Counters `probe` and `crowded-probe`.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -65,6 +65,8 @@
     {"kind=\"trial\"", &workflow::SchedulerCounts::trials},
     {"kind=\"readmission\"", &workflow::SchedulerCounts::readmissions},
     {"kind=\"move\"", &workflow::SchedulerCounts::moves},
+    {"kind=\"probe\"", &workflow::SchedulerCounts::probes},
+    {"kind=\"crowded-probe\"", &workflow::SchedulerCounts::crowded_probes},
     {"kind=\"job-done\"", &workflow::SchedulerCounts::jobs_done},
     {"kind=\"job-failed\"", &workflow::SchedulerCounts::jobs_failed},
 };
--- a/src/workflow/interference_table.h
+++ b/src/workflow/interference_table.h
@@ -39,6 +39,11 @@
     m_entries[{entry.serving_image, entry.filling_image}] = entry.loss_per_core;
   }
 
+  /// Whether the pair was seen together.
+  bool IsKnown(const std::string& serving_image, const std::string& filling_image) const {
+    return m_entries.contains({serving_image, filling_image});
+  }
+
   std::size_t size() const { return m_entries.size(); }
 
  private:
--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -24,6 +24,9 @@
 constexpr double kCleanWorkerCost = 3e4;
 constexpr double kMixedImagesCost = 4e4;
 constexpr double kServingWeight = 1e4;
+/// Cost of a worker where the effect of a filler image is being probed: more than any difference in speed and harm, so
+/// that it is taken only if no other worker has room, and less than that of a silent worker.
+constexpr double kProbePenalty = 4e5;
 /// Weight of the harm to serving tasks: more than that of all serving tasks of a worker.
 constexpr double kHarmWeight = 2e5;
 
@@ -141,6 +144,12 @@
   return capacity - other - m_options.serving_use * serving;
 }
 
+bool PlacementPolicy::IsProbing(const std::string& filler_image, const PoolWorker& worker) const {
+  if (!worker.filling.contains(filler_image)) return false;
+  return std::any_of(worker.serving.begin(), worker.serving.end(),
+                     [&](const auto& serving) { return !m_interference.table().IsKnown(serving.first, filler_image); });
+}
+
 double PlacementPolicy::Score(const WorkflowStep& step, int index, const PoolWorker& worker, MonotonicTime now) const {
   const StepDefinition& definition = *step.definition;
   double score = 0;
@@ -152,6 +161,7 @@
   if (std::find(avoid.begin(), avoid.end(), worker.life.worker) != avoid.end()) score += 2 * kLastResortPenalty;
   const auto free_cpu = static_cast<double>(worker.Free().cpu_millis);
   if (definition.fills_idle_cpu) {
+    if (IsProbing(definition.image, worker)) score += kProbePenalty;
     const double speed = FillingSpeed(definition, worker);
     const double idle = IdleCpu(worker) - static_cast<double>(worker.filling_cpu);
     // At full speed, workers whose serving tasks lose least come first, although their load may leave room for more at
--- a/src/workflow/placement_policy.h
+++ b/src/workflow/placement_policy.h
@@ -85,6 +85,10 @@
   /// Processors that tasks with counted demand are expected to leave idle, in thousandths of a core.
   double IdleCpu(const PoolWorker& worker) const;
 
+  /// Whether a filler task of the image runs on the worker beside a serving image of which its effect is not known
+  /// yet. Another one would disturb without telling more.
+  bool IsProbing(const std::string& filler_image, const PoolWorker& worker) const;
+
  private:
   /// What one more filling task would do to the serving tasks of one image, 1/s.
   struct ServingOutlook {
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -97,10 +97,12 @@
   std::uint64_t unknown_runs = 0;    ///< listed as running by a worker on which they are not, or no longer, placed
   std::uint64_t ends_unmatched = 0;  ///< listed by a worker for a run that is not, or no longer, placed there
   std::uint64_t refused_starts = 0;
-  std::uint64_t quarantines = 0;   ///< workers taken out
-  std::uint64_t trials = 0;        ///< runs placed on workers that are out
-  std::uint64_t readmissions = 0;  ///< workers let back in
-  std::uint64_t moves = 0;         ///< filling tasks stopped to run faster elsewhere
+  std::uint64_t quarantines = 0;     ///< workers taken out
+  std::uint64_t trials = 0;          ///< runs placed on workers that are out
+  std::uint64_t readmissions = 0;    ///< workers let back in
+  std::uint64_t moves = 0;           ///< filling tasks stopped to run faster elsewhere
+  std::uint64_t probes = 0;          ///< filler tasks placed alone beside a serving image to learn their effect
+  std::uint64_t crowded_probes = 0;  ///< filler tasks added to such a probe because no other worker had room
   std::uint64_t jobs_done = 0;
   std::uint64_t jobs_failed = 0;
 };
@@ -234,6 +236,8 @@
   void LearnInterference(PoolWorker& worker, MonotonicTime now);
   /// Spare rate that a serving task is expected to lose beside filling tasks, 1/s.
   double KnownLoss(const StepDefinition& serving, const InterferenceModel::FillingUse& use) const;
+  /// Counts the effect on interference of a placement that is about to be made.
+  void NoteCapacityDecision(const WorkflowStep& step, const PoolWorker& worker);
   void MoveSlowFillers(MonotonicTime now);
   bool IsWorthMoving(const PoolWorker& worker, TaskRef task, MonotonicTime now) const;
   void LapseLeases(MonotonicTime now);
