Learn for each worker what its serving tasks use

Cause: IdleCpu assumed that serving tasks use half of their reserved CPU on every worker, whatever their load. Filler tasks were placed for idle CPU that the worker did not have, or kept off CPU that was idle.

Change: IdleCpuModel learns the share from the CPU of filler tasks. A filler task that the agent has no reason to slow and that gets less than its demand shows that the worker is saturated, so its serving tasks use the rest; otherwise the use is a lower bound of what is left.

--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -141,7 +141,7 @@
   const auto capacity = static_cast<double>(worker.capacity.cpu_millis);
   const auto serving = static_cast<double>(worker.serving_cpu);
   const double other = static_cast<double>(worker.reserved.cpu_millis) - serving;
-  return capacity - other - m_options.serving_use * serving;
+  return capacity - other - worker.idle_cpu.ServingShare(m_options.serving_use) * serving;
 }
 
 bool PlacementPolicy::IsProbing(const std::string& filler_image, const PoolWorker& worker) const {
--- a/src/workflow/placement_policy.h
+++ b/src/workflow/placement_policy.h
@@ -26,7 +26,8 @@
   /// A task that lasts takes the reserve after it has waited this long: it must run where there is any room, within
   /// seconds.
   absl::Duration reserve_patience = absl::Milliseconds(1200);
-  /// Share of their demand that serving tasks use on average; filling tasks get the rest.
+  /// Share of their demand that serving tasks use on average, until it is learned for the worker (`IdleCpuModel`);
+  /// filling tasks get the rest.
   double serving_use = 0.5;
   /// Least speed, as a share of full speed, at which a filling task is placed; it waits for a better worker otherwise.
   double lowest_filling_speed = 0.35;
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -236,6 +236,11 @@
   void LearnInterference(PoolWorker& worker, MonotonicTime now);
   /// Spare rate that a serving task is expected to lose beside filling tasks, 1/s.
   double KnownLoss(const StepDefinition& serving, const InterferenceModel::FillingUse& use) const;
+  /// Learns from the figures of the filler tasks what the serving tasks of the worker use.
+  void LearnIdleCpu(PoolWorker& worker, MonotonicTime now);
+  /// Whether the agent lets the filler task run at full pace: it is known to disturb no serving task there much, and
+  /// all of these meet their targets.
+  bool IsUnthrottled(const StepDefinition& filler, const PoolWorker& worker) const;
   /// Counts the effect on interference of a placement that is about to be made.
   void NoteCapacityDecision(const WorkflowStep& step, const PoolWorker& worker);
   void MoveSlowFillers(MonotonicTime now);
--- a/src/workflow/scheduler_capacity.cc
+++ b/src/workflow/scheduler_capacity.cc
@@ -3,6 +3,59 @@
 #include "workflow/scheduler.h"
 
 namespace berylgauge::workflow {
+namespace {
+
+/// From this time after its start the half-second figure of a run shows its use at work, without start and restore.
+constexpr absl::Duration kSettledAfter = absl::Milliseconds(1200);
+/// A filler task that could use more gets less than this share of its demand; the rest is noise of the figure.
+constexpr double kSaturatedShare = 0.85;
+/// The agent slows filler tasks below this loss, as a share of the rate at the target for each core, only after several
+/// missed targets in a row (`PaceOptions::light_loss_share`).
+constexpr double kLightLossShare = 0.04;
+
+}  // namespace
+
+bool Scheduler::IsUnthrottled(const StepDefinition& filler, const PoolWorker& worker) const {
+  const InterferenceTable& table = m_interference.table();
+  return std::all_of(worker.serving.begin(), worker.serving.end(), [&](const auto& serving) {
+    const auto& [image, use] = serving;
+    const double target_rate = SpareRate(use.tail_target_ms);
+    const bool is_light = table.IsKnown(image, filler.image) &&
+                          table.Get(image, filler.image, use.tail_target_ms) < kLightLossShare * target_rate;
+    return is_light && use.spare_rate >= target_rate;
+  });
+}
+
+void Scheduler::LearnIdleCpu(PoolWorker& worker, MonotonicTime now) {
+  worker.idle_cpu.Decay(now);
+  if (worker.serving_cpu <= 0) return;
+  bool is_complete = true;
+  bool is_saturated = false;
+  std::int64_t filling_use = 0;
+  for (const auto& [task, held] : worker.runs) {
+    const StepDefinition& definition = *task.step->definition;
+    if (!definition.fills_idle_cpu) continue;
+    const TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
+    filling_use += runtime.measured;
+    const bool is_settled = runtime.stage == RunStage::kRunning && now - runtime.started_at >= kSettledAfter;
+    if (!is_settled) {
+      is_complete = false;
+      continue;
+    }
+    const double full_use = kSaturatedShare * static_cast<double>(definition.demand.cpu_millis);
+    const bool is_short_of_cpu = runtime.measured > 0 && static_cast<double>(runtime.measured) < full_use;
+    is_saturated = is_saturated || (is_short_of_cpu && IsUnthrottled(definition, worker));
+  }
+  if (filling_use == 0) return;
+  const std::int64_t other = worker.reserved.cpu_millis - worker.serving_cpu;
+  const auto left = static_cast<double>(worker.capacity.cpu_millis - other - filling_use);
+  const double share = left / static_cast<double>(worker.serving_cpu);
+  if (is_saturated && is_complete) {
+    worker.idle_cpu.AddShare(share, now);
+  } else {
+    worker.idle_cpu.AddUpperBound(share, m_options.placement.serving_use, now);
+  }
+}
 
 void Scheduler::NoteCapacityDecision(const WorkflowStep& step, const PoolWorker& worker) {
   const StepDefinition& definition = *step.definition;
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -315,6 +315,7 @@
 
 void Scheduler::LearnInterference(PoolWorker& worker, MonotonicTime now) {
   if (worker.serving_tasks == 0) return;
+  LearnIdleCpu(worker, now);
   InterferenceModel::FillingUse use;
   bool is_use_known = true;
   for (const auto& [task, held] : worker.runs) {
--- a/src/workflow/worker_pool.h
+++ b/src/workflow/worker_pool.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/monotonic_time.h"
+#include "workflow/idle_cpu_model.h"
 #include "workflow/worker_report.h"
 #include "workflow/workflow_job.h"
 
@@ -61,6 +62,7 @@
   std::int64_t serving_cpu = 0;               ///< part of `reserved` that belongs to serving tasks
   int serving_tasks = 0;
   std::map<std::string, ServingUse> serving;    ///< by image
+  IdleCpuModel idle_cpu;                        ///< what its serving tasks really use
   std::map<std::string, std::int64_t> filling;  ///< demand of filling tasks by image, thousandths of a core
   MonotonicTime interference_sent_at = InfinitePast();
   MonotonicTime avoid_until;  ///< refuses or fails starts
--- a/tests/unit/workflow/joint_placement_test.cc
+++ b/tests/unit/workflow/joint_placement_test.cc
@@ -1,7 +1,9 @@
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <string>
 
 #include "scheduler_world.h"
+#include "workflow/placement_policy.h"
 
 namespace berylgauge::workflow {
 namespace {
@@ -59,5 +61,48 @@
   CHECK_FALSE(model.table().IsKnown("shop", "packer"));
 }
 
+struct UseRow {
+  const char* name;
+  std::int64_t measured;  ///< of each of three filler tasks that request 4 cores
+  std::int64_t tail_ms;   ///< of the serving tasks, with a target of 50
+  double least;           ///< share of the reserved CPU that the serving tasks are found to use
+  double most;
+};
+
+// Guards against filler tasks that are placed for idle CPU which the worker does not have.
+TEST_CASE("the CPU that serving tasks use is learned from filler tasks", "[joint-placement]") {
+  const UseRow row = GENERATE(UseRow{"little is left", 2200, 18, 0.66, 0.74},  //
+                              UseRow{"more is left than assumed", 3600, 18, 0.38, 0.45},
+                              UseRow{"slowed filler tasks tell nothing", 2200, 80, 0.5, 0.5},
+                              UseRow{"paused filler tasks tell nothing", 0, 18, 0.5, 0.5});
+  INFO(row.name);
+  SchedulerWorld world;
+  PlayedWorker& worker = world.AddWorker("a");
+  StepDefinition serving = LastingStep(4);
+  serving.image = "shop";
+  serving.tail_target_ms = kTargetMs;
+  world.Submit(SingleStepJob("serving", serving));
+  StepDefinition filling = FillingStep(3);
+  filling.image = "packer";
+  world.Submit(SingleStepJob("filling", filling));
+  for (int round = 0; round < 40; ++round) {
+    for (const auto& [task, run] : worker.runs) {
+      const bool is_serving = task.starts_with("serving");
+      worker.measured[task] = is_serving ? row.tail_ms : row.measured;
+      worker.percents[task] = is_serving ? 100 : 50;
+    }
+    world.Sleep(absl::Milliseconds(500));
+    world.Settle();
+  }
+  REQUIRE(worker.runs.size() == 7);
+  const InterferenceModel model;
+  const PlacementPolicy policy(model, {});
+  const PoolWorker& learned = *world.scheduler().FindWorker(worker.agent);
+  const double idle = policy.IdleCpu(learned);
+  const double share = (16000 - idle) / (4 * 3200);
+  CHECK(share >= row.least);
+  CHECK(share <= row.most);
+}
+
 }  // namespace
 }  // namespace berylgauge::workflow
