--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -67,6 +67,7 @@
     {"kind=\"move\"", &workflow::SchedulerCounts::moves},
     {"kind=\"probe\"", &workflow::SchedulerCounts::probes},
     {"kind=\"crowded-probe\"", &workflow::SchedulerCounts::crowded_probes},
+    {"kind=\"first-serving\"", &workflow::SchedulerCounts::first_servings},
     {"kind=\"job-done\"", &workflow::SchedulerCounts::jobs_done},
     {"kind=\"job-failed\"", &workflow::SchedulerCounts::jobs_failed},
 };
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -16,6 +16,8 @@
 
 #include "base/monotonic_time.h"
 #include "schedule/worker_quarantine.h"
+#include "workflow/filler_demand.h"
+#include "workflow/filling_capacity.h"
 #include "workflow/interference_model.h"
 #include "workflow/job_index.h"
 #include "workflow/orders.h"
@@ -103,6 +105,7 @@
   std::uint64_t moves = 0;           ///< filling tasks stopped to run faster elsewhere
   std::uint64_t probes = 0;          ///< filler tasks placed alone beside a serving image to learn their effect
   std::uint64_t crowded_probes = 0;  ///< filler tasks added to such a probe because no other worker had room
+  std::uint64_t first_servings = 0;  ///< serving tasks placed on workers without serving tasks
   std::uint64_t jobs_done = 0;
   std::uint64_t jobs_failed = 0;
 };
@@ -241,8 +244,9 @@
   /// Whether the agent lets the filler task run at full pace: it is known to disturb no serving task there much, and
   /// all of these meet their targets.
   bool IsUnthrottled(const StepDefinition& filler, const PoolWorker& worker) const;
-  /// Counts the effect on interference of a placement that is about to be made.
-  void NoteCapacityDecision(const WorkflowStep& step, const PoolWorker& worker);
+  /// Counts and logs the effect on filling capacity of a placement that is about to be made.
+  void NoteCapacityDecision(const WorkflowStep& step, int index, const PoolWorker& worker);
+  void LogFillingCapacity(MonotonicTime now);
   void MoveSlowFillers(MonotonicTime now);
   bool IsWorthMoving(const PoolWorker& worker, TaskRef task, MonotonicTime now) const;
   void LapseLeases(MonotonicTime now);
@@ -298,7 +302,9 @@
   std::optional<Batch> m_batch;                                      ///< under way
   absl::flat_hash_map<std::string, std::vector<TaskRef>> m_orphans;  ///< placed by a former owner, by worker id
   InterferenceModel m_interference;
-  PlacementPolicy m_policy;  ///< uses `m_interference`
+  FillerDemand m_filler_demand;
+  FillingCapacity m_filling_capacity;
+  PlacementPolicy m_policy;  ///< uses `m_interference` and `m_filling_capacity`
   MonotonicTime m_interference_refreshed_at = InfinitePast();
   SchedulerCounts m_counts;
   bool m_placement_due = true;
@@ -306,6 +312,7 @@
   MonotonicTime m_next_retirement;
   MonotonicTime m_next_move;
   MonotonicTime m_next_wait_check;
+  MonotonicTime m_next_capacity_log;
 };
 
 }  // namespace berylgauge::workflow
--- a/src/workflow/scheduler_capacity.cc
+++ b/src/workflow/scheduler_capacity.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "base/event_log.h"
 #include "workflow/scheduler.h"
 
 namespace berylgauge::workflow {
@@ -12,6 +13,7 @@
 /// The agent slows filler tasks below this loss, as a share of the rate at the target for each core, only after several
 /// missed targets in a row (`PaceOptions::light_loss_share`).
 constexpr double kLightLossShare = 0.04;
+constexpr absl::Duration kCapacityLogInterval = absl::Seconds(10);
 
 }  // namespace
 
@@ -57,13 +59,55 @@
   }
 }
 
-void Scheduler::NoteCapacityDecision(const WorkflowStep& step, const PoolWorker& worker) {
+void Scheduler::NoteCapacityDecision(const WorkflowStep& step, int index, const PoolWorker& worker) {
   const StepDefinition& definition = *step.definition;
-  if (!definition.fills_idle_cpu) return;
-  const bool is_unknown = std::any_of(worker.serving.begin(), worker.serving.end(), [&](const auto& serving) {
-    return !m_interference.table().IsKnown(serving.first, definition.image);
-  });
-  if (is_unknown) ++(m_policy.IsProbing(definition.image, worker) ? m_counts.crowded_probes : m_counts.probes);
+  if (definition.fills_idle_cpu) {
+    const bool is_unknown = std::any_of(worker.serving.begin(), worker.serving.end(), [&](const auto& serving) {
+      return !m_interference.table().IsKnown(serving.first, definition.image);
+    });
+    if (is_unknown) ++(m_policy.IsProbing(definition.image, worker) ? m_counts.crowded_probes : m_counts.probes);
+    return;
+  }
+  if (definition.tail_target_ms == 0) return;
+  if (worker.serving.empty()) ++m_counts.first_servings;
+  if (!m_filling_capacity.HasDemand()) return;
+  const bool is_new_image = !worker.serving.contains(definition.image);
+  LogEvent(
+      LogLevel::kInfo, "serving_placed",
+      {{"task", step.TaskNameOf(index)},
+       {"image", definition.image},
+       {"worker", worker.life.worker},
+       {"new_image", is_new_image},
+       {"images", worker.serving.size()},
+       {"filling_capacity", static_cast<std::int64_t>(m_filling_capacity.Of(m_policy.FillingRoomOf(worker)))},
+       {"disturbing_percent", static_cast<std::int64_t>(100 * m_filling_capacity.DisturbingShare(definition.image))}});
+}
+
+void Scheduler::LogFillingCapacity(MonotonicTime now) {
+  if (now < m_next_capacity_log || !m_filling_capacity.HasDemand()) return;
+  m_next_capacity_log = now + kCapacityLogInterval;
+  double capacity = 0;
+  double idle = 0;
+  std::size_t without_serving = 0;
+  double used_share = 0;
+  std::size_t with_serving = 0;
+  for (const PoolWorker* worker : m_workers.workers()) {
+    capacity += m_filling_capacity.Of(m_policy.FillingRoomOf(*worker));
+    idle += m_policy.IdleCpu(*worker);
+    if (worker->serving.empty()) {
+      ++without_serving;
+      continue;
+    }
+    ++with_serving;
+    used_share += worker->idle_cpu.ServingShare(m_options.placement.serving_use);
+  }
+  LogEvent(LogLevel::kInfo, "filling_capacity",
+           {{"cpu", static_cast<std::int64_t>(capacity)},
+            {"idle_cpu", static_cast<std::int64_t>(idle)},
+            {"workers_without_serving", without_serving},
+            {"serving_use_percent",
+             with_serving == 0 ? 0 : static_cast<std::int64_t>(100 * used_share / static_cast<double>(with_serving))},
+            {"known_pairs", m_interference.table().size()}});
 }
 
 }  // namespace berylgauge::workflow
--- a/src/workflow/worker_pool.h
+++ b/src/workflow/worker_pool.h
@@ -34,6 +34,7 @@
   int tail_target_ms = 0;  ///< strictest of them
   double spare_rate = 0;   ///< smoothed mean of what they measured (`SpareRate`), 1/s; 0 before the first figure
   double lowest_soon = 0;  ///< that their load is expected to leave them soon (`ServingLoad`), 1/s; 0 likewise
+  double usual_rate = 0;   ///< mean of what their load leaves them, over about its swing, 1/s; 0 likewise
 };
 
 /// What the owner knows of one worker in its present life.
