--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -72,6 +72,9 @@
     {"kind=\"move-as-planned\"", &workflow::SchedulerCounts::destinations_used},
     {"kind=\"straggler-left\"", &workflow::SchedulerCounts::stragglers_left},
     {"kind=\"aged-placement\"", &workflow::SchedulerCounts::aged_placements},
+    {"kind=\"probe\"", &workflow::SchedulerCounts::probes},
+    {"kind=\"crowded-probe\"", &workflow::SchedulerCounts::crowded_probes},
+    {"kind=\"first-serving\"", &workflow::SchedulerCounts::first_servings},
     {"kind=\"job-done\"", &workflow::SchedulerCounts::jobs_done},
     {"kind=\"job-failed\"", &workflow::SchedulerCounts::jobs_failed},
 };
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -17,6 +17,8 @@
 #include "base/monotonic_time.h"
 #include "schedule/worker_quarantine.h"
 #include "workflow/duration_model.h"
+#include "workflow/filler_demand.h"
+#include "workflow/filling_capacity.h"
 #include "workflow/interference_model.h"
 #include "workflow/job_index.h"
 #include "workflow/orders.h"
@@ -114,6 +116,9 @@
   std::uint64_t measured_tasks = 0;     ///< completed with a known amount of work
   std::uint64_t learned_steps = 0;      ///< whose duration was learned from their own runs
   std::uint64_t prospect_changes = 0;   ///< prospects of waiting steps that another estimate of their duration changed
+  std::uint64_t probes = 0;             ///< filler tasks placed alone beside a serving image to learn their effect
+  std::uint64_t crowded_probes = 0;     ///< filler tasks added to such a probe because no other worker had room
+  std::uint64_t first_servings = 0;     ///< serving tasks placed on workers without serving tasks
   std::uint64_t jobs_done = 0;
   std::uint64_t jobs_failed = 0;
 };
@@ -247,6 +252,14 @@
   void LearnInterference(PoolWorker& worker, MonotonicTime now);
   /// Spare rate that a serving task is expected to lose beside filling tasks, 1/s.
   double KnownLoss(const StepDefinition& serving, const InterferenceModel::FillingUse& use) const;
+  /// Learns from the figures of the filler tasks what the serving tasks of the worker use.
+  void LearnIdleCpu(PoolWorker& worker, MonotonicTime now);
+  /// Whether the agent lets the filler task run at full pace: it is known to disturb no serving task there much, and
+  /// all of these meet their targets.
+  bool IsUnthrottled(const StepDefinition& filler, const PoolWorker& worker) const;
+  /// Counts and logs the effect on filling capacity of a placement that is about to be made.
+  void NoteCapacityDecision(const WorkflowStep& step, int index, const PoolWorker& worker);
+  void LogFillingCapacity(MonotonicTime now);
   void MoveSlowFillers(MonotonicTime now);
   /// Feeds `m_durations` with the progress of a run that its worker lists.
   void LearnProgress(const PoolWorker& worker, TaskRef task, MonotonicTime now);
@@ -335,7 +348,9 @@
   DurationModel m_durations;
   MonotonicTime m_next_remaining;
   InterferenceModel m_interference;
-  PlacementPolicy m_policy;  ///< uses `m_interference`
+  FillerDemand m_filler_demand;
+  FillingCapacity m_filling_capacity;
+  PlacementPolicy m_policy;  ///< uses `m_interference` and `m_filling_capacity`
   MonotonicTime m_interference_refreshed_at = InfinitePast();
   SchedulerCounts m_counts;
   bool m_placement_due = true;
@@ -350,6 +365,7 @@
   };
   absl::flat_hash_map<std::string, PlannedMove> m_planned_moves;  ///< by task
   MonotonicTime m_next_wait_check;
+  MonotonicTime m_next_capacity_log;
 };
 
 }  // namespace berylgauge::workflow
