--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -75,6 +75,9 @@
     {"kind=\"probe\"", &workflow::SchedulerCounts::probes},
     {"kind=\"crowded-probe\"", &workflow::SchedulerCounts::crowded_probes},
     {"kind=\"first-serving\"", &workflow::SchedulerCounts::first_servings},
+    {"kind=\"placed-near\"", &workflow::SchedulerCounts::near_placements},
+    {"kind=\"placed-far\"", &workflow::SchedulerCounts::far_placements},
+    {"kind=\"placement-delayed\"", &workflow::SchedulerCounts::delayed_placements},
     {"kind=\"job-done\"", &workflow::SchedulerCounts::jobs_done},
     {"kind=\"job-failed\"", &workflow::SchedulerCounts::jobs_failed},
 };
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -13,6 +13,7 @@
 #include "base/monotonic_time.h"
 #include "workflow/job_definition.h"
 #include "workflow/job_phase.h"
+#include "workflow/locality_wait.h"
 #include "workflow/run_pace.h"
 #include "workflow/serving_load.h"
 #include "workflow/step_progress.h"
@@ -47,8 +48,9 @@
   std::string checkpoint;          ///< newest that the worker listed for the present run
   int percent = 0;                 ///< of its work, as listed last
   std::int64_t measured = 0;
-  RunPace pace;   ///< of a filling task
-  TaskWork work;  ///< of the task's runs so far, measured by this owner
+  RunPace pace;           ///< of a filling task
+  TaskWork work;          ///< of the task's runs so far, measured by this owner
+  LocalityWait locality;  ///< what was decided of its rack
 };
 
 /// What was learned from the runs of a step; see `DurationModel`.
