Keep images of serving tasks apart only where there are several workers for each

Cause: in a fleet of 11 workers and five serving images, mixing images last used up the workers without serving tasks and the large rooms. Test: the new row "few workers for each image" of the table.

--- a/tests/unit/workflow/placement_policy_test.cc
+++ b/tests/unit/workflow/placement_policy_test.cc
@@ -107,11 +107,13 @@
 struct ServingRow {
   const char* name;
   std::vector<WorkerRow> workers;
-  std::string chosen;  ///< for a serving task of the image "shop"
+  std::string chosen;     ///< for a serving task of the image "shop"
+  int full_workers = 12;  ///< others of the service, without room
 };
 
 // The load "serving jobs of ten images on a fleet of workers of two sizes": large workers were kept clean by their free
-// room alone, the images were mixed on the others, and filling tasks were throttled on nearly all of these.
+// room alone, the images were mixed on the others, and filling tasks were throttled on nearly all of these. In a fleet
+// of eleven workers and five images, keeping them apart used up the large rooms, and quiet days were worth 0.1 less.
 TEST_CASE("a serving task shares a worker with another image only if no worker is without serving tasks",
           "[placement]") {
   constexpr double kRate = 55;
@@ -122,7 +124,11 @@
       ServingRow{"a very large one", {{"a", {{"till", 5}}}, {"b", {}, kRate, 48'000}}, "b"},
       ServingRow{
           "none is without: the one with fewer images", {{"a", {{"till", 2}, {"desk", 1}}}, {"b", {{"till", 1}}}}, "b"},
-      ServingRow{"its own image among two", {{"a", {{"till", 2}, {"shop", 1}}}, {"b", {{"till", 4}}}}, "a"});
+      ServingRow{"its own image among two", {{"a", {{"till", 2}, {"shop", 1}}}, {"b", {{"till", 4}}}}, "a"},
+      ServingRow{"few workers for each image: a large room is kept",
+                 {{"a", {{"till", 4}}}, {"b", {}, kRate, 24'000}},
+                 "a",
+                 0});
   INFO(row.name);
   const InterferenceModel model;
   const PlacementPolicy policy(model, {});
@@ -132,6 +138,10 @@
     workers.push_back(MakeWorker(worker));
     candidates.push_back(workers.back().get());
   }
+  for (int i = 0; i < row.full_workers; ++i) {
+    workers.push_back(MakeWorker({.name = "full", .serving = {{"till", 8}}}));
+    candidates.push_back(workers.back().get());
+  }
   const StepDefinition definition = {.demand = {.cpu_millis = 2000, .memory_mb = 1000},
                                      .long_running = true,
                                      .image = "shop",
