--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -29,10 +29,10 @@
 /// The latter in a fleet with several workers for each serving image; more than any worker has free. Where most pairs
 /// of images interfere, hardly any filling task runs at full speed beside two serving images.
 constexpr double kAvoidedMixCost = 4e5;
-/// Workers for each serving image from which on images are kept apart. In a smaller fleet that fills the workers
-/// without serving tasks first, and leaves no large rooms: steps that are limited to a few tasks on a worker need about
-/// as many workers of their image.
-constexpr int kWorkersPerImage = 4;
+/// Workers for each serving image from which on images are kept apart: a step of 14 tasks with at most two or three on
+/// a worker needs five to seven. In a smaller fleet keeping them apart would use up the workers without serving tasks
+/// and the large rooms.
+constexpr int kWorkersPerImage = 6;
 constexpr double kServingWeight = 1e4;
 /// Weight of the harm to serving tasks: more than that of all serving tasks of a worker.
 constexpr double kHarmWeight = 2e5;
