--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -29,10 +29,12 @@
 /// The latter in a fleet with several workers for each serving image; more than any worker has free. Where most pairs
 /// of images interfere, hardly any filling task runs at full speed beside two serving images.
 constexpr double kAvoidedMixCost = 4e5;
-/// Workers for each serving image from which on images are kept apart: a step of 14 tasks with at most two or three on
-/// a worker needs five to seven. In a smaller fleet keeping them apart would use up the workers without serving tasks
-/// and the large rooms.
-constexpr int kWorkersPerImage = 6;
+/// Workers for each serving image from which on images are kept apart: a step of 14 tasks with three or four on a
+/// worker needs about as many. In a smaller fleet keeping them apart would use up the workers without serving tasks and
+/// the large rooms.
+constexpr std::size_t kWorkersPerImage = 4;
+/// Images that are expected in any fleet, also while the first jobs of a day arrive.
+constexpr std::size_t kLeastImages = 4;
 constexpr double kServingWeight = 1e4;
 /// Weight of the harm to serving tasks: more than that of all serving tasks of a worker.
 constexpr double kHarmWeight = 2e5;
@@ -60,7 +62,7 @@
     ++of_service;
     for (const auto& [image, use] : worker->serving) images.insert(image);
   }
-  return of_service >= kWorkersPerImage * images.size() ? kAvoidedMixCost : kMixedImagesCost;
+  return of_service >= kWorkersPerImage * std::max(images.size(), kLeastImages) ? kAvoidedMixCost : kMixedImagesCost;
 }
 
 }  // namespace
