--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -1,9 +1,6 @@
 #include "workflow/placement_policy.h"
 
-#include <absl/container/flat_hash_set.h>
-
 #include <algorithm>
-#include <string_view>
 
 namespace berylgauge::workflow {
 namespace {
@@ -26,15 +23,6 @@
 /// Cost of the first serving task on a worker, and of one more image beside others, in thousandths of a free core.
 constexpr double kCleanWorkerCost = 3e4;
 constexpr double kMixedImagesCost = 4e4;
-/// The latter in a fleet with several workers for each serving image; more than any worker has free. Where most pairs
-/// of images interfere, hardly any filling task runs at full speed beside two serving images.
-constexpr double kAvoidedMixCost = 4e5;
-/// Workers for each serving image from which on images are kept apart: a step of 14 tasks with three or four on a
-/// worker needs about as many. In a smaller fleet keeping them apart would use up the workers without serving tasks and
-/// the large rooms.
-constexpr std::size_t kWorkersPerImage = 4;
-/// Images that are expected in any fleet, also while the first jobs of a day arrive.
-constexpr std::size_t kLeastImages = 4;
 constexpr double kServingWeight = 1e4;
 /// Weight of the harm to serving tasks: more than that of all serving tasks of a worker.
 constexpr double kHarmWeight = 2e5;
@@ -52,29 +40,15 @@
   return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
 }
 
-/// Cost of placing a serving task of the step beside tasks of another image, for each image there.
-double MixedImagesCost(const WorkflowStep& step, const std::vector<PoolWorker*>& workers) {
-  if (step.definition->tail_target_ms == 0) return kMixedImagesCost;
-  absl::flat_hash_set<std::string_view> images = {step.definition->image};
-  std::size_t of_service = 0;
-  for (const PoolWorker* worker : workers) {
-    if (worker->service != step.job->definition.queue.service) continue;
-    ++of_service;
-    for (const auto& [image, use] : worker->serving) images.insert(image);
-  }
-  return of_service >= kWorkersPerImage * std::max(images.size(), kLeastImages) ? kAvoidedMixCost : kMixedImagesCost;
-}
-
 }  // namespace
 
 PoolWorker* PlacementPolicy::Choose(const WorkflowStep& step, int index, const std::vector<PoolWorker*>& workers,
                                     const PlacementLimits& limits, MonotonicTime now) const {
   PoolWorker* best = nullptr;
   double best_score = 0;
-  const double mixed_images_cost = MixedImagesCost(step, workers);
   for (PoolWorker* worker : workers) {
     if (!HasRoom(step, index, *worker, now) || !IsEligible(step, *worker, limits, now)) continue;
-    const double score = Score(step, index, *worker, mixed_images_cost, now);
+    const double score = Score(step, index, *worker, now);
     if (best != nullptr && score >= best_score) continue;
     best = worker;
     best_score = score;
@@ -167,8 +141,7 @@
   return capacity - other - m_options.serving_use * serving;
 }
 
-double PlacementPolicy::Score(const WorkflowStep& step, int index, const PoolWorker& worker, double mixed_images_cost,
-                              MonotonicTime now) const {
+double PlacementPolicy::Score(const WorkflowStep& step, int index, const PoolWorker& worker, MonotonicTime now) const {
   const StepDefinition& definition = *step.definition;
   double score = 0;
   // What is placed on a silent worker can run elsewhere only after the worker's lease.
@@ -193,7 +166,7 @@
   if (!definition.long_running) return score - free_cpu;
   // A worker that serves few images is disturbed by few kinds of filling tasks.
   if (definition.tail_target_ms > 0 && !worker.serving.contains(definition.image)) {
-    score += worker.serving.empty() ? kCleanWorkerCost : mixed_images_cost * static_cast<double>(worker.serving.size());
+    score += worker.serving.empty() ? kCleanWorkerCost : kMixedImagesCost * static_cast<double>(worker.serving.size());
   }
   return score + free_cpu;
 }
--- a/src/workflow/placement_policy.h
+++ b/src/workflow/placement_policy.h
@@ -94,9 +94,7 @@
 
   ServingOutlook OutlookOf(const std::string& image, const ServingUse& use, const StepDefinition& filler,
                            const PoolWorker& worker) const;
-  /// Lower is better. `mixed_images_cost`: for each image of other serving tasks on a worker.
-  double Score(const WorkflowStep& step, int index, const PoolWorker& worker, double mixed_images_cost,
-               MonotonicTime now) const;
+  double Score(const WorkflowStep& step, int index, const PoolWorker& worker, MonotonicTime now) const;
 
   const InterferenceModel& m_interference;
   PlacementOptions m_options;
