Test clients that do not behave against real processes

Crowds and floods on loopback with 64 MB as the memory of each host: unread bytes, all listeners at once, many addresses, answers that nobody reads, large and nested jobs, jobs of many tasks or due times, the internal listeners, the plain installation, and a stop, a lost store and a lost owner beside a crowd. Each checks that the process lives, that its memory (with received but unread bytes where that matters) and descriptors stay under a bound, and that an ordinary request is answered; no times.

--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -146,17 +146,17 @@
   const std::string name = Name("entry", i);
   const std::string ip = Ip(kEntryHost + i);
   const std::string log = Ip(m_options.has_relays ? kLogRelayHost + i : kLogHost);
-  WriteSettings(name, {{"role", "entry"},
-                       {"availability_zone", ZoneOf(i % m_options.zones)},
-                       {"entry",
-                        {{"callers_address", ip},
-                         {"callers_port", kCallersPort},
-                         {"operators_address", ip},
-                         {"operators_port", kOperatorsPort},
-                         {"internal_address", ip},
-                         {"internal_port", kEntryPort},
-                         {"operator_token_file", m_folder + "/token"},
-                         {"log_url", "http://" + Join(log, kLogPort)}}}});
+  nlohmann::json entry = {{"callers_address", ip},
+                          {"callers_port", kCallersPort},
+                          {"operators_address", ip},
+                          {"operators_port", kOperatorsPort},
+                          {"internal_address", ip},
+                          {"internal_port", kEntryPort},
+                          {"operator_token_file", m_folder + "/token"},
+                          {"log_url", "http://" + Join(log, kLogPort)}};
+  entry.update(m_options.entry);
+  WriteSettings(name,
+                {{"role", "entry"}, {"availability_zone", ZoneOf(i % m_options.zones)}, {"entry", std::move(entry)}});
   NoteOwnEnd(name, m_entries[i].get());
   m_entries[i].reset();
   if (m_watch) m_watch->Forget(i);
@@ -171,17 +171,16 @@
   const std::string worker = Ip((m_options.has_relays ? kWorkerRelayHost : kWorkerHost) + i);
   nlohmann::json entries = nlohmann::json::array();
   for (int entry = 0; entry < m_options.entries; ++entry) entries.push_back(Join(Ip(kEntryHost + entry), kEntryPort));
-  WriteSettings(name, {{"role", "agent"},
-                       {"availability_zone", ZoneOf(i)},
-                       {"agent",
-                        {{"worker_id", Name("worker", i)},
-                         {"rack", ZoneOf(i) + "-rack"},
-                         {"local_address", ip},
-                         {"local_port", kLocalPort},
-                         {"internal_address", ip},
-                         {"internal_port", kAgentPort},
-                         {"worker_url", "http://" + Join(worker, kWorkerPort)},
-                         {"entries", std::move(entries)}}}});
+  nlohmann::json agent = {{"worker_id", Name("worker", i)},
+                          {"rack", ZoneOf(i) + "-rack"},
+                          {"local_address", ip},
+                          {"local_port", kLocalPort},
+                          {"internal_address", ip},
+                          {"internal_port", kAgentPort},
+                          {"worker_url", "http://" + Join(worker, kWorkerPort)},
+                          {"entries", std::move(entries)}};
+  agent.update(m_options.agent);
+  WriteSettings(name, {{"role", "agent"}, {"availability_zone", ZoneOf(i)}, {"agent", std::move(agent)}});
   NoteOwnEnd(name, m_agents[i].get());
   m_agents[i].reset();
   const std::string path = absl::StrCat(m_folder, "/", name);
@@ -436,6 +435,14 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
+std::string Cluster::CallersListener(int entry) const { return Join(Ip(kEntryHost + entry), kCallersPort); }
+
+std::string Cluster::OperatorsListener(int entry) const { return Join(Ip(kEntryHost + entry), kOperatorsPort); }
+
+std::string Cluster::EndpointsListener(int agent) const { return Join(Ip(kAgentHost + agent), kLocalPort); }
+
+std::string Cluster::AgentInternalListener(int agent) const { return Join(Ip(kAgentHost + agent), kAgentPort); }
+
 std::string Cluster::LogOf(const std::string& process) const {
   std::ifstream file(absl::StrCat(m_folder, "/", process, ".log"));
   return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -24,6 +24,8 @@
   int entries = 3;
   int zones = 3;
   nlohmann::json timing = nlohmann::json::object();  ///< overrides of the section `timing`
+  nlohmann::json entry = nlohmann::json::object();   ///< overrides of the section `entry`
+  nlohmann::json agent = nlohmann::json::object();   ///< overrides of the section `agent`
   bool has_endpoints = true;
   bool has_relays = false;  ///< a relay between each entry and the log, and between each agent and its worker
   std::vector<std::string> log_arguments;
@@ -131,6 +133,13 @@
 
   static std::int64_t NowMillis();
 
+  /// Listeners for callers and operators of an entry and for endpoints of an agent, "IP:PORT".
+  std::string CallersListener(int entry) const;
+  std::string OperatorsListener(int entry) const;
+  std::string EndpointsListener(int agent) const;
+  /// Listener of an agent for the entries.
+  std::string AgentInternalListener(int agent) const;
+
   /// What a process has logged so far, for example of "entry-0".
   std::string LogOf(const std::string& process) const;
 
--- a/tests/process/platform_cluster.cc
+++ b/tests/process/platform_cluster.cc
@@ -18,6 +18,8 @@
 constexpr const char* kClientPort = "8161";
 constexpr const char* kReadyPort = "8167";
 constexpr const char* kHeartbeatPort = "8166";
+constexpr const char* kMetricsPort = "9464";
+constexpr const char* kInternalPort = "7720";
 constexpr int kWorkerPort = 8165;
 
 /// The operators' configuration, with one queue.
@@ -92,6 +94,16 @@
   return AddressOf(kAgentGroup, agent) + ":" + kHeartbeatPort;
 }
 
+std::string PlatformCluster::MetricsListener(int entry) const { return EntryIp(entry) + ":" + kMetricsPort; }
+
+std::string PlatformCluster::EntryInternalListener(int entry) const { return EntryIp(entry) + ":" + kInternalPort; }
+
+std::string PlatformCluster::AgentInternalListener(int agent) const { return AgentIp(agent) + ":" + kInternalPort; }
+
+std::string PlatformCluster::EntryIp(int entry) const { return AddressOf(kEntryGroup, entry); }
+
+std::string PlatformCluster::AgentIp(int agent) const { return AddressOf(kAgentGroup, agent); }
+
 std::string PlatformCluster::WriteSettings(const std::string& host, bool is_agent, int i) {
   const std::string address = AddressOf(is_agent ? kAgentGroup : kEntryGroup, i);
   nlohmann::json settings = {{"node", host},
--- a/tests/process/platform_cluster.h
+++ b/tests/process/platform_cluster.h
@@ -40,6 +40,13 @@
   std::string ClientListener(int entry) const;
   std::string ReadinessListener(int entry) const;
   std::string HeartbeatListener(int agent) const;
+  std::string MetricsListener(int entry) const;
+  /// Listeners for the other processes of the system.
+  std::string EntryInternalListener(int entry) const;
+  std::string AgentInternalListener(int agent) const;
+  /// The IP address that only this entry or agent uses.
+  std::string EntryIp(int entry) const;
+  std::string AgentIp(int agent) const;
 
   /// Events of this name that an entry has logged.
   int LoggedByEntry(int i, const std::string& event) const;
--- a/tests/process/request_memory_test.cc
+++ b/tests/process/request_memory_test.cc
@@ -1,14 +1,13 @@
 #include <catch2/catch.hpp>
 #include <chrono>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
+#include <cstdint>
 #include <sstream>
 #include <string>
 #include <thread>
 
 #include "process/crowd.h"
 #include "process/platform_cluster.h"
+#include "process/process_usage.h"
 
 namespace berylgauge {
 namespace {
@@ -40,23 +39,10 @@
   return text.str();
 }
 
-int PeakKb(const ChildProcess& process) {
-  std::ifstream status("/proc/" + std::to_string(process.pid()) + "/status");
-  for (std::string line; std::getline(status, line);) {
-    if (line.starts_with("VmHWM:")) return std::stoi(line.substr(6));
-  }
-  return -1;
-}
-
-int OpenDescriptors(const ChildProcess& process) {
-  const std::filesystem::directory_iterator files("/proc/" + std::to_string(process.pid()) + "/fd");
-  return static_cast<int>(std::distance(begin(files), end(files)));
-}
-
 void CheckProcess(ChildProcess& process) {
   std::this_thread::sleep_for(kReadingTime);
   CHECK(process.OwnEnd().empty());
-  const int peak_kb = PeakKb(process);
+  const std::int64_t peak_kb = PeakBytes(process) / 1024;
   const int descriptors = OpenDescriptors(process);
   WARN("peak " << peak_kb << " kB, " << descriptors << " descriptors");
   CHECK(peak_kb > 0);
