Bound the bytes that web listeners leave unread

Callers saw nothing yet; an entry whose host charges received bytes to it was killed. The operating system keeps up to 130 KB for each connection, accepted or not, and 4,096 connections may wait to be accepted. RequestMemory knew neither.

A listener with a memory budget now asks for receive buffers of 8 KB, counts the 16 KB that the system makes of it for each connection, and lets only as many connections wait as have an eighth of the budget in such buffers. That bounds the unread bytes whatever the process does.

--- a/src/web/connection_acceptor.cc
+++ b/src/web/connection_acceptor.cc
@@ -36,9 +36,14 @@
   const int on = 1;
   setsockopt(m_listen_socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   if (bound->get()->sa_family == AF_INET6) setsockopt(m_listen_socket, IPPROTO_IPV6, IPV6_V6ONLY, &on, sizeof(on));
+  // Accepted connections inherit it, and those that are not accepted yet have it already.
+  if (limits.receive_buffer_bytes > 0) {
+    setsockopt(m_listen_socket, SOL_SOCKET, SO_RCVBUF, &limits.receive_buffer_bytes,
+               sizeof(limits.receive_buffer_bytes));
+  }
   if (m_wake_event < 0) m_wake_event = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
   const bool is_listening = m_wake_event >= 0 && bind(m_listen_socket, bound->get(), bound->size) == 0 &&
-                            listen(m_listen_socket, SOMAXCONN) == 0 &&
+                            listen(m_listen_socket, limits.backlog) == 0 &&
                             getsockname(m_listen_socket, bound->get(), &bound->size) == 0;
   if (!is_listening) {
     const std::string reason = std::strerror(errno);
--- a/src/web/connection_acceptor.h
+++ b/src/web/connection_acceptor.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <sys/socket.h>
+
 #include <functional>
 #include <mutex>
 #include <string>
@@ -16,6 +18,8 @@
   int connections = 1;           ///< further ones wait in the queue of the operating system
   int replacements = 0;          ///< accepted all the same, each in place of one that is closed for it
   int connections_per_peer = 0;  ///< further ones are closed at once; 0 means no limit
+  int backlog = SOMAXCONN;       ///< connections that wait to be accepted; further ones are not answered
+  int receive_buffer_bytes = 0;  ///< SO_RCVBUF of each connection; 0 leaves it to the operating system
 };
 
 /// Listens on a TCP port and hands each accepted connection over, in a thread of its own.
--- a/src/web/microhttpd_server.cc
+++ b/src/web/microhttpd_server.cc
@@ -45,6 +45,17 @@
 /// Memory of a connection beside its header block: the library's and this server's own structures, about 2 KB.
 constexpr std::size_t kConnectionBytes = 4096;
 
+/// Receive buffer that a listener with a memory budget asks for. A body of a few KB fits; larger ones take some more
+/// round trips.
+constexpr int kReceiveBufferBytes = 8192;
+/// Bytes that a peer can leave unread in it: the operating system doubles what was asked for.
+constexpr std::size_t kUnreadBytes = 2 * kReceiveBufferBytes;
+
+/// Connections that wait to be accepted may hold unread bytes up to this part of the budget, beside it.
+constexpr std::size_t kBacklogDivisor = 8;
+/// A short burst of clients must find room while the acceptor waits for its turn.
+constexpr std::size_t kLeastBacklog = 32;
+
 /// The body exists twice while a request is decoded and queued.
 constexpr std::size_t kBodyCopies = 2;
 
@@ -159,6 +170,12 @@
   return std::max({needed, std::min(2 * present, limit), std::min(kFirstBodyCapacity, limit)});
 }
 
+/// Connections that may wait to be accepted by a listener with this memory budget.
+int Backlog(std::size_t budget_bytes, int max_connections) {
+  const std::size_t affordable = std::max(budget_bytes / kBacklogDivisor / kUnreadBytes, kLeastBacklog);
+  return static_cast<int>(std::min(affordable, static_cast<std::size_t>(max_connections)));
+}
+
 /// Unlike std::string::reserve, allocates no more than `capacity`.
 void Grow(std::string& body, std::size_t capacity) {
   std::string grown;
@@ -252,6 +269,8 @@
   AcceptorLimits limits{.connections = options.max_connections,
                         .connections_per_peer = options.max_connections_per_peer};
   if (options.memory) {
+    limits.backlog = Backlog(options.memory->budget_bytes(), options.max_connections);
+    limits.receive_buffer_bytes = kReceiveBufferBytes;
     limits.replacements = 1 + options.max_connections / kReplacementDivisor;
     options.memory->AddListener(*this);
   }
@@ -324,8 +343,8 @@
 std::optional<ConnectionId> MicrohttpdServer::OpenInMemory(const std::string& peer, bool is_replacement) {
   const auto limit = std::chrono::steady_clock::now() + kClosingWait;
   while (true) {
-    const RequestMemory::Decision decision =
-        m_options.memory->Open(*this, peer, HeadBlockBytes() + kConnectionBytes, is_replacement, m_clock.Now());
+    const RequestMemory::Decision decision = m_options.memory->Open(
+        *this, peer, HeadBlockBytes() + kConnectionBytes + kUnreadBytes, is_replacement, m_clock.Now());
     CarryOut(decision);
     if (decision.granted) return decision.connection;
     if (!decision.retry) return std::nullopt;
