--- a/src/transport/http2_stream_server.cc
+++ b/src/transport/http2_stream_server.cc
@@ -24,7 +24,9 @@
   } catch (const std::system_error& error) {
     return NotRun(FailureCode::kUnavailable, error.what());
   }
-  Result<std::unique_ptr<Listener>> listener = Listener::Open(shards.front()->loop(), *parsed);
+  Result<std::unique_ptr<Listener>> listener = Listener::Open(
+      shards.front()->loop(), *parsed,
+      {.backlog = m_context.options.backlog, .receive_buffer_bytes = m_context.options.receive_buffer_bytes});
   if (!listener) return tl::make_unexpected(listener.error());
   m_context.handler = std::move(handler);
   m_shards = std::move(shards);
--- a/src/transport/listener.cc
+++ b/src/transport/listener.cc
@@ -15,7 +15,6 @@
 namespace berylgauge {
 namespace {
 
-constexpr int kBacklog = 1024;
 constexpr int kMaxAcceptsPerTurn = 64;
 
 // Without a pause, a process out of descriptors would be woken for the same connection again and again.
@@ -27,13 +26,18 @@
 
 }  // namespace
 
-Result<std::unique_ptr<Listener>> Listener::Open(EventLoop& loop, const SocketAddress& address) {
+Result<std::unique_ptr<Listener>> Listener::Open(EventLoop& loop, const SocketAddress& address,
+                                                 const ListenerOptions& options) {
   UniqueFd fd(socket(address.family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!fd.valid()) return SystemFailure("socket");
   const int on = 1;
   setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  // Accepted connections inherit it, and those that are not accepted yet have it already.
+  if (options.receive_buffer_bytes > 0) {
+    setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &options.receive_buffer_bytes, sizeof(options.receive_buffer_bytes));
+  }
   if (bind(fd.get(), address.get(), address.size()) != 0) return SystemFailure("bind " + address.text());
-  if (listen(fd.get(), kBacklog) != 0) return SystemFailure("listen " + address.text());
+  if (listen(fd.get(), options.backlog) != 0) return SystemFailure("listen " + address.text());
   sockaddr_storage bound{};
   socklen_t size = sizeof(bound);
   if (getsockname(fd.get(), reinterpret_cast<sockaddr*>(&bound), &size) != 0) return SystemFailure("getsockname");
--- a/src/transport/listener.h
+++ b/src/transport/listener.h
@@ -15,6 +15,11 @@
 
 class SocketAddress;
 
+struct ListenerOptions {
+  int backlog = 1024;            ///< connections that wait to be accepted
+  int receive_buffer_bytes = 0;  ///< SO_RCVBUF of each connection; 0 leaves it to the operating system
+};
+
 /// A listening TCP socket whose connections are accepted on an event loop.
 class Listener final : public IoHandler {
  public:
@@ -22,7 +27,8 @@
   using AcceptCallback = absl::AnyInvocable<void(UniqueFd)>;
 
   /// Binds and listens; connections are accepted after `Start`. May be called on any thread.
-  static Result<std::unique_ptr<Listener>> Open(EventLoop& loop, const SocketAddress& address);
+  static Result<std::unique_ptr<Listener>> Open(EventLoop& loop, const SocketAddress& address,
+                                                const ListenerOptions& options = {});
 
   ~Listener() override;
   Listener(const Listener&) = delete;
--- a/src/transport/make_stream_server.cc
+++ b/src/transport/make_stream_server.cc
@@ -14,6 +14,8 @@
   OptionChecks checks;
   checks.InRange("loops", options.loops, 1, kMaxLoops);
   checks.InRange("max_connections", options.max_connections, 1, kMaxServerConnections);
+  checks.InRange("backlog", options.backlog, 1, kMaxServerConnections);
+  checks.InRange("receive_buffer_bytes", options.receive_buffer_bytes, 0, kMaxWindowBytes);
   checks.InRange("max_concurrent_streams", options.max_concurrent_streams, 1, kMaxStreamsPerConnection);
   checks.InRange("max_open_streams", options.max_open_streams, 1, kMaxServerStreams);
   checks.InRange("stream_window_bytes", options.stream_window_bytes, kMinWindowBytes, kMaxWindowBytes);
--- a/src/transport/stream_server_options.h
+++ b/src/transport/stream_server_options.h
@@ -13,6 +13,8 @@
 struct StreamServerOptions {
   int loops = 1;  ///< event loops, each with a thread; connections are distributed in turn
   int max_connections = 1024;
+  int backlog = 1024;                           ///< connections that wait to be accepted
+  int receive_buffer_bytes = 0;                 ///< SO_RCVBUF of each connection; 0 leaves it to the operating system
   std::uint32_t max_concurrent_streams = 1024;  ///< per connection
   int max_open_streams = 8192;                  ///< of all connections; more are refused (REFUSED_STREAM)
 
