Admit jobs by the memory that accepted jobs take

Clients could fill every entry with jobs of legal size: each entry keeps all accepted jobs, and the owner their tasks. 400 jobs of 200 KB, 100 jobs of 4,000 tasks or one job of 400,000 tasks ended an entry of a small host; the job stayed in the store, so its successors ended, too. Eight clients with jobs of 200 KB also kept appends failing, and others got 504.

JobIndex estimates the footprint of each job, JobAdmission decides: a job may take a quarter of what is left of the least memory that any entry states in its member record (a quarter of the host's), so large jobs leave room for small ones. Jobs under way to the store count, too.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -84,6 +84,7 @@
       m_ownership(m_options.ownership),
       m_last_owner_sign(loop.Now()),
       m_submissions(loop, log, {.partition = m_options.submissions, .producer = m_options.ProcessName()}),
+      m_admission(m_options.admission),
       m_submission_tail(
           loop, log,
           {.partition = m_options.submissions, .wait = kSubmissionWait, .min_interval = m_options.follower_interval},
@@ -91,6 +92,7 @@
            .on_reset = [this] { m_index.ClearSubmissions(); },
            .on_end =
                [this] {
+                 ForgetReadJobs();
                  NoteRemovals();
                  ConsiderClaim();
                }}),
@@ -115,6 +117,8 @@
       m_metrics(metrics),
       m_accepted(metrics.GetCounter("berylgauge_jobs_accepted_total", "Jobs that were stored")),
       m_refused(metrics.GetCounter("berylgauge_jobs_refused_total", "Jobs that were refused and not stored")),
+      m_refused_for_memory(metrics.GetCounter("berylgauge_jobs_refused_for_memory_total",
+                                              "Jobs that were not accepted for the memory that they would take")),
       m_cancelled(metrics.GetCounter("berylgauge_jobs_cancelled_total", "Cancellations that were stored")),
       m_cancellations_refused(
           metrics.GetCounter("berylgauge_cancellations_refused_total",
@@ -122,6 +126,7 @@
       m_claims(metrics.GetCounter("berylgauge_owner_claims_total", "Claims of the ownership that were stored")),
       m_is_owner(metrics.GetGauge("berylgauge_is_owner", "1 while this entry owns the scheduling decisions")),
       m_jobs(metrics.GetGauge("berylgauge_jobs", "Jobs known to this entry")),
+      m_job_memory(metrics.GetGauge("berylgauge_job_memory_bytes", "Estimated memory of accepted jobs")),
       m_cancellations_without_job(metrics.GetGauge("berylgauge_cancellations_without_job",
                                                    "Cancellations that are kept for jobs which are not stored")),
       m_corrupt_records(metrics.GetGauge("berylgauge_corrupt_records", "Records of the store that cannot be read")),
@@ -156,6 +161,7 @@
 
 void EntryNode::PublishMetrics() {
   m_jobs.Set(static_cast<std::int64_t>(m_index.size() - m_index.cancellations_without_job()));
+  m_job_memory.Set(static_cast<std::int64_t>(JobMemoryUsed()));
   m_cancellations_without_job.Set(static_cast<std::int64_t>(m_index.cancellations_without_job()));
   m_corrupt_records.Set(static_cast<std::int64_t>(m_index.corrupt_records()));
   const workflow::Scheduler* scheduler = m_owner != nullptr ? m_owner->scheduler() : nullptr;
@@ -192,7 +198,10 @@
 }
 
 void EntryNode::Register() {
-  const MemberRecord member{.kind = MemberKind::kEntry, .address = m_options.address, .port = m_options.internal_port};
+  const MemberRecord member{.kind = MemberKind::kEntry,
+                            .address = m_options.address,
+                            .port = m_options.internal_port,
+                            .job_memory_bytes = m_options.admission.memory_bytes};
   RegisterMember(m_registration, m_options.host, member);
 }
 
@@ -203,6 +212,7 @@
     return;
   }
   m_peers.SetPeer(record.key, *member);
+  if (record.key != m_options.host) m_admission.SetPeer(record.key, member->job_memory_bytes);
   m_members[record.key] = *member;
   if (m_owner != nullptr) m_owner->SetMember(record.key, *member);
 }
@@ -222,29 +232,75 @@
   if (job.queue.needs_advice) {
     // Workers refuse every start without a ticket of the advice service. A job of that id may stand from the time of an
     // earlier configuration.
-    Lookup(job.id, [callback = std::move(callback)](const JobLookup& found) mutable {
-      if (found.phase) {
-        callback(SubmitOutcome::kAccepted);
-      } else {
-        callback(found.is_certain ? SubmitOutcome::kUnservable : SubmitOutcome::kUnknown);
-      }
-    });
+    Refuse(job.id, SubmitOutcome::kUnservable, std::move(callback));
     return;
   }
   workflow::JobDefinition accepted = job;
   accepted.accepted_unix_ms = absl::ToUnixMillis(m_clock.WallNow());
-  m_submissions.Add(
-      {{.key = job.id, .value = EncodeJob(accepted)}},
-      [this, alive = m_alive, id = job.id, callback = std::move(callback)](AppendOutcome outcome) mutable {
-        if (!*alive) return;
-        if (outcome == AppendOutcome::kUnknown) {
-          callback(SubmitOutcome::kUnknown);
-          return;
-        }
-        const bool stored = outcome == AppendOutcome::kStored;
-        (stored ? m_accepted : m_refused).Add();
-        callback(stored ? SubmitOutcome::kAccepted : SubmitOutcome::kRefused);
-      });
+  std::string record = EncodeJob(accepted);
+  const std::size_t footprint = workflow::FootprintOf(accepted, record.size()).total();
+  const std::size_t used = JobMemoryUsed();
+  const JobAdmissionVerdict verdict = m_admission.Decide(record.size(), footprint, used);
+  if (verdict == JobAdmissionVerdict::kAdmitted) {
+    StoreJob(job.id, std::move(record), footprint, std::move(callback));
+    return;
+  }
+  m_refused_for_memory.Add();
+  LogEvent(LogLevel::kInfo, "job_not_admitted",
+           {{"job", job.id},
+            {"verdict", kJobAdmissionVerdictNames.NameOf(verdict)},
+            {"record_bytes", record.size()},
+            {"footprint_bytes", footprint},
+            {"used_bytes", used},
+            {"memory_bytes", m_admission.memory_bytes()}});
+  if (verdict == JobAdmissionVerdict::kOutgrowsRecord) {
+    // No entry can have stored it, so there is nothing to look for.
+    m_loop.Defer([callback = std::move(callback)]() mutable { callback(SubmitOutcome::kTooLarge); });
+    return;
+  }
+  const bool is_too_large = verdict == JobAdmissionVerdict::kTooLarge;
+  Refuse(job.id, is_too_large ? SubmitOutcome::kTooLarge : SubmitOutcome::kNoMemory, std::move(callback));
+}
+
+std::size_t EntryNode::JobMemoryUsed() const {
+  std::size_t used = m_index.footprint_bytes() + m_unstored_job_bytes;
+  for (const StoredJob& job : m_unread_jobs) used += job.footprint;
+  return used;
+}
+
+void EntryNode::ForgetReadJobs() {
+  while (!m_unread_jobs.empty() && m_unread_jobs.front().stored_at <= m_submission_tail.complete_as_of()) {
+    m_unread_jobs.pop_front();
+  }
+}
+
+void EntryNode::Refuse(const std::string& job, SubmitOutcome outcome,
+                       absl::AnyInvocable<void(SubmitOutcome)> callback) {
+  Lookup(job, [outcome, callback = std::move(callback)](const JobLookup& found) mutable {
+    if (found.phase) {
+      callback(SubmitOutcome::kAccepted);
+    } else {
+      callback(found.is_certain ? outcome : SubmitOutcome::kUnknown);
+    }
+  });
+}
+
+void EntryNode::StoreJob(const std::string& job, std::string record, std::size_t footprint,
+                         absl::AnyInvocable<void(SubmitOutcome)> callback) {
+  m_unstored_job_bytes += footprint;
+  m_submissions.Add({{.key = job, .value = std::move(record)}},
+                    [this, alive = m_alive, footprint, callback = std::move(callback)](AppendOutcome outcome) mutable {
+                      if (!*alive) return;
+                      m_unstored_job_bytes -= footprint;
+                      if (outcome == AppendOutcome::kUnknown) {
+                        callback(SubmitOutcome::kUnknown);
+                        return;
+                      }
+                      const bool stored = outcome == AppendOutcome::kStored;
+                      if (stored) m_unread_jobs.push_back({.stored_at = m_loop.Now(), .footprint = footprint});
+                      (stored ? m_accepted : m_refused).Add();
+                      callback(stored ? SubmitOutcome::kAccepted : SubmitOutcome::kRefused);
+                    });
 }
 
 void EntryNode::Cancel(const std::string& job, absl::AnyInvocable<void(CancelOutcome)> callback) {
--- a/src/control/entry_node.h
+++ b/src/control/entry_node.h
@@ -5,6 +5,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -17,6 +18,7 @@
 #include "base/enum_names.h"
 #include "base/metrics.h"
 #include "control/entry_peers.h"
+#include "control/job_admission.h"
 #include "control/keyed_log.h"
 #include "control/log_writer.h"
 #include "control/operator_settings.h"
@@ -42,6 +44,7 @@
   LogPartition members;
   OwnershipOptions ownership;
   workflow::SchedulerOptions scheduler;
+  JobAdmissionOptions admission;
   /// Time between two reads of an entry that is not the owner; clients see the end of a job this much later.
   absl::Duration follower_interval = absl::Milliseconds(100);
   /// The store counts as silent after this time: two reads that wait half a second and time out.
@@ -65,6 +68,8 @@
   kUnknown,     ///< the job was stored or never will be
   kUnservable,  ///< refused: the queue demands what this version cannot do, so the job could never start
   kCancelled,   ///< refused: its cancellation was acknowledged before
+  kNoMemory,    ///< refused: accepted jobs take the memory
+  kTooLarge,    ///< refused: no entry may accept a job of this size
 };
 
 enum class CancelOutcome {
@@ -126,6 +131,14 @@
   const workflow::JobIndex& index() const { return m_index; }
 
  private:
+  /// Estimated memory of jobs that were accepted, or whose submission is under way.
+  std::size_t JobMemoryUsed() const;
+  /// Leaves jobs that were stored here and read back to the index.
+  void ForgetReadJobs();
+  /// Refuses a job with `outcome`, unless another entry has accepted it before.
+  void Refuse(const std::string& job, SubmitOutcome outcome, absl::AnyInvocable<void(SubmitOutcome)> callback);
+  void StoreJob(const std::string& job, std::string record, std::size_t footprint,
+                absl::AnyInvocable<void(SubmitOutcome)> callback);
   void OnSubmissionRecord(const KeyedRecord& record);
   void OnProgressRecord(const KeyedRecord& record);
   void OnOperatorRecord(const KeyedRecord& record);
@@ -172,6 +185,13 @@
   OwnershipPolicy m_ownership;
   MonotonicTime m_last_owner_sign;
   SubmissionQueue m_submissions;
+  JobAdmission m_admission;
+  std::size_t m_unstored_job_bytes = 0;  ///< footprint of the jobs under way to the store
+  struct StoredJob {
+    MonotonicTime stored_at;
+    std::size_t footprint = 0;
+  };
+  std::deque<StoredJob> m_unread_jobs;                ///< stored by this entry, possibly not read back
   std::size_t m_unstored_cancellations = 0;           ///< of unknown jobs, under way to the store
   std::unique_ptr<LogWriter> m_cancellation_remover;  ///< of the newest removal; null before the first
   std::int64_t m_cancellation_removals = 0;           ///< so far; the epoch of the newest one
@@ -196,11 +216,13 @@
   MetricsRegistry& m_metrics;
   Counter& m_accepted;
   Counter& m_refused;
+  Counter& m_refused_for_memory;
   Counter& m_cancelled;
   Counter& m_cancellations_refused;
   Counter& m_claims;
   Gauge& m_is_owner;
   Gauge& m_jobs;
+  Gauge& m_job_memory;
   Gauge& m_cancellations_without_job;
   Gauge& m_corrupt_records;
   Gauge& m_waiting_tasks;
--- a/src/control/member_record.cc
+++ b/src/control/member_record.cc
@@ -1,5 +1,6 @@
 #include "control/member_record.h"
 
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
 
@@ -10,8 +11,15 @@
 
 namespace berylgauge::control {
 
+namespace {
+
+constexpr std::size_t kColumnsBeforeJobMemory = 3;
+
+}  // namespace
+
 std::string EncodeMember(const MemberRecord& member) {
-  return ToCbor(nlohmann::json::array({kMemberKindNames.NameOf(member.kind), member.address, member.port}));
+  return ToCbor(nlohmann::json::array(
+      {kMemberKindNames.NameOf(member.kind), member.address, member.port, member.job_memory_bytes}));
 }
 
 Result<MemberRecord> DecodeMember(std::string_view bytes) {
@@ -21,6 +29,11 @@
     MemberRecord member{.kind = *kind,
                         .address = document.at(1).get<std::string>(),
                         .port = ReadInteger<int>(document.at(2), 1, kMaxPort)};
+    // Earlier versions end their records here.
+    if (document.size() > kColumnsBeforeJobMemory) {
+      member.job_memory_bytes =
+          static_cast<std::size_t>(ReadInteger<std::int64_t>(document.at(kColumnsBeforeJobMemory), 0));
+    }
     if (Result<SocketAddress> address = SocketAddress::Parse(member.address, member.port); !address) {
       return NotRun(FailureCode::kCorrupt, "member record: " + address.error().message);
     }
--- a/src/control/member_record.h
+++ b/src/control/member_record.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,7 @@
   MemberKind kind = MemberKind::kAgent;
   std::string address;  ///< numeric IP address
   int port = 0;
+  std::size_t job_memory_bytes = 0;  ///< of an entry, for accepted jobs; 0 if it states no limit
 
   friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
 };
--- a/src/workflow/job_index.cc
+++ b/src/workflow/job_index.cc
@@ -23,7 +23,9 @@
   } else {
     job.definition = std::string(value);
     job.queue.clear();
+    job.footprint = {};
     if (Result<JobDefinition> definition = DecodeJob(value)) {
+      job.footprint = FootprintOf(*definition, value.size());
       job.queue = std::move(definition->queue.name);
     } else if (!value.empty()) {
       ++m_corrupt_records;
@@ -93,6 +95,7 @@
     Count(job, -1);
     job.definition.clear();
     job.queue.clear();
+    job.footprint = {};
     job.cancelled = false;
   }
   absl::erase_if(m_jobs, [](const auto& entry) { return IsEmpty(entry.second); });
@@ -117,7 +120,12 @@
 
 void JobIndex::Count(const Job& job, int change) {
   if (IsCancellationWithoutJob(job)) m_cancellations_without_job += static_cast<std::size_t>(change);
-  if (!job.definition.empty() && PhaseOf(job) == JobPhase::kQueued) m_waiting[job.queue] += change;
+  if (job.definition.empty()) return;
+  const JobPhase phase = PhaseOf(job);
+  if (phase == JobPhase::kQueued) m_waiting[job.queue] += change;
+  // Unsigned arithmetic wraps around, so that adding the complement subtracts.
+  m_footprint_bytes +=
+      static_cast<std::size_t>(change) * (IsFinal(phase) ? job.footprint.record : job.footprint.total());
 }
 
 bool JobIndex::IsEmpty(const Job& job) {
--- a/src/workflow/job_index.h
+++ b/src/workflow/job_index.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "workflow/job_footprint.h"
 #include "workflow/job_phase.h"
 #include "workflow/owner_record.h"
 
@@ -23,6 +24,7 @@
   struct Job {
     std::string definition;  ///< encoded; empty while only progress was read
     std::string queue;
+    JobFootprint footprint;                               ///< while there is a definition
     bool cancelled = false;                               ///< also of a job that is not stored
     std::optional<JobPhase> summary;                      ///< of the owner; none before the first start
     absl::flat_hash_map<std::string, std::string> steps;  ///< encoded progress by step name
@@ -48,6 +50,8 @@
   std::size_t size() const { return m_jobs.size(); }
   /// Cancellations of jobs that are not stored.
   std::size_t cancellations_without_job() const { return m_cancellations_without_job; }
+  /// Estimated memory of all stored jobs, in an entry that schedules them.
+  std::size_t footprint_bytes() const { return m_footprint_bytes; }
   std::uint64_t corrupt_records() const { return m_corrupt_records; }
 
   /// Forget what one partition said, before its newest records are applied again: keys that were removed meanwhile are
@@ -67,6 +71,7 @@
   absl::flat_hash_map<std::string, int> m_waiting;  ///< by queue
   OwnerRecord m_owner;
   std::size_t m_cancellations_without_job = 0;
+  std::size_t m_footprint_bytes = 0;
   std::uint64_t m_corrupt_records = 0;
 };
 
--- a/tests/unit/control/entry_node_test.cc
+++ b/tests/unit/control/entry_node_test.cc
@@ -41,6 +41,7 @@
   // Of entries that are added from now on.
   absl::Duration retention = absl::Seconds(130);  ///< of finished jobs
   std::size_t max_cancellations_without_job = 10'000;
+  JobAdmissionOptions admission;
 
   ~EntryWorld() {
     m_loop.RunSync([&] { m_entries.clear(); });
@@ -63,6 +64,7 @@
                            .ownership = {.silence = absl::Milliseconds(700),
                                          .stagger = absl::Milliseconds(50) * static_cast<int>(m_entries.size())},
                            .scheduler = {.retention = retention},
+                           .admission = admission,
                            .max_cancellations_without_job = max_cancellations_without_job}));
       m_entries.back()->Start();
     });
@@ -361,6 +363,41 @@
   return *outcome;
 }
 
+// Guards against accepted jobs that fill the memory of the entries, also of one with less than the one that is asked,
+// and against room that is not given back.
+TEST_CASE("jobs are refused while those of all entries take the memory", "[entry]") {
+  EntryWorld world;
+  world.retention = absl::Seconds(1);
+  // Room for a few small jobs, of which each may take a quarter of what is left.
+  world.admission.memory_bytes = 20'000;
+  world.Configure(1);
+  EntryNode& small = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return small.IsOwner(); }));
+  world.admission.memory_bytes = 1'000'000;
+  EntryNode& large = world.Add("e2");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return large.IsReady(world.loop().Now()); }));
+  std::vector<std::string> accepted;
+  std::size_t most_used = 0;
+  for (int i = 0; i < 50; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    const SubmitOutcome outcome = SubmitAt(world, large, id);
+    REQUIRE((outcome == SubmitOutcome::kAccepted || outcome == SubmitOutcome::kNoMemory));
+    if (outcome == SubmitOutcome::kAccepted) accepted.push_back(id);
+    world.loop().RunSync([&] { most_used = std::max(most_used, large.index().footprint_bytes()); });
+  }
+  CHECK(!accepted.empty());
+  CHECK(accepted.size() < 50);
+  CHECK(most_used <= 20'000);
+  // A repeat of an accepted job takes no further room.
+  CHECK(SubmitAt(world, large, accepted.front()) == SubmitOutcome::kAccepted);
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(2), [&] { return small.index().Find(accepted.back()) != nullptr; }));
+  CHECK(SubmitAt(world, small, "b0") == SubmitOutcome::kNoMemory);
+  for (const std::string& id : accepted) CHECK(CancelAt(world, small, id) == CancelOutcome::kCancelled);
+  CHECK(WaitUntil(world.loop(), absl::Seconds(15),
+                  [&] { return small.index().footprint_bytes() == 0 && large.index().footprint_bytes() == 0; }));
+  CHECK(SubmitAt(world, small, "b0") == SubmitOutcome::kAccepted);
+}
+
 // Guards against a job that is accepted although its cancellation was acknowledged.
 TEST_CASE("a job that was cancelled before it is submitted is refused", "[entry]") {
   const std::string id = "00000000000000aa";
