Refuse a job that outgrows a record of the store at once

Callers of ordinary jobs got 503 because of somebody else's: a job of legal size can need a record of more than the 262,144 bytes that the store takes, the store refused the whole append, and every submission in it and behind it was refused with it, again at each repeat.

The stand-ins take records and calls of the store's limits only. With it the large one gets 400 before anything is sent, and the other one is accepted. The limit is platform.record_bytes of the settings.

--- a/tests/standins/keyed_log_service.cc
+++ b/tests/standins/keyed_log_service.cc
@@ -82,6 +82,8 @@
       return StandinResponse::Json({{"offset", answer.end}, {"end", answer.end}});
     case AppendOutcome::kFenced:
       return StandinResponse::Json({{"reason", "fenced"}}, 409);
+    case AppendOutcome::kRejected:
+      return StandinResponse::Error(400, answer.detail);
     case AppendOutcome::kMoved:
       return StandinResponse::Json({{"end", answer.end}}, 412);
     default:
--- a/tests/support/memory_store.cc
+++ b/tests/support/memory_store.cc
@@ -7,10 +7,23 @@
 
 /// As the platform's store: repeats of the last five appends are recognised.
 constexpr std::size_t kRememberedAppends = 5;
+constexpr std::size_t kMaxRecordBytes = 262'144;
+constexpr std::size_t kMaxCallBytes = 2'097'152;
+
+bool IsTooLarge(const AppendCall& call) {
+  std::size_t total = 0;
+  for (const KeyedRecord& record : call.records) {
+    const std::size_t bytes = 1 + record.key.size() + record.value.size();
+    if (bytes > kMaxRecordBytes) return true;
+    total += bytes;
+  }
+  return total > kMaxCallBytes;
+}
 
 }  // namespace
 
 AppendAnswer MemoryStore::Append(const AppendCall& call) {
+  if (IsTooLarge(call)) return {.outcome = AppendOutcome::kRejected, .detail = "too large"};
   Partition& partition = m_partitions[KeyOf(call.partition)];
   Producer& producer = m_producers[{KeyOf(call.partition), call.producer.name}];
   if (call.producer.epoch < producer.epoch) return {.outcome = AppendOutcome::kFenced, .detail = {}};
--- a/tests/unit/control/entry_node_test.cc
+++ b/tests/unit/control/entry_node_test.cc
@@ -398,6 +398,25 @@
   CHECK(SubmitAt(world, small, "b0") == SubmitOutcome::kAccepted);
 }
 
+// Guards against jobs of others that are refused because they share an append with one that the store refuses.
+TEST_CASE("a job whose record is too large is refused alone", "[entry]") {
+  EntryWorld world;
+  world.admission.max_record_bytes = 262'000;  // the store takes 262,144 bytes
+  EntryNode& entry = world.Add("e1");
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return entry.IsOwner(); }));
+  workflow::JobDefinition large = SmallJob("a0");
+  large.payload = std::string(300'000, 'x');
+  std::optional<SubmitOutcome> of_large;
+  std::optional<SubmitOutcome> of_small;
+  world.loop().RunSync([&] {
+    entry.Submit(large, [&](SubmitOutcome outcome) { of_large = outcome; });
+    entry.Submit(SmallJob("a1"), [&](SubmitOutcome outcome) { of_small = outcome; });
+  });
+  CHECK(WaitUntil(world.loop(), absl::Seconds(5), [&] { return of_large.has_value() && of_small.has_value(); }));
+  CHECK(of_large == SubmitOutcome::kTooLarge);
+  CHECK(of_small == SubmitOutcome::kAccepted);
+}
+
 // Guards against a job that is accepted although its cancellation was acknowledged.
 TEST_CASE("a job that was cancelled before it is submitted is refused", "[entry]") {
   const std::string id = "00000000000000aa";
--- a/tests/unit/platform/process_parts_test.cc
+++ b/tests/unit/platform/process_parts_test.cc
@@ -49,18 +49,19 @@
   int memory_mb;
   std::size_t job_memory;
   std::size_t internal_bodies;
+  std::size_t max_record;
 };
 
 // Guards against accepted jobs and messages that may fill the memory of a host, and against records that the store of
 // the platform refuses.
 TEST_CASE("limits on jobs and messages follow from the host and the store", "[process]") {
   const HostRow row = GENERATE(
-      HostRow{R"({"addr":"10.0.0.2:5"})", 0, 64'000'000, std::size_t{64} << 20},
-      HostRow{R"({"addr":"10.0.0.2:5"})", 160, 40'000'000, 20'000'000},
-      HostRow{R"({"addr":"10.0.0.2:5"})", 1, 8'000'000, std::size_t{8} << 20},
-      HostRow{R"({"addr":"10.0.0.2:5","record_bytes":100000})", 1024, 256'000'000, std::size_t{64} << 20},
-      HostRow{R"({"addr":"10.0.0.2:5","record_bytes":-1})", 64, 16'000'000, std::size_t{8} << 20},
-      HostRow{R"({"addr":"10.0.0.2:5","record_bytes":"9"})", 64, 16'000'000, std::size_t{8} << 20});
+      HostRow{R"({"addr":"10.0.0.2:5"})", 0, 64'000'000, std::size_t{64} << 20, 262'080},
+      HostRow{R"({"addr":"10.0.0.2:5"})", 160, 40'000'000, 20'000'000, 262'080},
+      HostRow{R"({"addr":"10.0.0.2:5"})", 1, 8'000'000, std::size_t{8} << 20, 262'080},
+      HostRow{R"({"addr":"10.0.0.2:5","record_bytes":100000})", 1024, 256'000'000, std::size_t{64} << 20, 99'936},
+      HostRow{R"({"addr":"10.0.0.2:5","record_bytes":-1})", 64, 16'000'000, std::size_t{8} << 20, 4032},
+      HostRow{R"({"addr":"10.0.0.2:5","record_bytes":"9"})", 64, 16'000'000, std::size_t{8} << 20, 262'080});
   CAPTURE(row.platform, row.memory_mb);
   const Result<PlatformSettings> settings = ParsePlatformSettings(
       R"({"node":"e","ip":"10.0.0.1","serves":["edge"],"listen":{"front":"10.0.0.1:81","ready":"10.0.0.1:82"},)"
@@ -68,6 +69,7 @@
       std::to_string(row.memory_mb) + R"(},"platform":)" + row.platform + "}");
   REQUIRE(settings.has_value());
   CHECK(MakeAdmissionOptions(*settings).memory_bytes == row.job_memory);
+  CHECK(MakeAdmissionOptions(*settings).max_record_bytes == row.max_record);
   CHECK(InternalServerOptions(*settings).max_body_bytes == row.internal_bodies);
 }
 
