Bound the late occurrences of all jobs together

Jobs of a hundred bytes could end the owner: one whose due times pass faster than workers carry them out was given up to 10,000 waiting tasks, and there was no bound on all such jobs together.

While the waiting tasks of all jobs reach most_waiting_tasks, a job gets a further occurrence only if none of its tasks waits; every occurrence is created in the end (unit test).

--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -263,11 +263,17 @@
 
 void Scheduler::CreateDueOccurrences(MonotonicTime now, std::int64_t unix_now_ms) {
   std::vector<WorkflowJob*> complete;
+  if (m_scheduled.empty()) return;
+  int waiting = 0;
+  for (const auto& [id, job] : m_jobs) waiting += job->waiting;
   for (WorkflowJob* job : m_scheduled) {
     const JobDefinition& definition = job->definition;
-    while (job->next_occurrence < definition.occurrences && job->TakesOccurrence() &&
+    const auto has_room = [&] { return waiting < m_options.most_waiting_tasks || job->waiting == 0; };
+    while (job->next_occurrence < definition.occurrences && job->TakesOccurrence() && has_room() &&
            unix_now_ms >= definition.DueUnixMs(job->next_occurrence)) {
+      waiting -= job->waiting;
       AddOccurrence(*job, job->next_occurrence++, nullptr, now, now);
+      waiting += job->waiting;
     }
     if (job->next_occurrence >= definition.occurrences) complete.push_back(job);
   }
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -48,6 +48,9 @@
   double clock_tolerance = 1.03;
   /// Longest time for which a former owner may have gone on granting leases after this owner's claim.
   absl::Duration former_owner_grants = absl::Milliseconds(4500);
+  /// While this many tasks of all jobs wait, a job gets a further occurrence only if none of its tasks waits. Bounds
+  /// the memory of jobs whose due times pass faster than workers carry them out.
+  int most_waiting_tasks = 50'000;
   /// How long a finished job is kept for clients that ask for its state.
   absl::Duration retention = absl::Seconds(130);
   /// Finished jobs that are retired in one second; half of the submissions that an entry lets wait for the store.
--- a/tests/unit/platform/process_parts_test.cc
+++ b/tests/unit/platform/process_parts_test.cc
@@ -71,6 +71,7 @@
   CHECK(MakeAdmissionOptions(*settings).memory_bytes == row.job_memory);
   CHECK(MakeAdmissionOptions(*settings).max_record_bytes == row.max_record);
   CHECK(InternalServerOptions(*settings).max_body_bytes == row.internal_bodies);
+  CHECK(MakeSchedulerOptions(*settings).most_waiting_tasks > 1000);
 }
 
 struct FarRow {
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -705,6 +705,33 @@
   CHECK(world.PhaseOf("a0") == JobPhase::kDone);
 }
 
+// Guards against jobs whose due times pass without end: each occurrence takes memory at the owner.
+TEST_CASE("late occurrences of all jobs together are bounded, and none of them is lost", "[scheduler]") {
+  constexpr int kMostWaiting = 10;
+  constexpr int kJobs = 20;
+  constexpr int kOccurrences = 5;
+  SchedulerWorld world({.most_waiting_tasks = kMostWaiting});
+  for (int i = 0; i < kJobs; ++i) {
+    JobDefinition job = SingleStepJob("a" + std::to_string(i), ShortStep(1));
+    job.occurrences = kOccurrences;
+    job.first_due_unix_ms = 1;
+    job.interval_ms = 1;
+    world.Submit(job);
+  }
+  // One occurrence of each job is created whatever waits.
+  CHECK(world.scheduler().WaitingTasks() <= kMostWaiting + kJobs);
+  world.AddWorker("w1");
+  for (int occurrence = 0; occurrence < kOccurrences; ++occurrence) {
+    world.Settle();
+    for (int i = 0; i < kJobs; ++i) {
+      world.End("a" + std::to_string(i) + "." + std::to_string(occurrence) + ".0.0", RunEndKind::kDone);
+    }
+  }
+  world.Settle();
+  for (int i = 0; i < kJobs; ++i) CHECK(world.PhaseOf("a" + std::to_string(i)) == JobPhase::kDone);
+  CHECK(world.violations().empty());
+}
+
 TEST_CASE("a checkpoint is passed to the next run", "[scheduler]") {
   SchedulerWorld world;
   world.AddWorker("w1");
