Refuse deeply nested JSON before it is parsed

A list takes some 60 bytes for each byte of text that opens one, so a body of legal size took 30 MB for a moment, and a heartbeat of 1 MB took 60 MB, beside what the listeners hold.

--- a/src/daemon/entry/operator_api.cc
+++ b/src/daemon/entry/operator_api.cc
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/event_log.h"
+#include "base/json_document.h"
 #include "base/json_object_reader.h"
 #include "base/stable_hash.h"
 #include "daemon/common/await_drained.h"
@@ -33,8 +34,8 @@
 constexpr std::size_t kMaxIdempotencyKeyBytes = 200;
 
 Result<nlohmann::json> ParseBody(const WebRequest& request) {
-  nlohmann::json document = nlohmann::json::parse(request.body, nullptr, false);
-  if (document.is_discarded()) return NotRun(FailureCode::kInvalidArgument, "the body is not valid JSON", "$");
+  Result<nlohmann::json> document = ParseJsonDocument(request.body);
+  if (!document) return NotRun(FailureCode::kInvalidArgument, "the body " + document.error().message, "$");
   return document;
 }
 
--- a/src/membership/endpoint_registry.cc
+++ b/src/membership/endpoint_registry.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "base/json_document.h"
 #include "base/json_object_reader.h"
 #include "membership/cbor_fields.h"
 
@@ -20,10 +21,10 @@
   if (body.size() > kMaxAnnouncementBytes) {
     return NotRun(FailureCode::kInvalidArgument, "must have at most 4096 bytes", "$");
   }
-  const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
-  if (document.is_discarded()) return NotRun(FailureCode::kInvalidArgument, "must be JSON", "$");
+  const Result<nlohmann::json> document = ParseJsonDocument(body);
+  if (!document) return tl::make_unexpected(document.error());
   JsonErrors errors;
-  JsonObjectReader reader(document, "$", errors);
+  JsonObjectReader reader(*document, "$", errors);
   EndpointAnnouncement announcement{.service = ServiceId(ReadId(reader, "service")),
                                     .address = ReadAddress(reader, "address"),
                                     .incarnation = static_cast<Incarnation>(reader.Integer("incarnation", {.min = 1})),
