Check the shape of messages about attempts before they are parsed

One message ended an agent of the plain installation: nlohmann's CBOR parser recurses for each level, and messages about attempts were passed to it unchecked, so 200 KB of nested lists overflowed the stack (signal 11; tests/process, failed before). They are now read by ParseCborDocument like all other messages.

--- a/src/daemon/messages/attempt_messages.cc
+++ b/src/daemon/messages/attempt_messages.cc
@@ -16,10 +16,10 @@
 /// Decodes `bytes` and passes the object to `read`; fails if anything in it is wrong.
 template <typename Message, typename Read>
 Result<Message> FromCbor(const std::string& bytes, Read read) {
-  const nlohmann::json document = nlohmann::json::from_cbor(bytes, true, false);
-  if (document.is_discarded()) return NotRun(FailureCode::kInvalidArgument, "message is not valid CBOR");
+  const Result<nlohmann::json> document = ParseCborDocument(bytes, bytes.size());
+  if (!document) return tl::make_unexpected(document.error());
   JsonErrors errors;
-  JsonObjectReader reader(document, "$", errors);
+  JsonObjectReader reader(*document, "$", errors);
   Message message = read(reader);
   reader.Finish();
   if (!errors.empty()) return tl::make_unexpected(errors.ToFailure());
