Give an append the time that its bytes need

Callers got 503 and 504 from an entry behind a slow link while others sent large jobs: an append was repeated after 150 ms whatever its size, but 200 KB need 160 ms on a link of 10 Mbit/s and 1 MB 0.8 s. Each repeat sends all bytes again, the entry takes the store for failing and refuses what waits.

The time-out now adds the bytes at 10 Mbit/s, the slowest link of a host.

--- a/src/control/log_writer.cc
+++ b/src/control/log_writer.cc
@@ -19,6 +19,15 @@
 /// Weight of the newest answer in the usual latency.
 constexpr double kLatencyWeight = 0.2;
 
+/// Time that the bytes of an append need beside that: some hosts have links of 10 Mbit/s.
+constexpr double kSlowestLinkBytesPerSecond = 1.25e6;
+
+absl::Duration TransferTime(const std::vector<KeyedRecord>& records) {
+  std::size_t bytes = 0;
+  for (const KeyedRecord& record : records) bytes += record.key.size() + record.value.size();
+  return absl::Seconds(static_cast<double>(bytes) / kSlowestLinkBytesPerSecond);
+}
+
 /// Pause before an append is repeated; doubles up to the longest.
 constexpr absl::Duration kFirstRetryPause = absl::Milliseconds(20);
 constexpr absl::Duration kLongestRetryPause = absl::Milliseconds(300);
@@ -88,7 +97,7 @@
 
 absl::Duration LogWriter::Timeout() const {
   const absl::Duration first = std::clamp(m_usual_latency * kTimeoutFactor, kShortestTimeout, kLongestTimeout);
-  return DoublingDelay(m_tries, first, kLongestTimeout);
+  return DoublingDelay(m_tries, first, kLongestTimeout) + TransferTime(m_call.records);
 }
 
 void LogWriter::OnAnswer(AppendAnswer answer, MonotonicTime sent, std::uint64_t attempt) {
--- a/tests/unit/control/log_writer_test.cc
+++ b/tests/unit/control/log_writer_test.cc
@@ -37,6 +37,51 @@
   loop.RunSync([&] { writer.reset(); });
 }
 
+/// A store behind a link of 10 Mbit/s: an append is answered when its bytes have arrived, if its caller still waits.
+class SlowLinkLog final : public KeyedLog {
+ public:
+  explicit SlowLinkLog(EventLoop& loop) : m_loop(loop) {}
+
+  int appends = 0;
+
+  void Append(const AppendCall& call, absl::Duration timeout, AppendCallback callback) override {
+    constexpr double kBytesPerSecond = 1.25e6;
+    ++appends;
+    std::size_t bytes = 0;
+    for (const KeyedRecord& record : call.records) bytes += record.key.size() + record.value.size();
+    const absl::Duration needed = absl::Seconds(static_cast<double>(bytes) / kBytesPerSecond);
+    const AppendOutcome outcome = needed < timeout ? AppendOutcome::kStored : AppendOutcome::kUnknown;
+    m_loop.AddTimer(m_loop.Now() + std::min(needed, timeout), [outcome, callback = std::move(callback)]() mutable {
+      callback({.outcome = outcome, .detail = {}});
+    });
+  }
+  void Read(const LogPartition&, std::int64_t, absl::Duration, absl::Duration, ReadCallback) override {}
+  void ReadNewest(const LogPartition&, const std::string&, absl::Duration, NewestCallback) override {}
+
+ private:
+  EventLoop& m_loop;
+};
+
+// The load "large jobs at a host with a slow link": guards against appends that are repeated before their bytes can
+// have arrived, by which an entry takes its store for lost and refuses everybody.
+TEST_CASE("an append is given the time that its size needs", "[log]") {
+  const std::size_t bytes = GENERATE(100, 200'000, 1'000'000);
+  CAPTURE(bytes);
+  EventLoop loop;
+  SlowLinkLog log(loop);
+  std::optional<AppendAnswer> answer;
+  std::unique_ptr<LogWriter> writer;
+  loop.RunSync([&] {
+    writer = std::make_unique<LogWriter>(loop, log, LogWriterOptions{.partition = kPartition, .producer = "p"});
+    writer->Write({{.key = "a", .value = std::string(bytes, 'x')}}, std::nullopt, absl::Milliseconds(700),
+                  [&](const AppendAnswer& given) { answer = given; });
+  });
+  REQUIRE(WaitUntil(loop, absl::Seconds(20), [&] { return answer.has_value(); }));
+  CHECK(answer->outcome == AppendOutcome::kStored);
+  CHECK(log.appends == 1);
+  loop.RunSync([&] { writer.reset(); });
+}
+
 // Guards against a refusal of something that is stored all the same.
 TEST_CASE("an append that the store refuses is given up and never stored", "[log]") {
   EventLoop loop;
