Pass over jobs that no worker could run before the search

An entry hung when clients submitted many small jobs whose label no worker has: each pass of placement compared every waiting step with all failed searches so far, the square of their number, and each submission begins a pass. At 10,400 jobs the owner's thread ran without end and nothing was answered (stack: PlaceWaiting, FailsLike; "many jobs that no worker may run do not hold up an entry" did not end within 120 s before, 16,000 jobs).

WorkerReach tells in constant time whether any worker, however full, could take a task by its service, label and whole capacity; steps out of reach are not searched for. Failed searches are kept only where they can speak for others, and 64 at most, which bounds the comparisons. What remains: waiting jobs with a label that some worker has are searched for one by one, as before.

--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -9,6 +9,7 @@
 #include "base/ids.h"
 #include "workflow/scheduler.h"
 #include "workflow/work_order.h"
+#include "workflow/worker_reach.h"
 
 namespace berylgauge::workflow {
 namespace {
@@ -19,13 +20,15 @@
 /// Steps that are logged at most in one interval, the most urgent first.
 constexpr std::size_t kMaxLoggedWaits = 20;
 
+/// Failed searches that a pass keeps to spare others theirs. Each waiting step is compared with them, so their number
+/// bounds the time of a pass; steps beyond have searches of their own.
+constexpr std::size_t kMostFailedSearches = 64;
+
 /// Whether a step finds no worker either because another one found none: it competes for the same workers by the same
-/// conditions and needs at least as much. Says no where the failed one was restricted to some workers, or waits for
-/// more room than it takes (tasks that last).
+/// conditions and needs at least as much.
 bool FailsLike(const WorkflowStep& step, const WorkflowStep& failed) {
   const StepDefinition& needed = *step.definition;
   const StepDefinition& refused = *failed.definition;
-  if (refused.long_running || !refused.required_label.empty() || refused.max_per_worker > 0) return false;
   if (step.job->definition.queue.service != failed.job->definition.queue.service) return false;
   if (refused.fills_idle_cpu != needed.fills_idle_cpu || refused.long_running != needed.long_running) return false;
   // Images disturb serving tasks to a different degree, so each has its own expected speed.
@@ -33,6 +36,13 @@
   return refused.demand.FitsIn(needed.demand);
 }
 
+/// Whether `FailsLike` can say yes of other steps. Says no for a search that was restricted to some workers or waits
+/// for more room than it takes (tasks that last).
+bool MaySpeakForOthers(const WorkflowStep& failed) {
+  const StepDefinition& refused = *failed.definition;
+  return !refused.long_running && refused.required_label.empty() && refused.max_per_worker == 0;
+}
+
 }  // namespace
 
 void Scheduler::PlaceWaiting(MonotonicTime now) {
@@ -45,7 +55,9 @@
   std::vector<WorkflowStep*> waiting(m_waiting.begin(), m_waiting.end());
   SortByUrgency(waiting, now);
   std::vector<FailedSearch> failed;
+  const WorkerReach reach(m_workers.workers());
   for (WorkflowStep* step : waiting) {
+    if (!reach.Includes(*step)) continue;
     const QuarantineAccess access = WidestAccessOf(*step, filter, now);
     const bool is_hopeless =
         m_policy.AnySpeedFrom(*step, now) > now && std::any_of(failed.begin(), failed.end(), [&](const auto& other) {
@@ -110,7 +122,8 @@
     const int index = static_cast<int>(i);
     const QuarantineAccess access = AccessOf(step, index, filter, now);
     if (PlaceTask(step, index, access, filter, now)) continue;
-    failed.push_back({.step = &step, .access = access});
+    const bool is_kept = failed.size() < kMostFailedSearches && MaySpeakForOthers(step);
+    if (is_kept) failed.push_back({.step = &step, .access = access});
     return;
   }
 }
--- a/tests/process/client_pressure_test.cc
+++ b/tests/process/client_pressure_test.cc
@@ -327,6 +327,30 @@
   CheckAnswersOrdinary(cluster, 0);
 }
 
+/// Tests of 160 MB show what a small host of the platform accepts; the others need no such size.
+constexpr int kSmallHostMb = 160;
+
+TEST_CASE("many jobs that no worker may run do not hold up an entry") {
+  constexpr int kClients = 8;
+  constexpr int kJobsOfClient = 2000;
+  PlatformCluster cluster(1, 1, {.memory_mb = kSmallHostMb});
+  const std::string body = R"({"spec":"s","steps":[{"count":1,"cpu":1,"requires":"none"}]})";
+  {
+    std::vector<std::jthread> clients;
+    for (int client = 0; client < kClients; ++client) {
+      clients.emplace_back([&, client] {
+        for (int i = 0; i < kJobsOfClient; ++i) {
+          cluster.Call(0, "POST", JobPath(1 + client * kJobsOfClient + i), body);
+        }
+      });
+    }
+  }
+  CheckAnswersOrdinary(cluster, 0);
+  CHECK(cluster.WaitForState(0, "00000000000b0b0b", "done", absl::Seconds(20)));
+  CHECK(cluster.entry(0).OwnEnd().empty());
+  CHECK(PeakBytes(cluster.entry(0)) < kSmallHostMb * std::int64_t{1'000'000});
+}
+
 /// A whole request whose body is deeply nested, or would be if it ended.
 std::string NestedRequest(std::string_view path, int depth) {
   return absl::StrCat("POST ", ToAbsl(path), " HTTP/1.1\r\nHost: h.example\r\nContent-Length: ", depth, "\r\n\r\n",
