--- a/tests/process/client_pressure_test.cc
+++ b/tests/process/client_pressure_test.cc
@@ -404,6 +404,26 @@
   CheckUse(cluster.entry(0), watch.peak_bytes());
 }
 
+TEST_CASE("large jobs that are passed on fit the memory of both entries") {
+  PlatformCluster cluster(2, 0, {.memory_mb = kMemoryMb});
+  const UsageWatch first(cluster.entry(0), cluster.EntryIp(0));
+  const UsageWatch second(cluster.entry(1), cluster.EntryIp(1));
+  cluster.store().SetFaults({{"turned_away", "edge-0."}});
+  const std::string body = LargeJob();
+  const std::string head = absl::StrCat("Host: h.example\r\nContent-Length: ", body.size(), "\r\n\r\n");
+  std::vector<std::unique_ptr<Crowd>> crowds;
+  for (int i = 0; i < 8; ++i) {
+    crowds.push_back(std::make_unique<Crowd>(cluster.ClientListener(0), 50));
+    crowds.back()->SendInTurns(absl::StrCat("POST ", JobPath(1 + i), " HTTP/1.1\r\n", head, body), 20'000);
+  }
+  std::this_thread::sleep_for(kReadingTime);
+  CheckAnswersOrdinary(cluster, 0);
+  cluster.store().SetFaults({{"turned_away", ""}});
+  CheckAnswersOrdinary(cluster, 1);
+  CheckUse(cluster.entry(0), first.peak_bytes());
+  CheckUse(cluster.entry(1), second.peak_bytes());
+}
+
 TEST_CASE("crowds beside both entries do not keep one from the ownership of the other") {
   PlatformCluster cluster(2, 1, {.memory_mb = kMemoryMb});
   const UsageWatch watch(cluster.entry(1), cluster.EntryIp(1));
