--- a/src/web/microhttpd_server.cc
+++ b/src/web/microhttpd_server.cc
@@ -49,7 +49,7 @@
 /// round trips.
 constexpr int kReceiveBufferBytes = 8192;
 /// Bytes that a peer can leave unread in it: the operating system doubles what was asked for.
-constexpr std::size_t kUnreadBytes = 2 * kReceiveBufferBytes;
+constexpr std::size_t kUnreadBytes = std::size_t{2} * kReceiveBufferBytes;
 
 /// Connections that wait to be accepted may hold unread bytes up to this part of the budget, beside it.
 constexpr std::size_t kBacklogDivisor = 8;
