Review case 11: tasks sent to a worker that has just been lost wait for 36 s

A worker ends for good, and a job is handed in within 0.1 s. The agent answers the refused starts as if they might have run, and the owner waits for 36 s beside idle workers. Takes the place of the former case 13; the other two move up by one.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,56 +1,55 @@
 #!/usr/bin/env bash
-# One call of a start stays without an answer, its repeat is answered and the task ends as done. The late call is carried
-# out after the worker has crashed and come back.
+# A worker is lost for good, and a job is handed in within 0.1 s of that. The other workers are idle.
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
 . "$here/../harness-3/lib.sh"
 
+tasks=12
 start_store
 start_entry 1
-start_side 1 500
+for n in 1 2 3 4; do start_side $n 1000; done
 await_ready 1
-await_workers 1
+await_workers 1 2 3 4
 sleep 1
 
 job="$(new_id)"
-task="$job.0.0.0"
 if [[ "$trouble" == 1 ]]; then
-  control "$(worker_at 1)" faults '{"keep": ["start"]}' > /dev/null
-  note "worker 1 leaves starts without an answer from now on"
+  kill -KILL "${pid_of[worker-2]}"
+  note "worker 2 is lost for good (SIGKILL)"
 fi
-answer="$(call 1 POST "/q/$job" '{"spec":"once","steps":[{"count":1,"cpu":500,"mem_mb":256,"est_ms":500}]}')"
+answer="$(call 1 POST "/q/$job" "{\"spec\":\"once\",\"steps\":[{\"count\":$tasks,\"cpu\":500,\"mem_mb\":256,\"est_ms\":1000}]}")"
 [[ "$answer" == 200* ]] || cannot_run "the job was not accepted"
-kept_ms="$(now_ms)"
-if [[ "$trouble" == 1 ]]; then
-  for ((i = 0; i < 200; ++i)); do
-    grep '"kept"' "$folder/worker-1.events" | grep -q "$task" && break
-    sleep 0.02
-  done
-  ((i < 200)) || cannot_run "no start was sent to worker 1"
-  kept_ms="$(now_ms)"
-  control "$(worker_at 1)" faults '{"keep": []}' > /dev/null
-  note "worker 1 has a start of the task and has not answered it; it answers starts again"
-fi
-for ((i = 0; i < 150; ++i)); do
-  [[ "$(state_of 1 "$job")" == done ]] && break
-  sleep 0.05
-done
-((i < 150)) || cannot_run "the job did not end"
-for ((i = 0; i < 100; ++i)); do
-  grep '"noted"' "$folder/worker-1.events" | grep -q "$task" && break
-  sleep 0.05
+accepted_ms="$(now_ms)"
+
+count_done() {
+  cat "$folder"/worker-*.events | jq -r --arg j "$job" 'select(.kind == "run-end" and .how == "done") | .task | select(startswith($j))' |
+    sort -u | wc -l
+}
+
+# The rule looks finish_s (14 s) after the end of the traffic and allows 3 s without a run. By 18 s a call that is carried
+# out 12 s late would have lost its lease of 6 s (hold_max_ms), too; 3 s of the rule and 1 s for the way come on top.
+limit_ms=22000
+quiet_since="$(now_ms)"
+before=-1
+while (($(now_ms) - accepted_ms < limit_ms)); do
+  ended="$(count_done)"
+  if ((ended != before)); then quiet_since="$(now_ms)"; fi
+  before=$ended
+  ((ended == tasks)) && break
+  sleep 0.2
 done
-((i < 100)) || cannot_run "the end was not taken note of"
-note "the job is shown as done, and the end of run $(runs_at 1 "$task") was taken note of (last_seen)"
-if [[ "$trouble" == 1 ]]; then
-  while (($(now_ms) - kept_ms < 2500)); do sleep 0.02; done
-  control "$(worker_at 1)" rebirth '{"down_ms": 500, "play_kept": ["start"]}' > /dev/null
-  age=$(($(now_ms) - kept_ms))
-  note "worker 1 crashed and was started again under its id 500 ms later; the late start, now $age ms old, was carried out"
-  ((age <= 12000)) || cannot_run "a call is at most 12 s late"
+waited=$(($(now_ms) - accepted_ms))
+state="$(state_of 1 "$job")"
+note "after $waited ms $ended of $tasks tasks are done, and the job is shown as $state"
+if ((ended < tasks)); then
+  idle=$(($(now_ms) - quiet_since))
+  if [[ -n "${WATCH_ON:-}" ]]; then
+    while (($(count_done) < tasks && $(now_ms) - accepted_ms < 80000)); do sleep 0.2; done
+    note "$(count_done) of $tasks tasks are done after $(($(now_ms) - accepted_ms)) ms"
+  fi
+  copy_events "$job"
+  ((idle > 4000)) || cannot_run "tasks have ended in the last 4 s"
+  broken "LOST: $((tasks - ended)) tasks of an accepted job have nothing running for $idle ms, with three idle workers"
 fi
-sleep 2
 copy_events "$job"
-starts="$(runs_at 1 "$task" | wc -l)"
-((starts == 1)) && held "the task was started once"
-broken "TWICE: run" $(runs_at 1 "$task" | tail -n 1) "began after that run had ended as done and the end had been taken note of"
+held "all tasks were done after $waited ms"
--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,69 +1,74 @@
 #!/usr/bin/env bash
-# A worker is lost for good while it has not answered a start. The other workers are idle.
+# A start stays without an answer and is carried out seconds later, after its worker has crashed and come back.
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
 . "$here/../harness-3/lib.sh"
 
 start_store
 start_entry 1
-for n in 1 2 3 4; do start_side $n 2000; done
+start_side 1 9000
+start_agent 2
 await_ready 1
-await_workers 1 2 3 4
+await_workers 1
+sleep 1
+
+# Keeps worker 1 the busier one, so that a task that runs again goes to worker 2.
+answer="$(call 1 POST "/q/$(new_id)" '{"spec":"lasts","steps":[{"count":1,"cpu":4000,"mem_mb":256,"est_ms":9000,"long_running":true}]}')"
+[[ "$answer" == 200* ]] || cannot_run "the job was not accepted"
 sleep 1
 
 job="$(new_id)"
 task="$job.0.0.0"
 if [[ "$trouble" == 1 ]]; then
-  for n in 1 2 3 4; do control "$(worker_at $n)" faults '{"keep": ["start"]}' > /dev/null; done
-  note "workers leave starts without an answer from now on"
+  control "$(worker_at 1)" faults '{"keep": ["start"]}' > /dev/null
+  note "worker 1 leaves starts without an answer from now on"
 fi
-answer="$(call 1 POST "/q/$job" '{"spec":"once","steps":[{"count":1,"cpu":500,"mem_mb":256,"est_ms":2000}]}')"
+answer="$(call 1 POST "/q/$job" '{"spec":"once","steps":[{"count":1,"cpu":500,"mem_mb":256,"est_ms":9000}]}')"
 [[ "$answer" == 200* ]] || cannot_run "the job was not accepted"
-accepted_ms="$(now_ms)"
+start_worker 2 9000
+note "worker 2 is added, empty"
 
-lost=
-if [[ "$trouble" == 1 ]]; then
-  for ((i = 0; i < 100 && ${#lost} == 0; ++i)); do
-    for n in 1 2 3 4; do
-      grep -q "\"kept\".*$job\|$job.*\"kept\"" "$folder/worker-$n.events" && lost=$n
-    done
-    sleep 0.02
-  done
-  [[ -n "$lost" ]] || cannot_run "no start was sent"
-  kill -KILL "${pid_of[worker-$lost]}"
-  note "worker $lost, which has the start and has not answered it, is lost for good (SIGKILL)"
-  for n in 1 2 3 4; do
-    [[ $n == "$lost" ]] || control "$(worker_at $n)" faults '{"keep": []}' > /dev/null
+if [[ "$trouble" != 1 ]]; then
+  for ((i = 0; i < 150; ++i)); do
+    [[ "$(state_of 1 "$job")" == done ]] && break
+    sleep 0.1
   done
-  note "the other workers answer and have nothing to do"
+  copy_events "$job"
+  starts=$(($(runs_at 1 "$task" | wc -l) + $(runs_at 2 "$task" | wc -l)))
+  note "the job is shown as $(state_of 1 "$job"); starts: $starts"
+  [[ $starts == 1 ]] && held "the task was started once"
+  broken "TWICE without a disruption"
 fi
 
-# finish_s is 14 s after the end of the traffic, and the rule allows 3 s without a run; 1 s is left for the way.
-limit_ms=18000
-while (($(now_ms) - accepted_ms < limit_ms)); do
-  started=
-  for n in 1 2 3 4; do [[ -n "$(runs_at $n "$task")" ]] && started=$n; done
-  [[ -n "$started" ]] && break
-  sleep 0.1
+for ((i = 0; i < 200; ++i)); do
+  grep '"kept"' "$folder/worker-1.events" | grep -q "$task" && break
+  sleep 0.02
 done
-waited=$(($(now_ms) - accepted_ms))
-state="$(state_of 1 "$job")"
-if [[ -z "$started" ]]; then
-  note "after $waited ms the job is shown as $state and no worker has begun its task"
-  if [[ -n "${WATCH_ON:-}" ]]; then
-    while [[ -z "$started" ]] && (($(now_ms) - accepted_ms < 80000)); do
-      for n in 1 2 3 4; do [[ -n "$(runs_at $n "$task")" ]] && started=$n; done
-      sleep 0.1
-    done
-    note "begun after $(($(now_ms) - accepted_ms)) ms"
-  fi
-  copy_events "$job"
-  broken "LOST: the only task of an accepted job has nothing running for $waited ms, with three idle workers"
-fi
-for ((i = 0; i < 100; ++i)); do
-  [[ "$(state_of 1 "$job")" == done ]] && break
-  sleep 0.1
+((i < 200)) || cannot_run "no start was sent to worker 1"
+kept_ms="$(now_ms)"
+note "worker 1 has a start of the task and has not answered it"
+# The agent gives the start up after 1.5 s; the owner orders a stop, which worker 1 answers.
+for ((i = 0; i < 400; ++i)); do
+  [[ -n "$(runs_at 2 "$task")" ]] && break
+  sleep 0.02
 done
+((i < 400)) || cannot_run "the task did not begin at worker 2"
+control "$(worker_at 1)" faults '{"keep": []}' > /dev/null
+note "worker 2 has begun run $(runs_at 2 "$task"), $(($(now_ms) - kept_ms)) ms after the start at worker 1; worker 1 answers starts again"
+while (($(now_ms) - kept_ms < 2500)); do sleep 0.02; done
+control "$(worker_at 1)" faults '{"quiet": true}' > /dev/null
+control "$(worker_at 1)" rebirth '{"down_ms": 500, "play_kept": ["start"]}' > /dev/null
+age=$(($(now_ms) - kept_ms))
+note "worker 1 crashed and was started again under its id 500 ms later; the start, now $age ms old, was carried out"
+((age <= 12000)) || cannot_run "a call is at most 12 s late"
+# A worker sends a heartbeat about every 1.5 s (heartbeat_ms).
+sleep 1
+control "$(worker_at 1)" faults '{"quiet": false}' > /dev/null
+note "worker 1 sends its first heartbeat since"
+sleep 0.5
 copy_events "$job"
-note "the job is shown as $(state_of 1 "$job")"
-held "begun by worker $started after $waited ms"
+first="$(runs_at 1 "$task")"
+ended="$(jq -r --arg t "$task" 'select(.kind == "run-end" and .task == $t) | .how' "$folder/worker-2.events")"
+[[ -n "$first" ]] || held "the late start had no effect"
+[[ -z "$ended" ]] || cannot_run "the run at worker 2 had ended as $ended"
+broken "TWICE: run" $first "at worker 1 and run" $(runs_at 2 "$task") "at worker 2 are both at work"
