--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,17 +4,17 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 . "$here/../harness-3/lib.sh"
 
-width=4
+width=8
 start_store
 start_entry 1
-for n in 1 2 3 4; do start_side $n 1000; done
+for n in 1 2 3 4 5 6 7 8; do start_side $n 1000; done
 await_ready 1
-await_workers 1 2 3 4
+await_workers 1 2 3 4 5 6 7 8
 sleep 1
 
 # A client hands in one job after the other; the fifth of them finds one worker fewer.
 ids="$folder/jobs"
-body="{\"spec\":\"once\",\"steps\":[{\"count\":$width,\"cpu\":250,\"mem_mb\":256,\"est_ms\":1000}]}"
+body="{\"spec\":\"once\",\"steps\":[{\"count\":$width,\"cpu\":125,\"mem_mb\":256,\"est_ms\":1000}]}"
 for ((j = 1; j <= 16; ++j)); do
   if [[ "$trouble" == 1 ]] && ((j == 5)); then
     kill -KILL "${pid_of[worker-2]}"
@@ -64,6 +64,6 @@
     note "$(count_done) of $tasks tasks are done after $(($(now_ms) - accepted_ms)) ms"
   fi
   ((idle > 4000)) || cannot_run "tasks have ended in the last 4 s"
-  broken "LOST: $((tasks - ended)) tasks of accepted jobs have nothing running for $idle ms, with three idle workers"
+  broken "LOST: $((tasks - ended)) tasks of accepted jobs have nothing running for $idle ms, with seven idle workers"
 fi
 held "all tasks were done after $waited ms"
