--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,6 +4,8 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 . "$here/../harness-3/lib.sh"
 
+trouble="${TROUBLE:-1}"  # 0: the same without the disruption
+
 width=8
 start_store
 start_entry 1
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -5,6 +5,8 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 . "$here/../harness-3/lib.sh"
 
+trouble="${TROUBLE:-1}"  # 0: the same without the disruption
+
 start_store
 start_entry 1
 for n in 1 2 3 4 5 6 7 8; do start_side $n 500; done
--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,6 +4,8 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 . "$here/../harness-3/lib.sh"
 
+trouble="${TROUBLE:-1}"  # 0: the same without the disruption
+
 workers="1 2 3 4 5 6 7 8"
 worker_of() { local n; for n in $workers; do [[ -n "$(runs_at $n "$1")" ]] && echo $n; done; }
 
--- a/review/harness-3/lib.sh
+++ b/review/harness-3/lib.sh
@@ -4,7 +4,6 @@
 root="$(cd "$here/../.." && pwd)"
 daemon=target/src/daemon/berylgauged
 standins="$root/target/review-3/tests/standins"
-trouble="${TROUBLE:-1}"
 folder="$(mktemp -d)"
 record="$here/record.txt"
 pids=()
