--- a/src/control/agent_messages.cc
+++ b/src/control/agent_messages.cc
@@ -12,6 +12,7 @@
 using nlohmann::json;
 using workflow::ActiveRun;
 using workflow::PastEnds;
+using workflow::ReportedLateCall;
 using workflow::RunEnd;
 using workflow::RunEndKind;
 using workflow::StartOrder;
@@ -22,7 +23,7 @@
 using workflow::WorkerReport;
 
 /// Version of the messages; processes of different versions refuse each other's.
-constexpr int kFormat = 5;
+constexpr int kFormat = 6;
 
 /// 1/s; far above the spare rate of any serving task.
 constexpr double kMaxLossPerCore = 3'600'000;
@@ -84,12 +85,31 @@
   for (const PastEnds& past : report.past_ends) {
     past_ends.push_back(json::array({LifeToJson(past.life), EndsToJson(past.ends)}));
   }
+  json late_calls = json::array();
+  for (const ReportedLateCall& call : report.late_calls) {
+    late_calls.push_back(json::array({call.task, call.run, call.worker, call.age_ms}));
+  }
   const Resources& capacity = report.capacity;
-  return json::array(
-      {report.agent_incarnation, LifeToJson(report.life), static_cast<int>(report.condition), report.service,
-       report.zone, report.labels, json::array({capacity.cpu_millis, capacity.memory_mb, capacity.accelerators}),
-       report.remaining_ms, report.worker_clock_ms, report.has_runs, std::move(runs), EndsToJson(report.ends),
-       report.rack, LifeToJson(report.announced), report.has_all_ends, std::move(past_ends), report.confirmed_ms});
+  return json::array({report.agent_incarnation,
+                      LifeToJson(report.life),
+                      static_cast<int>(report.condition),
+                      report.service,
+                      report.zone,
+                      report.labels,
+                      json::array({capacity.cpu_millis, capacity.memory_mb, capacity.accelerators}),
+                      report.remaining_ms,
+                      report.worker_clock_ms,
+                      report.has_runs,
+                      std::move(runs),
+                      EndsToJson(report.ends),
+                      report.rack,
+                      LifeToJson(report.announced),
+                      report.has_all_ends,
+                      std::move(past_ends),
+                      report.confirmed_ms,
+                      std::move(late_calls),
+                      report.calls_known_ms,
+                      report.knows_former_calls});
 }
 
 WorkerReport ReportFromJson(const json& row) {
@@ -121,6 +141,14 @@
     report.past_ends.push_back({.life = LifeFromJson(past.at(0)), .ends = EndsFromJson(past.at(1))});
   }
   report.confirmed_ms = ReadCount<std::int64_t>(row.at(16));
+  for (const json& call : row.at(17)) {
+    report.late_calls.push_back({.task = call.at(0).get<std::string>(),
+                                 .run = ReadCount<int>(call.at(1)),
+                                 .worker = call.at(2).get<std::string>(),
+                                 .age_ms = ReadCount<std::int64_t>(call.at(3))});
+  }
+  report.calls_known_ms = ReadCount<std::int64_t>(row.at(18));
+  row.at(19).get_to(report.knows_former_calls);
   return report;
 }
 
--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -10,6 +10,7 @@
 namespace berylgauge::control {
 
 using workflow::ActiveRun;
+using workflow::LateCall;
 using workflow::RunEnd;
 using workflow::StartAnswer;
 using workflow::StartRefusal;
@@ -26,6 +27,10 @@
 /// Fewer of them are kept for longer, which saves the search for them.
 constexpr std::size_t kSpareTraits = 64;
 
+LateCall LateCallOf(const StartCall& call, MonotonicTime sent_at) {
+  return {.task = call.task, .run = call.run, .agent = {}, .worker = call.life.worker, .sent_at = sent_at};
+}
+
 }  // namespace
 
 /// The answers of one message of orders.
@@ -40,7 +45,7 @@
   StartCall call;
   std::int64_t epoch = 0;
   MonotonicTime begun;
-  bool is_unanswered = false;  ///< a call had no answer
+  bool is_unanswered = false;  ///< a call had no answer, or a former process may have made one
   bool abandoned = false;      ///< a stop was ordered, so no further call is made
 
   RunKey key() const { return {call.task, call.run}; }
@@ -56,6 +61,7 @@
     : m_loop(loop),
       m_worker(worker),
       m_options(options),
+      m_begun_at(loop.Now()),
       m_alive(std::make_shared<bool>(true)),
       m_starts(metrics.GetCounter("berylgauge_agent_starts_total", "Starts that the worker accepted")),
       m_refused_starts(metrics.GetCounter("berylgauge_agent_refused_starts_total", "Starts that were refused")),
@@ -187,8 +193,8 @@
       call.wait = IsPacing() ? m_options.paced_hold_wait : m_options.hold_wait;
     }
   }
-  CallHold(call, [this, life = call.life, token = call.fencing_token, number = is_regular ? m_hold_number : 0](
-                     Result<HoldAnswer> answer) { OnHold(std::move(answer), life, token, number); });
+  CallHold(call, [this, call, sent_at = m_loop.Now(), number = is_regular ? m_hold_number : 0](
+                     Result<HoldAnswer> answer) { OnHold(std::move(answer), call, sent_at, number); });
 }
 
 void AgentNode::CallHold(const HoldCall& call, absl::AnyInvocable<void(Result<HoldAnswer>)> callback) {
@@ -203,7 +209,8 @@
       });
 }
 
-void AgentNode::OnHold(Result<HoldAnswer> answer, const WorkerLife& life, std::int64_t token, std::uint64_t number) {
+void AgentNode::OnHold(Result<HoldAnswer> answer, const HoldCall& call, MonotonicTime sent_at, std::uint64_t number) {
+  const WorkerLife& life = call.life;
   const bool is_regular = number != 0;
   if (is_regular && number == m_hold_number) m_hold_sent = false;
   if (!IsPresent(life)) {
@@ -220,10 +227,18 @@
     return;
   }
   TakeLists(std::move(*answer));
-  if (token == m_fencing_token && m_fence_epoch == m_epoch) ConfirmLife();
+  if (call.fencing_token == m_fencing_token && m_fence_epoch == m_epoch) ConfirmLife();
+  if (m_is_confirmed && m_lists->has_all_ends) ForgetLateCalls(sent_at);
   if (is_regular) ScheduleHold(HasUnacknowledgedEnds() ? m_options.pending_pause : absl::ZeroDuration());
 }
 
+void AgentNode::ForgetLateCalls(MonotonicTime answered_call_sent_at) {
+  const MonotonicTime too_late = answered_call_sent_at - m_options.late_call_limit;
+  m_late_calls.RemoveSentUntil(too_late);
+  m_late_calls.RemoveOtherWorkers({}, m_announcement->life.worker);
+  m_knows_former_calls = m_knows_former_calls || m_begun_at <= too_late;
+}
+
 void AgentNode::KeepPastLists(HoldAnswer answer, const WorkerLife& life) {
   LogPastLists(answer, life);
   if (m_announcement && m_announcement->life == life) {
@@ -294,10 +309,7 @@
             {"clock_ms", m_lists->clock_ms},
             {"runs", m_lists->runs.size()},
             {"ends", m_lists->ends.size()}});
-  if (m_confirmed_life != life) {
-    m_unsettled_starts.clear();
-    m_confirmed_at = m_loop.Now();
-  }
+  if (m_confirmed_life != life) m_confirmed_at = m_loop.Now();
   m_confirmed_life = life;
   m_runs_sent_at = InfinitePast();  // the owner compares the whole list with its records
   NoteChange();
@@ -443,6 +455,9 @@
   workflow::WorkerReport& report = answer.report;
   report.agent_incarnation = m_options.incarnation;
   report.past_ends = PastEndsToReport();
+  report.late_calls = ReportedLateCalls();
+  report.knows_former_calls = m_knows_former_calls;
+  report.calls_known_ms = absl::ToInt64Milliseconds(m_loop.Now() - m_begun_at);
   if (m_announcement) report.announced = m_announcement->life;
   if (!IsWorkerKnown()) return answer;
   report.life = m_announcement->life;
@@ -497,8 +512,10 @@
                        .checkpoint = order.checkpoint,
                        .ticket = order.ticket,
                        .lease_end_ms = request.lease_end_ms};
-      // A former process of this agent may have made the call.
-      if (order.was_sent) m_unsettled_starts.insert(attempt->key());
+      // A former process of this agent may have made the call, before this one began.
+      attempt->is_unanswered = order.was_sent || m_late_calls.HasUnstopped(order.task, order.run);
+      const bool may_be_former = order.was_sent && !m_knows_former_calls;
+      if (may_be_former) m_late_calls.Add(LateCallOf(attempt->call, m_begun_at));
       m_traits[order.task] = {.traits = {.task = order.task,
                                          .fills_idle_cpu = order.fills_idle_cpu,
                                          .tail_target_ms = order.tail_target_ms,
@@ -511,11 +528,11 @@
   batch->pending = starts.size() + request.stops.size() + 1;
   for (std::shared_ptr<StartAttempt>& attempt : starts) {
     if (!is_present) {
-      FinishStart(*attempt, {.refusal = IsUnsettled(*attempt) ? StartRefusal::kEnded : StartRefusal::kOtherLife});
+      FinishStart(*attempt, {.refusal = attempt->is_unanswered ? StartRefusal::kEnded : StartRefusal::kOtherLife});
     } else if (const std::shared_ptr<StartAttempt> pending = m_pending_starts[attempt->key()].lock()) {
       pending->batches.push_back(batch);
     } else if (m_condition != WorkerCondition::kReady) {
-      FinishStart(*attempt, {.refusal = IsUnsettled(*attempt) ? StartRefusal::kEnded : StartRefusal::kDraining});
+      FinishStart(*attempt, {.refusal = attempt->is_unanswered ? StartRefusal::kEnded : StartRefusal::kDraining});
     } else {
       m_pending_starts[attempt->key()] = attempt;
       TryStart(std::move(attempt));
@@ -553,23 +570,32 @@
   return !IsPresent(life) || epoch < m_epoch;
 }
 
-bool AgentNode::IsUnsettled(const StartAttempt& attempt) const {
-  return attempt.is_unanswered || m_unsettled_starts.contains(attempt.key());
+std::vector<workflow::ReportedLateCall> AgentNode::ReportedLateCalls() const {
+  std::vector<workflow::ReportedLateCall> reported;
+  for (const LateCall& call : m_late_calls.CallsIf([](const LateCall&) { return true; })) {
+    reported.push_back({.task = call.task,
+                        .run = call.run,
+                        .worker = call.worker,
+                        .age_ms = absl::ToInt64Milliseconds(m_loop.Now() - call.sent_at)});
+  }
+  return reported;
 }
 
-bool AgentNode::IsGivenUp(const StartAttempt& attempt) const {
+StartRefusal AgentNode::ReasonToGiveUp(const StartAttempt& attempt) const {
   // A start of a former owner is not repeated; its successor settles the run.
-  if (attempt.abandoned || IsOver(attempt.call.life, attempt.epoch)) return true;
-  return m_loop.Now() - attempt.begun > m_options.start_limit;
+  if (attempt.abandoned || IsOver(attempt.call.life, attempt.epoch)) return StartRefusal::kEnded;
+  return m_loop.Now() - attempt.begun > m_options.start_limit ? StartRefusal::kUnanswered : StartRefusal::kNone;
 }
 
 void AgentNode::TryStart(std::shared_ptr<StartAttempt> attempt) {
-  if (IsGivenUp(*attempt)) {
-    FinishStart(*attempt, {.refusal = StartRefusal::kEnded});
+  const StartRefusal reason = ReasonToGiveUp(*attempt);
+  if (reason != StartRefusal::kNone) {
+    FinishStart(*attempt, {.refusal = reason});
     return;
   }
   StartCall& call = attempt->call;
   call.fencing_token = m_fencing_token;  // the life may have got a higher one since the order
+  m_late_calls.Add(LateCallOf(call, m_loop.Now()));
   m_worker.Start(call, m_options.call_timeout, [this, attempt, alive = m_alive](Result<StartAnswer> answer) {
     if (*alive) OnStart(attempt, std::move(answer));
   });
@@ -579,24 +605,23 @@
   if (!IsPresent(attempt->call.life)) LogStartForFormerLife(*attempt, answer);
   // The life got a higher token while the call was under way.
   const bool is_old_token = answer && answer->refusal == StartRefusal::kStaleOwner && attempt->epoch == m_epoch;
+  if (!answer && answer.error().verdict == Verdict::kMayHaveRun) attempt->is_unanswered = true;
+  if (!attempt->is_unanswered) m_late_calls.Remove(attempt->call.task, attempt->call.run);
   if (answer && !is_old_token) {
     // After a call without an answer a refusal is not final: that call may still be carried out. The owner orders a
     // stop, which settles it.
     const bool is_refusal = answer->refusal != StartRefusal::kNone;
-    if (is_refusal && IsUnsettled(*attempt)) answer->refusal = StartRefusal::kEnded;
+    if (is_refusal && attempt->is_unanswered) answer->refusal = StartRefusal::kEnded;
     FinishStart(*attempt, *answer);
     return;
   }
-  if (!answer && answer.error().verdict == Verdict::kMayHaveRun) {
-    attempt->is_unanswered = true;
-    if (m_confirmed_life == attempt->call.life) m_unsettled_starts.insert(attempt->key());
-  }
-  if (!IsPresent(attempt->call.life) && !IsUnsettled(*attempt)) {
+  if (!IsPresent(attempt->call.life) && !attempt->is_unanswered) {
     FinishStart(*attempt, {.refusal = StartRefusal::kOtherLife});
     return;
   }
-  if (IsGivenUp(*attempt)) {
-    FinishStart(*attempt, {.refusal = StartRefusal::kEnded});
+  const StartRefusal reason = ReasonToGiveUp(*attempt);
+  if (reason != StartRefusal::kNone) {
+    FinishStart(*attempt, {.refusal = reason});
     return;
   }
   m_loop.AddTimer(m_loop.Now() + m_options.retry_pause, [this, attempt, alive = m_alive] {
@@ -622,14 +647,11 @@
 
 void AgentNode::FinishStart(StartAttempt& attempt, StartAnswer answer) {
   const bool accepted = answer.refusal == StartRefusal::kNone;
-  const bool unanswered = IsUnsettled(attempt);
+  const bool unanswered = attempt.is_unanswered;
   // The next life may have given the answer, which does not name one.
   answer.is_settled = accepted && !unanswered && IsPresent(attempt.call.life);
   m_pending_starts.erase(attempt.key());
-  if (accepted) {
-    m_unsettled_starts.erase(attempt.key());
-    PaceStarted(attempt.call, answer.is_settled);
-  }
+  if (accepted) PaceStarted(attempt.call, answer.is_settled);
   (accepted ? m_starts : m_refused_starts).Add();
   LogEvent(accepted ? LogLevel::kInfo : LogLevel::kWarning, "start",
            {{"task", attempt.call.task},
@@ -656,8 +678,7 @@
   attempt->call.fencing_token = m_fencing_token;
   m_worker.Stop(attempt->call, m_options.call_timeout, [this, attempt, alive = m_alive](Result<void> answer) {
     if (!*alive) return;
-    // A call of a stopped run that is carried out later is rejected.
-    if (answer) m_unsettled_starts.erase({attempt->call.task, attempt->call.run});
+    if (answer) m_late_calls.NoteStopped(attempt->call.task, attempt->call.run);
     if (answer || IsOver(attempt->call.life, attempt->epoch)) {
       ResolveStop(attempt);
       return;
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
 #include <absl/functional/any_invocable.h>
 #include <absl/time/time.h>
 
@@ -19,6 +18,7 @@
 #include "control/worker_announcement.h"
 #include "control/worker_port.h"
 #include "transport/event_loop.h"
+#include "workflow/late_calls.h"
 #include "workflow/pace_controller.h"
 
 namespace berylgauge::control {
@@ -41,6 +41,9 @@
   /// A start that has no answer for this time is given up and left to the owner's stop. Half the platform's bound for
   /// cancellations, because the owner may have no way to tell this agent of one.
   absl::Duration start_limit = absl::Milliseconds(1500);
+  /// A call without an answer is carried out within this time, or never: the platform delays calls by up to 12 s, and
+  /// the rest is for the way.
+  absl::Duration late_call_limit = absl::Seconds(13);
   /// Ends of a past life are reported for this long: until a new owner has claimed (under 3 s) and regards workers that
   /// it cannot reach as empty (9.2 s after that).
   absl::Duration past_ends_kept = absl::Seconds(15);
@@ -88,8 +91,8 @@
   void ScheduleHold(absl::Duration delay);
   void CallHold(const HoldCall& call, absl::AnyInvocable<void(Result<HoldAnswer>)> callback);
   void SendHold(bool is_regular);
-  /// Answer to a call for that life with that token. `number` is that of a regular call, else 0.
-  void OnHold(Result<HoldAnswer> answer, const workflow::WorkerLife& life, std::int64_t token, std::uint64_t number);
+  /// `number` is that of a regular call, else 0.
+  void OnHold(Result<HoldAnswer> answer, const HoldCall& call, MonotonicTime sent_at, std::uint64_t number);
   void OnHoldFailure(const Failure& failure);
   /// The worker answered in another life than the announced one.
   void OnOtherLife(const HoldAnswer& answer);
@@ -122,11 +125,14 @@
   bool IsWorkerKnown() const { return m_announcement && m_lists && m_is_confirmed; }
   /// Whether the worker is in that life and has not gone, as far as is known.
   bool IsPresent(const workflow::WorkerLife& life) const;
-  /// Whether a call of the start had no answer and may be carried out yet, by this life or the next one.
-  bool IsUnsettled(const StartAttempt& attempt) const;
+  std::vector<workflow::ReportedLateCall> ReportedLateCalls() const;
+  /// The present life has answered a call that was sent then: earlier calls that were too late by then have no effect
+  /// but what its lists show.
+  void ForgetLateCalls(MonotonicTime answered_call_sent_at);
   /// Whether nothing depends any more on what a call for that life, ordered in that epoch, achieves.
   bool IsOver(const workflow::WorkerLife& life, std::int64_t epoch) const;
-  bool IsGivenUp(const StartAttempt& attempt) const;
+  /// Why no further call of the start is made; `kNone` if one is.
+  workflow::StartRefusal ReasonToGiveUp(const StartAttempt& attempt) const;
 
   void TryStart(std::shared_ptr<StartAttempt> attempt);
   void OnStart(std::shared_ptr<StartAttempt> attempt, Result<workflow::StartAnswer> answer);
@@ -157,13 +163,14 @@
   std::int64_t m_fence_epoch = 0;    ///< of the owner that gave it
   bool m_is_confirmed = false;       ///< see `ConfirmLife`
   workflow::WorkerLife m_confirmed_life;
-  MonotonicTime m_confirmed_at;     ///< when that life was confirmed first
-  std::int64_t m_lease_end_ms = 0;  ///< granted, on the worker's clock
-  std::int64_t m_acknowledged = 0;
+  MonotonicTime m_confirmed_at;       ///< when that life was confirmed first
+  std::int64_t m_lease_end_ms = 0;    ///< granted, on the worker's clock
+  std::int64_t m_acknowledged = 0;    ///< number of the last end that is durable
   std::optional<HoldAnswer> m_lists;  ///< newest of the present life
   std::int64_t m_last_end = 0;        ///< highest number listed in the present life
-  /// Starts of the confirmed life that had no answer and are not settled by a later answer or a stop.
-  absl::flat_hash_set<RunKey> m_unsettled_starts;
+  MonotonicTime m_begun_at;           ///< when this process began to make calls
+  workflow::LateCalls m_late_calls;
+  bool m_knows_former_calls = false;  ///< see `WorkerReport`
   absl::flat_hash_map<RunKey, std::weak_ptr<StartAttempt>> m_pending_starts;
   int m_refused_calls = 0;
 
--- a/src/control/owner_role.cc
+++ b/src/control/owner_role.cc
@@ -223,6 +223,7 @@
   const MonotonicTime now = m_loop.Now();
   if (m_scheduler != nullptr && !m_handing_over) {
     m_scheduler->Advance(now, UnixNow());
+    SendStarts(m_scheduler->TakeRepeatedStarts());
     SendStops(m_scheduler->TakeStops());
     const std::vector<std::string> retired = m_scheduler->TakeRetiredJobs();
     if (!retired.empty()) m_listener.on_retired(retired);
--- a/src/workflow/orders.h
+++ b/src/workflow/orders.h
@@ -36,8 +36,9 @@
 
 /// Why a start had no effect.
 enum class StartRefusal {
-  kNone,   ///< it runs
-  kEnded,  ///< the run has already ended or been stopped; its end is listed
+  kNone,        ///< it runs
+  kEnded,       ///< the run has ended or was stopped, or a call may begin it yet; a stop tells
+  kUnanswered,  ///< no call was answered in time; one may begin the run yet
   kRoom,
   kTicket,
   kUnhealthy,
@@ -50,6 +51,7 @@
 inline constexpr auto kStartRefusalNames = MakeEnumNames<StartRefusal>({
     {StartRefusal::kNone, "none"},
     {StartRefusal::kEnded, "ended"},
+    {StartRefusal::kUnanswered, "unanswered"},
     {StartRefusal::kRoom, "room"},
     {StartRefusal::kTicket, "ticket"},
     {StartRefusal::kUnhealthy, "unhealthy"},
--- a/src/workflow/placement_obstacle.h
+++ b/src/workflow/placement_obstacle.h
@@ -8,6 +8,7 @@
 enum class PlacementObstacle {
   kNone,
   kListMissing,  ///< its list of runs was not compared with the records yet
+  kUnknownRun,   ///< a run of unknown size is being stopped there
   kNotReady,     ///< draining or gone
   kOtherService,
   kPaused,  ///< refused starts a moment ago
@@ -17,11 +18,13 @@
   kRoom,      ///< memory, processors or accelerators
   kReserved,  ///< what is free is kept for short tasks
   kTooSlow,   ///< serving and filling tasks would leave too little of the processors
+  kLateCall,  ///< a call for a former run of the task may be carried out yet
 };
 
 inline constexpr auto kPlacementObstacleNames = MakeEnumNames<PlacementObstacle>({
     {PlacementObstacle::kNone, "none"},
     {PlacementObstacle::kListMissing, "list-missing"},
+    {PlacementObstacle::kUnknownRun, "unknown-run"},
     {PlacementObstacle::kNotReady, "not-ready"},
     {PlacementObstacle::kOtherService, "other-service"},
     {PlacementObstacle::kPaused, "paused"},
@@ -31,6 +34,7 @@
     {PlacementObstacle::kRoom, "room"},
     {PlacementObstacle::kReserved, "reserved"},
     {PlacementObstacle::kTooSlow, "too-slow"},
+    {PlacementObstacle::kLateCall, "late-call"},
 });
 
 }  // namespace berylgauge::workflow
--- a/src/workflow/placement_policy.cc
+++ b/src/workflow/placement_policy.cc
@@ -60,6 +60,7 @@
                                                        const PlacementLimits& limits, MonotonicTime now) const {
   const StepDefinition& definition = *step.definition;
   if (!worker.reconciled) return PlacementObstacle::kListMissing;
+  if (worker.unknown_runs > 0) return PlacementObstacle::kUnknownRun;
   if (worker.condition != WorkerCondition::kReady) return PlacementObstacle::kNotReady;
   if (worker.service != step.job->definition.queue.service) return PlacementObstacle::kOtherService;
   if (now < worker.avoid_until) return PlacementObstacle::kPaused;
--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -143,11 +143,13 @@
       const TaskProgress& task = step->tasks[static_cast<std::size_t>(index)];
       if (task.state == TaskState::kDone) ++step->done;
       if (task.state == TaskState::kWaiting) ++job.waiting;
+      if (task.state != TaskState::kDone) AdoptLateCalls({.step = step.get(), .index = index});
       if (task.state != TaskState::kPlaced) continue;
       ++job.placed;
       TaskRuntime& runtime = step->runtimes[static_cast<std::size_t>(index)];
       runtime.stage = RunStage::kUnknown;
       runtime.is_start_settled = task.bound != RunBound::kNone;
+      runtime.is_order_answered = true;  // agents refuse orders of former owners
       runtime.ordered_at = m_claimed_at + m_options.former_owner_grants;
       m_orphans[task.worker].push_back({.step = step.get(), .index = index});
     }
@@ -237,21 +239,27 @@
   return number < steps->second.size() ? steps->second[number].get() : nullptr;
 }
 
-std::optional<TaskRef> Scheduler::FindRun(const std::string& task, int run, const WorkerLife& life) {
+std::optional<TaskRef> Scheduler::FindNewestRun(const std::string& task, int run) {
   const std::optional<TaskName> name = TaskName::Parse(task);
   if (!name) return std::nullopt;
   WorkflowStep* step = FindStep(name->step);
   if (step == nullptr || name->index >= static_cast<int>(step->tasks.size())) return std::nullopt;
   const TaskProgress& progress = step->tasks[static_cast<std::size_t>(name->index)];
-  const bool matches = progress.state == TaskState::kPlaced && progress.run == run && progress.worker == life.worker &&
-                       progress.worker_born == life.born;
-  if (!matches) return std::nullopt;
+  if (progress.state != TaskState::kPlaced || progress.run != run) return std::nullopt;
   return TaskRef{.step = step, .index = name->index};
 }
 
+std::optional<TaskRef> Scheduler::FindRun(const std::string& task, int run, const WorkerLife& life) {
+  const std::optional<TaskRef> ref = FindNewestRun(task, run);
+  if (!ref) return std::nullopt;
+  const TaskProgress& progress = ref->step->tasks[static_cast<std::size_t>(ref->index)];
+  return progress.worker == life.worker && progress.worker_born == life.born ? ref : std::nullopt;
+}
+
 void Scheduler::Advance(MonotonicTime now, std::int64_t unix_now_ms) {
   LapseLeases(now);
   LapseFormerWorkers(now);
+  ExpireLateCalls(now);
   CreateDueOccurrences(now, unix_now_ms);
   RetireJobs(now);
   RecordBounds(now);
@@ -368,7 +376,7 @@
     TaskRuntime& runtime = ref->step->runtimes[static_cast<std::size_t>(ref->index)];
     runtime.stage = RunStage::kStarting;
     runtime.is_start_settled = false;
-    runtime.ordered_at = now;
+    ExpectCall(*ref, order, now);
     runtime.started_at = now;  // until the answer tells better
     if (PoolWorker* worker = m_workers.FindLife(order.life)) worker->starting[*ref] = now;
     allowed.push_back(std::move(order));
@@ -406,7 +414,7 @@
 
 void Scheduler::OnStartSent(const StartOrder& order, MonotonicTime now) {
   const std::optional<TaskRef> ref = FindRun(order.task, order.run, order.life);
-  if (ref) ref->step->runtimes[static_cast<std::size_t>(ref->index)].ordered_at = now;
+  if (ref) ExpectCall(*ref, order, now);
 }
 
 bool Scheduler::IsStarting(const StartOrder& order) {
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -18,6 +18,7 @@
 #include "schedule/worker_quarantine.h"
 #include "workflow/interference_model.h"
 #include "workflow/job_index.h"
+#include "workflow/late_calls.h"
 #include "workflow/locality_history.h"
 #include "workflow/locality_policy.h"
 #include "workflow/orders.h"
@@ -42,6 +43,9 @@
   /// A call to a worker that has no answer is carried out within this time of its order, or never. The platform delays
   /// calls by up to 12 s, and an agent repeats a start for 1.5 s; the rest is for the way.
   absl::Duration late_call_limit = absl::Seconds(15);
+  /// A start without an answer is ordered again up to so many times, for 1.5 s each. Giving up costs a wait of 13 s,
+  /// until none of its calls may be carried out any more, so the worker is tried for about as long.
+  int most_start_repeats = 8;
   /// Time between two batches that record nothing but how runs are bounded (`RunBound`).
   absl::Duration bound_interval = absl::Milliseconds(500);
   /// Factor for worker clocks that are slow: the platform allows 2%, and 1% is added for rounding.
@@ -118,10 +122,10 @@
 
 /// Decides which task runs where; the heart of the owner.
 ///
-/// Its functions stand in scheduler.cc (jobs and batches), scheduler_workers.cc, scheduler_runs.cc and
-/// scheduler_placement.cc. It does no I/O: events go in, batches of records and orders come out. The caller writes a
-/// batch to the store, calls `OnBatchDurable`, and only then sends the orders of that batch. One batch is under way at
-/// a time.
+/// Its functions stand in scheduler.cc (jobs and batches), scheduler_workers.cc, scheduler_runs.cc,
+/// scheduler_late_calls.cc, scheduler_locality.cc and scheduler_placement.cc. It does no I/O: events go in, batches of
+/// records and orders come out. The caller writes a batch to the store, calls `OnBatchDurable`, and only then sends the
+/// orders of that batch. One batch is under way at a time.
 class Scheduler {
  public:
   explicit Scheduler(const SchedulerOptions& options, MonotonicTime now);
@@ -150,6 +154,8 @@
   const Batch* TakeBatch(MonotonicTime now);
   /// The records of the batch are stored. Returns the batch with those of its starts that may still be sent.
   Batch OnBatchDurable(MonotonicTime now);
+  /// Starts without an answer that are to be sent again; each is returned once.
+  std::vector<StartOrder> TakeRepeatedStarts();
   /// Stops that are due; each is returned once until its answer.
   std::vector<StopOrder> TakeStops();
   /// Finished jobs whose retention is over: their submissions may be removed from the store. The summary of each is
@@ -191,6 +197,8 @@
   void RefreshReadySteps(std::vector<std::unique_ptr<WorkflowStep>>& steps, MonotonicTime now);
   WorkflowStep* FindStep(const StepName& name);
   std::optional<TaskRef> FindRun(const std::string& task, int run, const WorkerLife& life);
+  /// The task if that run of it is placed, at whatever worker.
+  std::optional<TaskRef> FindNewestRun(const std::string& task, int run);
 
   void ApplyEnd(const WorkerLife& life, const RunEnd& end, MonotonicTime now);
   /// The newest run of a task that waits for another one has ended as done after all, so it needs no other. Returns
@@ -236,8 +244,33 @@
   /// that call out.
   void LoseSettledRuns(PoolWorker& worker, MonotonicTime now);
   void CompareRuns(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
+
+  // Late calls.
+
+  /// A start of the run is about to be sent.
+  void ExpectCall(TaskRef task, const StartOrder& order, MonotonicTime now);
+  /// Takes over what an owner before this one has recorded of late calls for the task.
+  void AdoptLateCalls(TaskRef task);
+  /// The agent tells which of its calls have no answer, so the others are certain.
+  void ApplyLateCalls(const std::string& agent, const WorkerReport& report, MonotonicTime now);
+  /// Every call of the start was answered, or none was sent.
+  void SettleCalls(const LateCall& call, MonotonicTime now);
+  void ExpireLateCalls(MonotonicTime now);
+  /// The tasks may be placed again if they wait, so they are no longer recorded as having a late call.
+  void OnLateCallsOver(const std::vector<std::string>& tasks);
+  /// Whether a call for a run of the task may be carried out yet. Until then a waiting task gets no other run: a
+  /// worker's next life could begin the former one beside it, or after it is done.
+  bool HasLateCall(const WorkflowStep& step, int index) const;
+  /// Orders a start without an answer once more, with the same number: whichever call comes late, the run begins once.
+  /// Returns false if the run has to be stopped.
+  bool RepeatStart(TaskRef task);
+  /// Counts what late calls of runs that were given up would take of the next lives of their workers.
+  void ReserveForLateCalls();
+  /// A worker lists the newest run of a task that waits: a late call has begun it. Returns false for any other run.
+  bool AdoptRun(PoolWorker& worker, const ActiveRun& run, MonotonicTime now);
+
   /// The worker lists a run that is not placed there.
-  void StopUnknownRun(const PoolWorker& worker, const ActiveRun& run);
+  void StopUnknownRun(PoolWorker& worker, const ActiveRun& run);
   static std::int64_t RemainingFormerLeaseMs(const PoolWorker& worker, MonotonicTime now);
   void MoveLastingTasks(PoolWorker& worker);
   void NoteProgress(PoolWorker& worker, const WorkerReport& report, MonotonicTime now);
@@ -316,6 +349,7 @@
   MonotonicTime QuarantineEndsFor(const WorkflowStep& step, int index, MonotonicTime now) const;
   void LogLongWaits(MonotonicTime now);
   void Place(WorkflowStep& step, int index, PoolWorker& worker, int run, MonotonicTime now);
+  static StartOrder MakeStartOrder(TaskRef task);
   void OrderStop(TaskRef task);
   void MarkChanged(WorkflowStep& step);
   void UpdateWaiting(WorkflowStep& step);
@@ -340,9 +374,11 @@
   std::vector<std::string> m_retired_jobs;
   absl::flat_hash_set<std::string> m_retiring;  ///< retired, with a submission that may still be in the store
   std::vector<StartOrder> m_new_starts;         ///< of the next batch
+  std::vector<StartOrder> m_repeated_starts;
   std::vector<StopOrder> m_stops;
   std::optional<Batch> m_batch;                                      ///< under way
   absl::flat_hash_map<std::string, std::vector<TaskRef>> m_orphans;  ///< placed by a former owner, by worker id
+  LateCalls m_late_calls;                                            ///< of all workers
   InterferenceModel m_interference;
   PlacementPolicy m_policy;  ///< uses `m_interference`
   LocalityPolicy m_locality;
--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -48,6 +48,7 @@
 void Scheduler::PlaceWaiting(MonotonicTime now) {
   m_next_retry = InfiniteFuture();
   m_outlooks.clear();
+  ReserveForLateCalls();
   for (const PoolWorker* worker : m_workers.workers()) {
     if (worker->avoid_until > now) m_next_retry = std::min(m_next_retry, worker->avoid_until);
   }
@@ -109,7 +110,7 @@
     if (step.tasks[i].state != TaskState::kWaiting) continue;
     if (now < step.runtimes[i].not_before) {
       m_next_retry = std::min(m_next_retry, step.runtimes[i].not_before);
-    } else {
+    } else if (!HasLateCall(step, static_cast<int>(i))) {
       order.push_back(i);
     }
   }
@@ -208,6 +209,7 @@
         continue;
       }
       PlacementObstacle obstacle = m_policy.EligibilityObstacle(*step, *worker, m_limits, now);
+      if (HasLateCall(*step, static_cast<int>(i))) obstacle = PlacementObstacle::kLateCall;
       if (obstacle == PlacementObstacle::kNone) {
         obstacle = m_policy.RoomObstacle(*step, static_cast<int>(i), *worker, now);
       }
@@ -236,6 +238,7 @@
       m_next_retry = std::min(m_next_retry, step.runtimes[i].not_before);
       return false;
     }
+    if (HasLateCall(step, static_cast<int>(i))) return false;
     run = std::max(run, step.tasks[i].run + 1);
   }
   const WorkerChoice choice = ChooseByLocality(step, 0, access, filter, now);
@@ -258,12 +261,14 @@
   progress.worker_born = worker.life.born;
   progress.agent = worker.agent;
   progress.bound = RunBound::kNone;
+  progress.late_worker.clear();
+  progress.late_agent.clear();
+  step.runtimes[i].start_repeats = 0;
   step.runtimes[i].stage = RunStage::kRecording;
   m_workers.Attach(worker, {.step = &step, .index = index});
   const bool is_out = m_quarantine.OutSince(WorkerId(worker.life.worker)) != InfiniteFuture();
   if (is_out) ++m_counts.trials;
   m_quarantine.RecordPlaced(WorkerId(worker.life.worker), now);
-  const WorkflowJob& job = *step.job;
   ++step.job->placed;
   --step.job->waiting;
   step.job->last_placed = now;
@@ -284,17 +289,23 @@
             {"filling_cpu", worker.filling_cpu},
             {"serving", worker.serving_tasks}});
   MarkChanged(step);
-  m_new_starts.push_back({.agent = worker.agent,
-                          .life = worker.life,
-                          .job = job.definition.id,
-                          .task = step.TaskNameOf(index),
-                          .run = run,
-                          .checkpoint = progress.checkpoint,
-                          .fills_idle_cpu = step.definition->fills_idle_cpu,
-                          .tail_target_ms = step.definition->tail_target_ms,
-                          .demand_cpu = step.definition->demand.cpu_millis,
-                          .image = step.definition->image,
-                          .ticket = {}});
+  m_new_starts.push_back(MakeStartOrder({.step = &step, .index = index}));
+}
+
+StartOrder Scheduler::MakeStartOrder(TaskRef task) {
+  const StepDefinition& definition = *task.step->definition;
+  const TaskProgress& progress = task.step->tasks[static_cast<std::size_t>(task.index)];
+  return {.agent = progress.agent,
+          .life = {.worker = progress.worker, .born = progress.worker_born},
+          .job = task.step->job->definition.id,
+          .task = task.step->TaskNameOf(task.index),
+          .run = progress.run,
+          .checkpoint = progress.checkpoint,
+          .fills_idle_cpu = definition.fills_idle_cpu,
+          .tail_target_ms = definition.tail_target_ms,
+          .demand_cpu = definition.demand.cpu_millis,
+          .image = definition.image,
+          .ticket = {}};
 }
 
 }  // namespace berylgauge::workflow
--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -13,6 +13,7 @@
   const std::optional<TaskRef> ref = FindRun(task, run, life);
   if (!ref) return;
   TaskRuntime& runtime = ref->step->runtimes[static_cast<std::size_t>(ref->index)];
+  runtime.is_order_answered = answer.refusal != StartRefusal::kStaleOwner;
   switch (answer.refusal) {
     case StartRefusal::kNone:
       runtime.is_start_settled = answer.is_settled;
@@ -25,6 +26,10 @@
         NoteAtWork(*ref->step->job, now);
       }
       return;
+    case StartRefusal::kUnanswered:
+      if (RepeatStart(*ref)) return;
+      OrderStop(*ref);
+      return;
     case StartRefusal::kEnded:
       OrderStop(*ref);  // tells whether the end is listed
       return;
@@ -41,6 +46,7 @@
     const bool is_unfit = answer.refusal == StartRefusal::kUnhealthy || answer.refusal == StartRefusal::kRoom;
     if (is_unfit) worker->avoid_until = now + m_options.refusal_pause;
   }
+  m_late_calls.Remove(task, run);
   LoseRun(*ref, RunLoss::kStartRefused, now);
 }
 
@@ -56,6 +62,8 @@
 }
 
 void Scheduler::SettleStart(const PoolWorker* worker, TaskRef task, MonotonicTime now) {
+  const TaskProgress& progress = task.step->tasks[static_cast<std::size_t>(task.index)];
+  m_late_calls.Remove(task.step->TaskNameOf(task.index), progress.run);
   if (worker == nullptr) return;
   task.step->runtimes[static_cast<std::size_t>(task.index)].is_start_settled = true;
   const RunBound bound = now <= worker->former_lease_until ? RunBound::kLongestLease : RunBound::kGrantedLease;
@@ -243,6 +251,7 @@
             {"begun", runtime.has_begun},
             {"settled", runtime.is_start_settled},
             {"bound", kRunBoundNames.NameOf(progress.bound)},
+            {"late_call", m_late_calls.Has(step.TaskNameOf(task.index), progress.run)},
             {"silent_ms", absl::ToInt64Milliseconds(now - silent_since)},
             {"former_lease_ms", worker == nullptr ? 0 : RemainingFormerLeaseMs(*worker, now)}});
   m_quarantine.RecordTrialAborted(WorkerId(progress.worker));
@@ -297,6 +306,10 @@
   const std::string& saved = checkpoint.empty() ? runtime.checkpoint : checkpoint;
   if (step.definition->saves_progress && !saved.empty()) progress.checkpoint = saved;
   progress.state = TaskState::kWaiting;
+  if (const LateCall* late = m_late_calls.FindAny(step.TaskNameOf(task.index))) {
+    progress.late_worker = late->worker;
+    progress.late_agent = late->agent;
+  }
   progress.worker.clear();
   progress.worker_born = 0;
   progress.agent.clear();
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -78,6 +78,7 @@
   } else {
     NoteProgress(worker, report, now);
   }
+  if (report.has_all_ends) ApplyLateCalls(agent, report, now);
   if (worker.condition == WorkerCondition::kDraining) MoveLastingTasks(worker);
 }
 
@@ -89,6 +90,7 @@
   const bool is_same_worker = worker.life.worker == report.life.worker;
   // A worker with another id refuses the calls for the former one.
   if (!is_same_worker) {
+    OnLateCallsOver(m_late_calls.RemoveOtherWorkers(worker.agent, report.life.worker));
     LoseAllRuns(worker, RunLoss::kOtherLife, now);
     m_quarantine.Forget(WorkerId(worker.life.worker));
   }
@@ -117,6 +119,7 @@
   worker.clock_read_at = now;
   worker.ends_applied = 0;
   worker.ends_durable = 0;
+  worker.unknown_runs = 0;
   worker.avoid_until = MonotonicTime();
   LogEvent(LogLevel::kInfo, "worker_life",
            {{"worker", report.life.worker},
@@ -237,8 +240,9 @@
   }
   for (const TaskRef task : to_stop) OrderStop(task);
   LoseRuns(worker, not_begun, RunLoss::kOtherLife, now);
+  worker.unknown_runs = 0;
   for (const ActiveRun& run : report.runs) {
-    if (!expected.contains(run.task)) StopUnknownRun(worker, run);
+    if (!expected.contains(run.task) && !AdoptRun(worker, run, now)) StopUnknownRun(worker, run);
   }
 }
 
@@ -279,12 +283,16 @@
   LearnInterference(worker, now);
   // An end that is on its way arrives in the same report or a later one; asking costs one call.
   for (const TaskRef task : missing) OrderStop(task);
-  for (const auto& [name, run] : listed) StopUnknownRun(worker, *run);
+  if (std::exchange(worker.unknown_runs, 0) > listed.size()) m_placement_due = true;
+  for (const auto& [name, run] : listed) {
+    if (!AdoptRun(worker, *run, now)) StopUnknownRun(worker, *run);
+  }
 }
 
-void Scheduler::StopUnknownRun(const PoolWorker& worker, const ActiveRun& run) {
+void Scheduler::StopUnknownRun(PoolWorker& worker, const ActiveRun& run) {
   const TaskProgress recorded = RecordedProgress(run.task).value_or(TaskProgress{});
   ++m_counts.unknown_runs;
+  ++worker.unknown_runs;
   LogEvent(LogLevel::kWarning, "unknown_run",
            {{"task", run.task},
             {"run", run.run},
@@ -409,6 +417,7 @@
   const StepDefinition& definition = *task.step->definition;
   const TaskRuntime& runtime = task.step->runtimes[static_cast<std::size_t>(task.index)];
   if (!definition.fills_idle_cpu || !definition.saves_progress || definition.gang) return false;
+  if (HasLateCall(*task.step, task.index)) return false;  // it would have to come back to its worker
   // Two figures of half a second after the start, so that the start itself does not count as slow.
   if (runtime.stage != RunStage::kRunning || now - runtime.started_at < kSettledAfter) return false;
   const auto demand = static_cast<double>(std::max<std::int64_t>(definition.demand.cpu_millis, 1));
--- a/src/workflow/step_progress.cc
+++ b/src/workflow/step_progress.cc
@@ -20,6 +20,8 @@
 
 /// Absent in rows without a bound.
 constexpr std::size_t kBoundColumn = 6;
+/// Absent in rows without a late call.
+constexpr std::size_t kLateWorkerColumn = 7;
 
 /// Of the runs and failures of a task; half of what fits, so that the next number does too.
 constexpr int kMaxCount = 1 << 30;
@@ -34,16 +36,19 @@
   for (std::size_t index = 0; index < tasks.size() && !all_done; ++index) {
     const TaskProgress& task = tasks[index];
     if (task.run == 0) continue;
-    int worker = kNoWorker;
-    if (task.state == TaskState::kPlaced) {
-      const json entry = json::array({task.worker, task.worker_born, task.agent});
+    const auto number_of = [&](json entry) {
       const auto found = std::find(workers.begin(), workers.end(), entry);
-      worker = static_cast<int>(found - workers.begin());
-      if (found == workers.end()) workers.push_back(entry);
-    }
+      const int number = static_cast<int>(found - workers.begin());
+      if (found == workers.end()) workers.push_back(std::move(entry));
+      return number;
+    };
+    int worker = kNoWorker;
+    if (task.state == TaskState::kPlaced) worker = number_of({task.worker, task.worker_born, task.agent});
     json row = json::array({index, static_cast<int>(task.state), task.run, task.failures, worker, task.checkpoint});
-    const bool is_bounded = task.state == TaskState::kPlaced && task.bound != RunBound::kNone;
-    if (is_bounded) row.push_back(static_cast<int>(task.bound));
+    const bool is_late = task.state != TaskState::kDone && !task.late_worker.empty();
+    const RunBound bound = task.state == TaskState::kPlaced ? task.bound : RunBound::kNone;
+    if (bound != RunBound::kNone || is_late) row.push_back(static_cast<int>(bound));
+    if (is_late) row.push_back(number_of({task.late_worker, 0, task.late_agent}));
     rows.push_back(std::move(row));
   }
   return ToCbor(json::array({kFormat, all_done, std::move(workers), std::move(rows)}));
@@ -80,6 +85,11 @@
         const int bound = ReadInteger<int>(row.at(kBoundColumn), 0, static_cast<int>(RunBound::kGrantedLease));
         task.bound = static_cast<RunBound>(bound);
       }
+      if (row.size() > kLateWorkerColumn) {
+        const json& worker = workers.at(ReadInteger<std::size_t>(row.at(kLateWorkerColumn), 0));
+        worker.at(0).get_to(task.late_worker);
+        worker.at(2).get_to(task.late_agent);
+      }
     }
     return tasks;
   });
--- a/src/workflow/step_progress.h
+++ b/src/workflow/step_progress.h
@@ -26,6 +26,9 @@
   std::int64_t worker_born = 0;      ///< life of that worker, Unix milliseconds of its start
   std::string checkpoint;            ///< from which the next run resumes; empty for none
   RunBound bound = RunBound::kNone;  ///< of the newest run while placed; the weakest where the record has none
+  /// Worker, by its id, and its host, at which a call for a former run may be carried out late; empty for none.
+  std::string late_worker;
+  std::string late_agent;
 
   friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
 };
--- a/src/workflow/worker_pool.cc
+++ b/src/workflow/worker_pool.cc
@@ -31,10 +31,15 @@
   return *worker;
 }
 
-void WorkerPool::Attach(PoolWorker& worker, TaskRef task) {
-  const StepDefinition& definition = *task.step->definition;
+Resources HeldDemand(const StepDefinition& definition) {
   Resources held = definition.demand;
   if (definition.fills_idle_cpu) held.cpu_millis = 0;
+  return held;
+}
+
+void WorkerPool::Attach(PoolWorker& worker, TaskRef task) {
+  const StepDefinition& definition = *task.step->definition;
+  const Resources held = HeldDemand(definition);
   if (!worker.runs.emplace(task, held).second) return;
   worker.reserved += held;
   if (definition.fills_idle_cpu) {
--- a/src/workflow/worker_pool.h
+++ b/src/workflow/worker_pool.h
@@ -35,6 +35,9 @@
   double lowest_soon = 0;  ///< that their load is expected to leave them soon (`ServingLoad`), 1/s; 0 likewise
 };
 
+/// What a task takes of a worker's resources: those that fill idle processors have none reserved.
+Resources HeldDemand(const StepDefinition& definition);
+
 /// What the owner knows of one worker in its present life.
 struct PoolWorker {
   std::string agent;  ///< host of its agent
@@ -57,15 +60,18 @@
   std::map<TaskRef, Resources> runs;          ///< everything that may be present there
   std::map<TaskRef, MonotonicTime> starting;  ///< when the start of a run was sent that is not known to have begun
   Resources reserved;                         ///< of tasks whose processors are counted
-  std::int64_t filling_cpu = 0;               ///< demand of tasks that fill idle processors
-  std::int64_t serving_cpu = 0;               ///< part of `reserved` that belongs to serving tasks
+  Resources late_reserved;                    ///< the same of runs given up that a late call may begin
+  /// Runs in its newest list that are not placed there and still take room; each is being stopped.
+  std::size_t unknown_runs = 0;
+  std::int64_t filling_cpu = 0;  ///< demand of tasks that fill idle processors
+  std::int64_t serving_cpu = 0;  ///< part of `reserved` that belongs to serving tasks
   int serving_tasks = 0;
   std::map<std::string, ServingUse> serving;    ///< by image
   std::map<std::string, std::int64_t> filling;  ///< demand of filling tasks by image, thousandths of a core
   MonotonicTime interference_sent_at = InfinitePast();
   MonotonicTime avoid_until;  ///< refuses or fails starts
 
-  Resources Free() const { return capacity - reserved; }
+  Resources Free() const { return capacity - reserved - late_reserved; }
   /// Whether a start was sent before `sent_before` and the run is not known to have begun.
   bool HasStartSince(MonotonicTime sent_before) const;
 };
--- a/src/workflow/worker_report.h
+++ b/src/workflow/worker_report.h
@@ -41,6 +41,16 @@
   friend bool operator==(const PastEnds&, const PastEnds&) = default;
 };
 
+/// A start with a call without an answer, as its agent tells it.
+struct ReportedLateCall {
+  std::string task;
+  int run = 0;
+  std::string worker;       ///< id
+  std::int64_t age_ms = 0;  ///< of the newest such call
+
+  friend bool operator==(const ReportedLateCall&, const ReportedLateCall&) = default;
+};
+
 /// What an agent says of the worker beside it.
 struct WorkerReport {
   Incarnation agent_incarnation = 0;
@@ -64,6 +74,13 @@
   /// Ends that were listed in a life that is over, or that has not answered with the owner's fence token. They hold
   /// whatever became of the worker, but say nothing of its other runs.
   std::vector<PastEnds> past_ends;
+  /// Starts that may begin a run yet, in whatever life, or may have begun one in a life that the agent has not heard
+  /// of: no list of a life that answered after the last time for the call was read. All that the agent's process has
+  /// made.
+  std::vector<ReportedLateCall> late_calls;
+  std::int64_t calls_known_ms = 0;  ///< age of the agent's process
+  /// The same holds for calls that former processes of the agent have made: none is open.
+  bool knows_former_calls = false;
 };
 
 }  // namespace berylgauge::workflow
--- a/src/workflow/workflow_job.h
+++ b/src/workflow/workflow_job.h
@@ -35,6 +35,8 @@
   RunStage stage = RunStage::kNone;
   bool has_begun = false;                           ///< a worker has shown that the present run is or was there
   bool is_start_settled = false;                    ///< every call of the start was answered; see `StartAnswer`
+  bool is_order_answered = false;                   ///< the agent makes no further call of the start
+  int start_repeats = 0;                            ///< further orders of the start after one without an answer
   MonotonicTime ordered_at;                         ///< when its start was sent last, by any owner, at the latest
   MonotonicTime started_at;                         ///< when the start was answered
   std::int64_t started_clock_ms = 0;                ///< worker's clock at that time
--- a/tests/unit/control/agent_node_test.cc
+++ b/tests/unit/control/agent_node_test.cc
@@ -27,7 +27,9 @@
   int vanished_starts = 0;    ///< so many starts have no answer and no effect
   StartRefusal refusal = StartRefusal::kNone;
   bool refuses_connections = false;
-  int refused_calls = 0;  ///< so many calls for lists find no listener
+  int refused_starts = 0;
+  int refused_calls = 0;   ///< so many calls for lists find no listener
+  int given_refusals = 0;  ///< of these, so many have been taken in
   std::int64_t born = 1000;
   std::int64_t highest_token = 0;
   std::map<std::string, int> runs;
@@ -47,7 +49,12 @@
     if (refuses_connections) return Answer<HoldAnswer>(std::move(callback), Refused());
     if (refused_calls > 0) {
       --refused_calls;
-      return Answer<HoldAnswer>(std::move(callback), Refused());
+      return Answer<HoldAnswer>(
+          [this, callback = std::move(callback)](Result<HoldAnswer> refusal) mutable {
+            callback(std::move(refusal));
+            ++given_refusals;
+          },
+          Refused());
     }
     if (lists_nothing) {
       return Answer<HoldAnswer>(std::move(callback), MayHaveRun(FailureCode::kDeadlineExceeded, "no answer"));
@@ -89,6 +96,10 @@
   }
 
   void Start(const StartCall& call, absl::Duration, absl::AnyInvocable<void(Result<StartAnswer>)> callback) override {
+    if (refuses_connections) {
+      ++refused_starts;
+      return Answer<StartAnswer>(std::move(callback), Refused());
+    }
     ++starts;
     newest_start = call;
     if (vanished_starts > 0) {
@@ -140,15 +151,20 @@
   std::vector<std::pair<absl::AnyInvocable<void(Result<HoldAnswer>)>, HoldAnswer>> m_kept;
 };
 
+/// Long enough for a test to look while a call may still be carried out.
+constexpr absl::Duration kLateCallLimit = absl::Milliseconds(600);
+
 class AgentWorld {
  public:
-  AgentWorld() {
+  explicit AgentWorld(int refused_calls = AgentNodeOptions().refused_calls) {
     m_loop.RunSync([&] {
       m_agent = std::make_unique<AgentNode>(m_loop, m_worker, m_metrics,
                                             AgentNodeOptions{.incarnation = 7,
                                                              .hold_wait = absl::Milliseconds(20),
                                                              .pending_pause = absl::Milliseconds(20),
-                                                             .retry_pause = absl::Milliseconds(10)});
+                                                             .retry_pause = absl::Milliseconds(10),
+                                                             .refused_calls = refused_calls,
+                                                             .late_call_limit = kLateCallLimit});
     });
   }
   ~AgentWorld() {
@@ -324,10 +340,45 @@
   const absl::Time begun = absl::Now();
   const std::optional<OrdersAnswer> answer = world.StartTask(5);
   REQUIRE(answer.has_value());
-  CHECK(answer->starts.at(0).answer.refusal == StartRefusal::kEnded);
+  CHECK(answer->starts.at(0).answer.refusal == StartRefusal::kUnanswered);
   CHECK(absl::Now() - begun < absl::Seconds(3));
 }
 
+// Guards against a call that is forgotten with the life that it was for, or before the worker has shown that nothing
+// came of it: its run would be started elsewhere beside the one that the next life begins (review/13).
+TEST_CASE("a call without an answer is reported until a list shows what became of it", "[agent]") {
+  const bool has_next_life = GENERATE(true, false);
+  INFO("the worker starts again: " << has_next_life);
+  AgentWorld world;
+  world.Announce();
+  world.worker().unanswered_starts = 1;
+  REQUIRE(world.StartTask(5).has_value());
+  world.loop().RunSync([&] { world.worker().lists_nothing = !has_next_life; });
+  if (has_next_life) {
+    const workflow::WorkerLife next{.worker = "w1", .born = 2000};
+    world.loop().RunSync([&] {
+      world.worker().Restart(next.born);
+      world.agent().OnAnnouncement({.life = next, .sequence = 1, .service = "s"});
+    });
+    world.Fence(next, 52);
+    REQUIRE(world.IsKnownSoon(next));
+  } else {
+    absl::SleepFor(kLateCallLimit + absl::Milliseconds(100));
+  }
+  const auto late_calls = [&] { return world.Watch({.epoch = 5, .life = {}})->report.late_calls; };
+  REQUIRE(late_calls().size() == 1);
+  CHECK(late_calls().at(0).task == "a.0.0.0");
+  CHECK(late_calls().at(0).worker == "w1");
+  world.loop().RunSync([&] { world.worker().lists_nothing = false; });
+  CHECK(WaitUntil(world.loop(), absl::Seconds(5), [&] {
+    bool is_forgotten = false;
+    world.agent().OnWatch({.epoch = 5, .life = {}}, [&](const std::optional<WatchAnswer>& answer) {
+      is_forgotten = answer && answer->report.late_calls.empty();
+    });
+    return is_forgotten;
+  }));
+}
+
 struct UnconfirmedRow {
   const char* name;
   bool announced;
@@ -595,7 +646,7 @@
   AgentWorld world;
   world.Announce();
   world.loop().RunSync([&] { world.worker().refused_calls = 1; });
-  const auto is_refused = [&] { return world.worker().refused_calls == 0; };
+  const auto is_refused = [&] { return std::exchange(world.worker().given_refusals, 0) == 1; };
   REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), is_refused));
   world.loop().RunSync([&] {
     row.between(world);
@@ -963,6 +1014,9 @@
   report.report.announced = {.worker = "w", .born = 9};
   report.report.confirmed_ms = 12;
   report.report.has_all_ends = false;
+  report.report.late_calls = {{.task = "t", .run = 2, .worker = "w", .age_ms = 5}};
+  report.report.calls_known_ms = 13;
+  report.report.knows_former_calls = true;
   report.report.past_ends = {
       {.life = {.worker = "v", .born = 8}, .ends = {{.number = 3, .task = "t", .run = 2, .kind = RunEndKind::kDone}}}};
   const Result<WatchAnswer> read_report = DecodeWatchAnswer(EncodeWatchAnswer(report));
@@ -970,6 +1024,9 @@
   CHECK(read_report->report.announced == report.report.announced);
   CHECK(read_report->report.confirmed_ms == 12);
   CHECK(!read_report->report.has_all_ends);
+  CHECK(read_report->report.late_calls == report.report.late_calls);
+  CHECK(read_report->report.calls_known_ms == 13);
+  CHECK(read_report->report.knows_former_calls);
   CHECK(read_report->report.past_ends == report.report.past_ends);
   OrdersAnswer started;
   started.starts = {{.task = "t", .run = 1, .answer = {.is_settled = true}}};
--- a/tests/unit/workflow/interleaving_test.cc
+++ b/tests/unit/workflow/interleaving_test.cc
@@ -11,6 +11,8 @@
 
 constexpr int kSteps = 600;  // a minute
 constexpr std::uint64_t kSeeds = 150;
+/// Some faults show in 1 world of 100, and which world depends on the order of hash tables.
+constexpr std::uint64_t kSeedsWithBreakage = 1500;
 
 // Guards against runs of one task at two workers, starts after an end that was taken note of, starts before the step
 // before is done, work over a worker's capacity, and jobs that are never finished, under any interleaving of faults.
@@ -87,9 +89,12 @@
       BreakageRow{"a start without answer counts as refused", Breakage::kRefusalIsFinal},
       BreakageRow{"leases are taken for shorter than they are", Breakage::kLeaseTooShort},
       BreakageRow{"an unknown worker counts as another life", Breakage::kUnknownIsOtherLife},
-      BreakageRow{"tokens do not tell lives apart", Breakage::kTokenOfOwnerOnly},
+      BreakageRow{"tokens do not tell lives apart", Breakage::kTokenOfOwnerOnly, {}, WorldFaults::kRestartsAndCuts},
       BreakageRow{"ends are acknowledged with numbers of a former life", Breakage::kAcknowledgeFormerLife},
-      BreakageRow{"orders go to a life that has answered nothing", Breakage::kOrdersBeforeFirstList},
+      BreakageRow{"orders go to a life that has answered nothing",
+                  Breakage::kOrdersBeforeFirstList,
+                  {},
+                  WorldFaults::kRestartsAndCuts},
       BreakageRow{"a list of ends that was cut counts as whole", Breakage::kCutListIsWhole},
       BreakageRow{"ends of a worker that has left are forgotten", Breakage::kForgetReadEnds},
       BreakageRow{"a worker has left before its last lists are read", Breakage::kGoneAtOnce},
@@ -106,7 +111,7 @@
       BreakageRow{"the end of the recorded owner counts as the end of all", Breakage::kEndOfRecordedOwnerIsAll});
   INFO(row.name);
   bool noticed = false;
-  for (std::uint64_t seed = 1; seed <= kSeeds && !noticed; ++seed) {
+  for (std::uint64_t seed = 1; seed <= kSeedsWithBreakage && !noticed; ++seed) {
     InterleavingWorld world(seed, row.faults, row.breakage);
     for (int i = 0; i < kSteps; ++i) world.Step();
     noticed = !world.violations().empty();
--- a/tests/unit/workflow/interleaving_world.cc
+++ b/tests/unit/workflow/interleaving_world.cc
@@ -159,6 +159,10 @@
     if (IsConnected(worker)) TakeTurn(worker);
   }
   m_scheduler->Advance(m_now, absl::ToInt64Milliseconds(m_now.SinceBoot()));
+  for (const StartOrder& order : m_scheduler->TakeRepeatedStarts()) {
+    m_scheduler->OnStartSent(order, m_now);
+    Send(order);
+  }
   for (StopOrder& order : m_scheduler->TakeStops()) m_stops.push_back(std::move(order));
   DeliverStops();
   StoreBatch();
@@ -372,6 +376,7 @@
   const Incarnation incarnation = worker.agent.incarnation + 1;
   worker.agent = {};
   worker.agent.incarnation = incarnation;
+  worker.agent.begun_at = m_now;
   worker.announced_at = std::max(worker.announced_at, m_now + (1 + Random(kAnnouncementSteps)) * kTick);
   for (UnansweredStart& start : m_unanswered) {
     if (start.order.agent != worker.host) continue;
@@ -421,6 +426,9 @@
   worker.agent.listed_done = former.listed_done;
   worker.agent.passed_on = former.passed_on;
   worker.agent.kept_ends = former.kept_ends;
+  worker.agent.begun_at = former.begun_at;
+  worker.agent.late_calls = former.late_calls;
+  worker.agent.knows_former_calls = former.knows_former_calls;
   KeptEnds kept{.past = {.life = former.life, .ends = former.read_ends}, .kept_until = m_now + kPastEndsKept};
   std::erase_if(kept.past.ends, [&](const RunEnd& end) { return end.number <= former.last_seen; });
   if (!kept.past.ends.empty()) worker.agent.kept_ends.push_back(std::move(kept));
@@ -453,11 +461,12 @@
   } else if (agent.is_leaving) {
     agent.last_report.condition = WorkerCondition::kDraining;
     agent.last_report.past_ends = PastEndsOf(agent);
+    ReportLateCalls(agent, agent.last_report);
     m_scheduler->OnReport(worker.host, agent.last_report, m_now);
   }
   if (!worker.is_up || agent.is_gone || agent.life.worker.empty() || agent.is_other) return;
   if (m_breakage == Breakage::kOrdersBeforeFirstList && !agent.is_confirmed) {
-    Confirm(agent);
+    Confirm(worker);
     Report(worker, WorkerCondition::kReady);
     return;
   }
@@ -480,13 +489,18 @@
     agent.is_other = true;
     return;
   }
-  Confirm(agent);
+  Confirm(worker);
   Report(worker, WorkerCondition::kReady);
 }
 
-void InterleavingWorld::Confirm(Agent& agent) const {
+void InterleavingWorld::Confirm(Worker& worker) const {
+  Agent& agent = worker.agent;
   agent.is_confirmed = true;
   agent.confirmed_at = std::min(agent.confirmed_at, m_now);
+  if (!ListsAllEnds(worker)) return;
+  agent.late_calls.RemoveSentUntil(m_now - kLateCalls);
+  agent.late_calls.RemoveOtherWorkers({}, agent.life.worker);
+  agent.knows_former_calls = agent.knows_former_calls || m_now - agent.begun_at >= kLateCalls;
 }
 
 void InterleavingWorld::FollowOwner(Agent& agent, std::int64_t epoch) const {
@@ -503,7 +517,7 @@
   const HoldCall hold{.call = call, .last_seen = agent.last_seen, .until_ms = agent.until_ms};
   const bool is_answered = IsReached(worker, agent.life) && CarryOutHold(worker, hold);
   agent.is_other = worker.life != agent.life;
-  if (is_answered && !agent.is_other) Confirm(agent);
+  if (is_answered && !agent.is_other) Confirm(worker);
 }
 
 void InterleavingWorld::Report(Worker& worker, WorkerCondition condition) {
@@ -515,6 +529,7 @@
   report.zone = "z";
   report.capacity = worker.capacity;
   report.past_ends = PastEndsOf(worker.agent);
+  ReportLateCalls(worker.agent, report);
   if (condition == WorkerCondition::kGone) {
     if (m_breakage != Breakage::kForgetReadEnds) report.ends = worker.agent.read_ends;
     m_scheduler->OnReport(worker.host, report, m_now);
@@ -546,7 +561,22 @@
 }
 
 void InterleavingWorld::ReportPastEnds(Worker& worker) {
-  m_scheduler->OnReport(worker.host, {.past_ends = PastEndsOf(worker.agent)}, m_now);
+  WorkerReport report{.announced = worker.agent.life};
+  report.past_ends = PastEndsOf(worker.agent);
+  ReportLateCalls(worker.agent, report);
+  m_scheduler->OnReport(worker.host, report, m_now);
+}
+
+void InterleavingWorld::ReportLateCalls(const Agent& agent, WorkerReport& report) const {
+  report.late_calls.clear();
+  for (const LateCall& call : agent.late_calls.CallsIf([](const LateCall&) { return true; })) {
+    report.late_calls.push_back({.task = call.task,
+                                 .run = call.run,
+                                 .worker = call.worker,
+                                 .age_ms = absl::ToInt64Milliseconds(m_now - call.sent_at)});
+  }
+  report.calls_known_ms = absl::ToInt64Milliseconds(m_now - agent.begun_at);
+  report.knows_former_calls = agent.knows_former_calls;
 }
 
 std::vector<PastEnds> InterleavingWorld::PastEndsOf(Agent& agent) const {
@@ -609,16 +639,18 @@
 }
 
 StartAnswer InterleavingWorld::CallStart(Worker& worker, const StartOrder& order, std::int64_t until_ms) {
+  const bool is_unanswered = worker.agent.unanswered.contains({order.task, order.run});
   if (!IsReached(worker, order.life)) {
     worker.agent.is_other = true;
-    return {.refusal = StartRefusal::kOtherLife};
+    // After a call without an answer no refusal is final.
+    return {.refusal = is_unanswered ? StartRefusal::kEnded : StartRefusal::kOtherLife};
   }
   StartAnswer answer{.clock_ms = ClockOf(worker)};
   if (!Begin(worker, {.life = order.life, .token = TokenFor(worker, m_epoch)}, order, until_ms)) {
     answer.refusal = StartRefusal::kEnded;
     return answer;
   }
-  answer.is_settled = !worker.agent.unanswered.contains({order.task, order.run});
+  answer.is_settled = !is_unanswered;
   return answer;
 }
 
@@ -778,6 +810,8 @@
 void InterleavingWorld::CallStartLate(Worker& worker, const StartOrder& order, std::int64_t until_ms) {
   const Call call{.life = order.life, .token = TokenFor(worker, m_epoch)};
   worker.agent.unanswered.insert({order.task, order.run});
+  worker.agent.late_calls.Add(
+      {.task = order.task, .run = order.run, .agent = {}, .worker = order.life.worker, .sent_at = m_now});
   CallLate([this, order, call, until_ms] {
     Worker& worker = At(order.agent);
     if (!IsLeftOut(worker, call, order) && Begin(worker, call, order, until_ms)) ++m_late_starts;
@@ -785,13 +819,13 @@
 }
 
 void InterleavingWorld::CarryOutLateCalls() {
-  std::vector<LateCall> due;
-  std::erase_if(m_late, [&](LateCall& late) {
+  std::vector<DelayedCall> due;
+  std::erase_if(m_late, [&](DelayedCall& late) {
     if (late.carried_out_at > m_now) return false;
     due.push_back(std::move(late));
     return true;
   });
-  for (const LateCall& late : due) late.carry_out();
+  for (const DelayedCall& late : due) late.carry_out();
 }
 
 // ---- The owner's messages
@@ -804,7 +838,7 @@
     return true;
   });
   const StartRefusal refusal =
-      m_breakage == Breakage::kRefusalIsFinal ? StartRefusal::kUnhealthy : StartRefusal::kEnded;
+      m_breakage == Breakage::kRefusalIsFinal ? StartRefusal::kUnhealthy : StartRefusal::kUnanswered;
   for (const UnansweredStart& start : given_up) {
     const StartOrder& order = start.order;
     Worker& worker = At(order.agent);
@@ -836,6 +870,11 @@
   }
   ++m_repeated_starts;
   worker.agent.unanswered.insert({order.task, order.run});
+  worker.agent.late_calls.Add({.task = order.task,
+                               .run = order.run,
+                               .agent = {},
+                               .worker = order.life.worker,
+                               .sent_at = worker.agent.begun_at});
   const PoolWorker* known = m_scheduler->FindWorker(worker.host);
   const std::int64_t until_ms = known == nullptr ? 0 : m_scheduler->LeaseEndFor(*known);
   m_scheduler->OnStartAnswer(order.task, order.run, order.life, CallStart(worker, order, until_ms), m_now);
@@ -884,6 +923,10 @@
   const PoolWorker* known = m_scheduler->FindWorker(worker.host);
   const std::int64_t until_ms = known == nullptr ? 0 : m_scheduler->LeaseEndFor(*known);
   const bool is_present = IsPresent(worker, order.life);
+  if (order.was_sent && (!is_present || worker.agent.is_gone)) {
+    m_unanswered.push_back({.order = order, .until_ms = until_ms, .given_up_at = m_now, .is_repeated = true});
+    return;
+  }
   if (IsConnected(worker) && (!is_present || worker.agent.is_gone)) {
     // The first message with this start, so the owner knows that it had no effect.
     if (!is_present) m_scheduler->OnWorkerUnknown(order.life);
--- a/tests/unit/workflow/interleaving_world.h
+++ b/tests/unit/workflow/interleaving_world.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "workflow/job_index.h"
+#include "workflow/late_calls.h"
 #include "workflow/owner_record.h"
 #include "workflow/scheduler.h"
 
@@ -38,6 +39,9 @@
   kEndOfRecordedOwnerIsAll,   ///< when the recorded owner has ended, no owner before it counts as granting
 };
 
+/// How late calls are carried out in a world, with the time that an agent adds for the way.
+inline constexpr absl::Duration kLateCalls = absl::Milliseconds(6200);
+
 /// Which faults a world has.
 enum class WorldFaults {
   kMixed,            ///< all, in any order
@@ -97,7 +101,7 @@
     std::int64_t last_seen = 0;
     std::int64_t until_ms = 0;
   };
-  struct LateCall {
+  struct DelayedCall {
     MonotonicTime carried_out_at;
     std::function<void()> carry_out;
   };
@@ -109,6 +113,9 @@
   /// What an agent knows of the worker beside it.
   struct Agent {
     Incarnation incarnation = 1;
+    MonotonicTime begun_at;  ///< when its process was started
+    LateCalls late_calls;
+    bool knows_former_calls = false;
     std::int64_t epoch = 0;                         ///< of the owner that it follows
     WorkerLife life;                                ///< announced last; empty if none since the agent was started
     bool is_confirmed = false;                      ///< the life has answered a call with its token under that owner
@@ -196,7 +203,7 @@
   void TakeTurnForFormerOwner(Worker& worker);
   /// The last lists of a worker that has left arrive.
   void EndLeave(Worker& worker);
-  void Confirm(Agent& agent) const;
+  void Confirm(Worker& worker) const;
   void FollowOwner(Agent& agent, std::int64_t epoch) const;
   void Report(Worker& worker, WorkerCondition condition);
   /// Says only that the agent has no lists from a worker that lives, and which ends it has read.
@@ -204,6 +211,7 @@
   std::vector<PastEnds> PastEndsOf(Agent& agent) const;
   StartAnswer CallStart(Worker& worker, const StartOrder& order, std::int64_t until_ms);
   bool CallStop(Worker& worker, const StopOrder& order);
+  void ReportLateCalls(const Agent& agent, WorkerReport& report) const;
   /// What a worker had listed when it left counts as noted, unless a fault keeps its agent from passing it on.
   void NotePastEnds(Worker& worker);
   static void UnnotePastEnds(Worker& worker);
@@ -282,7 +290,7 @@
   std::vector<Worker> m_workers;
   /// Last life at a host that an owner, by its epoch, has given a number.
   std::map<std::pair<std::string, std::int64_t>, std::pair<WorkerLife, std::int64_t>> m_numbers;
-  std::vector<LateCall> m_late;
+  std::vector<DelayedCall> m_late;
   std::vector<UnansweredStart> m_unanswered;
   std::vector<StopOrder> m_stops;
   std::set<std::string> m_jobs;
--- a/tests/unit/workflow/scheduler_test.cc
+++ b/tests/unit/workflow/scheduler_test.cc
@@ -494,44 +494,6 @@
   CHECK(world.StartsOf("a0.0.0.0") == 2);
 }
 
-struct LateCallRow {
-  const char* name;
-  bool is_listed;         ///< another call of the start was answered, and the run has failed
-  bool has_life_between;  ///< else the run was stopped in the life that the start was for
-};
-
-// Guards against a second run beside one that a next life begins late: a stop, an end or the lists of one life say
-// nothing of a call without an answer that the life after it may carry out within 12 s.
-TEST_CASE("a task does not run elsewhere while a call for its former run may reach the next life", "[.late-call]") {
-  const LateCallRow row = GENERATE(LateCallRow{"the run is absent after a stop", false, false},
-                                   LateCallRow{"the run has failed", true, false},
-                                   LateCallRow{"the lists of a life between do not name the run", false, true});
-  INFO(row.name);
-  SchedulerWorld world;
-  PlayedWorker& worker = world.AddWorker("w1");
-  worker.capacity.cpu_millis = 8000;  // others with more room are preferred
-  worker.answers_starts = row.is_listed;
-  worker.settles_starts = false;
-  world.Submit(SingleStepJob("a0", ShortStep(1)));
-  REQUIRE(world.scheduler().PlacedTasks() == 1);
-  world.AddWorker("w2");
-  world.Sleep(absl::Milliseconds(1500));
-  if (row.is_listed) {
-    world.End("a0.0.0.0", RunEndKind::kFailed);
-  } else if (row.has_life_between) {
-    world.Restart("w1");
-  } else {
-    // The agent gives the start up.
-    world.scheduler().OnStartAnswer("a0.0.0.0", 1, worker.life, {.refusal = StartRefusal::kEnded}, world.now());
-  }
-  world.Settle();
-  world.Sleep(absl::Seconds(5));
-  world.Settle();
-  // The worker starts again, and carries the first call out before its agent knows of that.
-  world.Restart("w1");
-  CHECK(world.PlaceOf("a0.0.0.0").empty());
-}
-
 // Guards against a second run beside one that a worker keeps by the lease of a former life, when a worker with another
 // id was at the host between the two lives: that one refuses a late call, and the next life under the id takes it.
 TEST_CASE("a worker whose id returns to its host may hold the lease of a former life", "[scheduler]") {
--- a/tests/unit/workflow/scheduler_world.cc
+++ b/tests/unit/workflow/scheduler_world.cc
@@ -11,6 +11,8 @@
 
 /// More rounds than any chain of decisions in these tests takes.
 constexpr int kMaxRounds = 200;
+/// As agents count it.
+constexpr absl::Duration kLateCallLimit = absl::Seconds(13);
 
 }  // namespace
 
@@ -50,12 +52,21 @@
   }
   m_scheduler->Advance(m_now, unix_now_ms());
   bool changed = false;
+  for (const StartOrder& order : m_scheduler->TakeRepeatedStarts()) {
+    changed = true;
+    m_scheduler->OnStartSent(order, m_now);
+    if (order.life.worker != silent) Deliver(order);
+  }
   for (const StopOrder& order : m_scheduler->TakeStops()) {
     changed = true;
     if (order.life.worker != silent) Deliver(order);
   }
+  return StoreBatch(silent) || changed;
+}
+
+bool SchedulerWorld::StoreBatch(const std::string& silent) {
   const Batch* batch = m_scheduler->TakeBatch(m_now);
-  if (batch == nullptr) return changed;
+  if (batch == nullptr) return false;
   std::size_t bytes = 0;
   for (const auto& [key, value] : batch->records) {
     bytes += key.size() + value.size();
@@ -71,7 +82,8 @@
 
 void SchedulerWorld::Report(PlayedWorker& worker) {
   const PoolWorker* known = m_scheduler->FindWorker(worker.agent);
-  const std::int64_t acknowledged = known != nullptr && known->life == worker.life ? known->ends_durable : 0;
+  const bool is_known = known != nullptr && known->life == worker.life;
+  const std::int64_t acknowledged = is_known ? known->ends_durable : 0;
   std::erase_if(worker.ends, [&](const RunEnd& end) { return end.number <= acknowledged; });
   WorkerReport report{.agent_incarnation = worker.agent_incarnation,
                       .life = worker.life,
@@ -87,7 +99,20 @@
                       .runs = {},
                       .ends = worker.ends,
                       .has_all_ends = worker.ends.size() <= worker.most_listed_ends,
-                      .past_ends = worker.past_ends};
+                      .past_ends = worker.past_ends,
+                      .late_calls = {},
+                      .calls_known_ms = worker.calls_known_ms,
+                      .knows_former_calls = absl::Milliseconds(worker.calls_known_ms) >= kLateCallLimit};
+  // A list that is repeated says nothing of what happened since it was read.
+  if (report.worker_clock_ms > std::exchange(worker.listed_clock_ms, report.worker_clock_ms)) {
+    worker.late_calls.RemoveSentUntil(m_now - kLateCallLimit);
+  }
+  for (const LateCall& call : worker.late_calls.CallsIf([](const LateCall&) { return true; })) {
+    report.late_calls.push_back({.task = call.task,
+                                 .run = call.run,
+                                 .worker = call.worker,
+                                 .age_ms = absl::ToInt64Milliseconds(m_now - call.sent_at)});
+  }
   if (!report.has_all_ends) report.ends.resize(worker.most_listed_ends);
   for (const auto& [task, run] : worker.runs) {
     const auto percent = worker.percents.find(task);
@@ -103,6 +128,11 @@
 
 void SchedulerWorld::Deliver(const StartOrder& order) {
   PlayedWorker& worker = m_workers.at(order.life.worker);
+  ++worker.ordered_starts;
+  if (!worker.answers_starts || !worker.settles_starts) {
+    worker.late_calls.Add(
+        {.task = order.task, .run = order.run, .agent = {}, .worker = worker.life.worker, .sent_at = m_now});
+  }
   if (!worker.answers_starts) return;
   StartAnswer answer{.clock_ms = absl::ToInt64Milliseconds(m_now.SinceBoot()) - worker.clock_zero_ms,
                      .is_settled = worker.settles_starts};
@@ -120,6 +150,7 @@
 
 void SchedulerWorld::Deliver(const StopOrder& order) {
   PlayedWorker& worker = m_workers.at(order.life.worker);
+  if (!worker.stops_runs) return;
   bool listed = std::any_of(worker.ends.begin(), worker.ends.end(),
                             [&](const RunEnd& end) { return end.task == order.task && end.run == order.run; });
   const auto found = worker.runs.find(order.task);
--- a/tests/unit/workflow/scheduler_world.h
+++ b/tests/unit/workflow/scheduler_world.h
@@ -9,6 +9,7 @@
 
 #include "workflow/job_definition.h"
 #include "workflow/job_index.h"
+#include "workflow/late_calls.h"
 #include "workflow/scheduler.h"
 
 namespace berylgauge::workflow {
@@ -31,10 +32,15 @@
   std::size_t most_listed_ends = 500;
   std::int64_t clock_zero_ms = 0;  ///< reading of the test's clock when the worker's clock began
   std::vector<PastEnds> past_ends;
-  MonotonicTime confirmed_at;                    ///< when the life first answered a call with a token of its own
-  bool settles_starts = true;                    ///< otherwise a call of each start has no answer, and another one has
-  bool answers_starts = true;                    ///< otherwise starts have no answer and no effect
-  StartRefusal refusal = StartRefusal::kNone;    ///< answer to starts
+  LateCalls late_calls;                        ///< that the agent knows
+  std::int64_t listed_clock_ms = 0;            ///< worker's clock in the newest report
+  std::int64_t calls_known_ms = 3'600'000;     ///< age of the agent's process
+  MonotonicTime confirmed_at;                  ///< when the life first answered a call with a token of its own
+  bool settles_starts = true;                  ///< otherwise a call of each start has no answer, and another one has
+  bool answers_starts = true;                  ///< otherwise starts have no answer and no effect
+  StartRefusal refusal = StartRefusal::kNone;  ///< answer to starts
+  bool stops_runs = true;                      ///< otherwise stops have no answer and no effect
+  int ordered_starts = 0;
   std::map<std::string, std::int64_t> measured;  ///< as in `ActiveRun`, by task; 0 if absent
 };
 
@@ -58,6 +64,10 @@
   void Settle();
   /// The same without a report of the named worker.
   void SettleWithout(const std::string& silent);
+  /// The worker's agent reports.
+  void Report(const std::string& name) { Report(m_workers.at(name)); }
+  /// Stores what is to be stored, and sends what depends on it. Returns whether there was anything.
+  bool StoreBatch(const std::string& silent = {});
   void Sleep(absl::Duration duration) { m_now = m_now + duration; }
 
   /// Ends a run at its worker.
