Place tasks again at once whose start certainly reached no worker

An agent now gives up a start with a reason that is final where every call found no listener: other-life, stale-owner, withdrawn (a stop was ordered) or unreached (time is up). Otherwise the start stays a late call. A worker that has left as planned takes no late call. A successor is told the same of workers that it never met.

"a start that no call of has reached a worker is certain not to run" and "a run that certainly never began is placed again at once" guard it.

--- a/src/control/agent_messages.cc
+++ b/src/control/agent_messages.cc
@@ -109,7 +109,8 @@
                       report.confirmed_ms,
                       std::move(late_calls),
                       report.calls_known_ms,
-                      report.knows_former_calls});
+                      report.knows_former_calls,
+                      report.is_announced_gone});
 }
 
 WorkerReport ReportFromJson(const json& row) {
@@ -149,6 +150,7 @@
   }
   report.calls_known_ms = ReadCount<std::int64_t>(row.at(18));
   row.at(19).get_to(report.knows_former_calls);
+  row.at(20).get_to(report.is_announced_gone);
   return report;
 }
 
--- a/src/control/agent_node.cc
+++ b/src/control/agent_node.cc
@@ -76,6 +76,7 @@
   *m_alive = false;
   m_loop.CancelTimer(m_hold_timer);
   m_loop.CancelTimer(m_watch_timer);
+  m_loop.CancelTimer(m_gone_timer);
 }
 
 // ---- The worker
@@ -130,7 +131,10 @@
 }
 
 void AgentNode::EndLeave() {
-  if (m_is_leaving && m_holds_under_way == 0) SetCondition(WorkerCondition::kGone, "leave");
+  if (!m_is_leaving || m_holds_under_way > 0) return;
+  // A worker that has left does not come back under its id, so nothing takes the calls for it.
+  m_late_calls.RemoveOtherWorkers({}, {});
+  SetCondition(WorkerCondition::kGone, "leave");
 }
 
 void AgentNode::SetCondition(WorkerCondition condition, const char* reason) {
@@ -144,6 +148,9 @@
   m_condition = condition;
   NoteChange();
   if (returns) ScheduleHold(absl::ZeroDuration());
+  m_gone_refused_at.reset();
+  m_loop.CancelTimer(m_gone_timer);
+  if (condition == WorkerCondition::kGone) CallGoneWorker();
 }
 
 void AgentNode::NoteChange() {
@@ -242,6 +249,31 @@
   m_knows_former_calls = m_knows_former_calls || m_begun_at <= too_late;
 }
 
+void AgentNode::CallGoneWorker() {
+  const bool is_needed = !m_late_calls.empty() || !m_knows_former_calls;
+  if (m_condition != WorkerCondition::kGone || !m_announcement || !is_needed) return;
+  // Without an effect, because another life may answer.
+  const HoldCall call{.life = m_announcement->life, .fencing_token = m_fencing_token, .lease_end_ms = {}};
+  m_worker.Hold(call, m_options.call_timeout,
+                [this, lives = m_lives, sent_at = m_loop.Now(), alive = m_alive](const Result<HoldAnswer>& answer) {
+                  if (*alive && lives == m_lives) OnGoneWorker(answer, sent_at);
+                });
+}
+
+void AgentNode::OnGoneWorker(const Result<HoldAnswer>& answer, MonotonicTime sent_at) {
+  if (m_condition != WorkerCondition::kGone || !m_announcement) return;
+  const bool is_refused = !answer && answer.error().code == FailureCode::kConnectionRefused;
+  const std::optional<MonotonicTime> refused_before =
+      std::exchange(m_gone_refused_at, is_refused ? std::optional(sent_at) : std::nullopt);
+  if (is_refused && refused_before) {
+    const std::size_t known = m_late_calls.size();
+    ForgetLateCalls(*refused_before);
+    if (m_late_calls.size() < known) NoteChange();
+  }
+  m_loop.CancelTimer(m_gone_timer);
+  m_gone_timer = m_loop.AddTimer(m_loop.Now() + m_options.gone_pause, [this] { CallGoneWorker(); });
+}
+
 void AgentNode::KeepPastLists(HoldAnswer answer, const WorkerLife& life) {
   LogPastLists(answer, life);
   if (m_announcement && m_announcement->life == life) {
@@ -471,7 +503,10 @@
   report.late_calls = ReportedLateCalls();
   report.knows_former_calls = m_knows_former_calls;
   report.calls_known_ms = absl::ToInt64Milliseconds(m_loop.Now() - m_begun_at);
-  if (m_announcement) report.announced = m_announcement->life;
+  if (m_announcement) {
+    report.announced = m_announcement->life;
+    report.is_announced_gone = m_condition == WorkerCondition::kGone;
+  }
   if (!IsWorkerKnown()) return answer;
   report.life = m_announcement->life;
   report.condition = m_condition;
@@ -541,7 +576,7 @@
   batch->pending = starts.size() + request.stops.size() + 1;
   for (std::shared_ptr<StartAttempt>& attempt : starts) {
     if (!is_present) {
-      FinishStart(*attempt, {.refusal = attempt->is_unanswered ? StartRefusal::kEnded : StartRefusal::kOtherLife});
+      FinishStart(*attempt, {.refusal = ReasonToGiveUp(*attempt)});
     } else if (const std::shared_ptr<StartAttempt> pending = m_pending_starts[attempt->key()].lock()) {
       pending->batches.push_back(batch);
     } else if (m_condition != WorkerCondition::kReady) {
@@ -595,9 +630,18 @@
 }
 
 StartRefusal AgentNode::ReasonToGiveUp(const StartAttempt& attempt) const {
-  // A start of a former owner is not repeated; its successor settles the run.
-  if (attempt.abandoned || IsOver(attempt.call.life, attempt.epoch)) return StartRefusal::kEnded;
-  return m_loop.Now() - attempt.begun > m_options.start_limit ? StartRefusal::kUnanswered : StartRefusal::kNone;
+  StartRefusal reason = StartRefusal::kNone;
+  if (!IsPresent(attempt.call.life)) {
+    reason = StartRefusal::kOtherLife;
+  } else if (attempt.epoch < m_epoch) {
+    reason = StartRefusal::kStaleOwner;  // the successor settles the run
+  } else if (attempt.abandoned) {
+    reason = StartRefusal::kWithdrawn;
+  } else if (m_loop.Now() - attempt.begun > m_options.start_limit) {
+    reason = StartRefusal::kUnreached;
+  }
+  if (reason == StartRefusal::kNone || !attempt.is_unanswered) return reason;
+  return reason == StartRefusal::kUnreached ? StartRefusal::kUnanswered : StartRefusal::kEnded;
 }
 
 void AgentNode::TryStart(std::shared_ptr<StartAttempt> attempt) {
@@ -628,10 +672,6 @@
     FinishStart(*attempt, *answer);
     return;
   }
-  if (!IsPresent(attempt->call.life) && !attempt->is_unanswered) {
-    FinishStart(*attempt, {.refusal = StartRefusal::kOtherLife});
-    return;
-  }
   const StartRefusal reason = ReasonToGiveUp(*attempt);
   if (reason != StartRefusal::kNone) {
     FinishStart(*attempt, {.refusal = reason});
--- a/src/control/agent_node.h
+++ b/src/control/agent_node.h
@@ -36,6 +36,8 @@
   absl::Duration retry_pause = absl::Milliseconds(60);
   /// Calls that must find no listener in a row before the worker counts as gone.
   int refused_calls = 2;
+  /// Pause between two calls to a worker that is gone, as long as a late call may matter.
+  absl::Duration gone_pause = absl::Milliseconds(250);
   /// The whole list of runs is sent to the owner at most this often.
   absl::Duration runs_interval = absl::Milliseconds(900);
   /// A start that has no answer for this time is given up and left to the owner's stop. Half the platform's bound for
@@ -132,9 +134,13 @@
   /// The present life has answered a call that was sent then: earlier calls that were too late by then have no effect
   /// but what its lists show.
   void ForgetLateCalls(MonotonicTime answered_call_sent_at);
+  /// Calls a worker that is gone: if nothing listens there once a late call is too late, no life has carried it out.
+  void CallGoneWorker();
+  void OnGoneWorker(const Result<HoldAnswer>& answer, MonotonicTime sent_at);
   /// Whether nothing depends any more on what a call for that life, ordered in that epoch, achieves.
   bool IsOver(const workflow::WorkerLife& life, std::int64_t epoch) const;
-  /// Why no further call of the start is made; `kNone` if one is.
+  /// Why no further call of the start is made; `kNone` if one is. Where a call had no answer, the owner has to find out
+  /// what became of it (`kEnded`, `kUnanswered`); otherwise the run certainly never begins.
   workflow::StartRefusal ReasonToGiveUp(const StartAttempt& attempt) const;
 
   void TryStart(std::shared_ptr<StartAttempt> attempt);
@@ -177,6 +183,9 @@
   bool m_knows_former_calls = false;  ///< see `WorkerReport`
   absl::flat_hash_map<RunKey, std::weak_ptr<StartAttempt>> m_pending_starts;
   int m_refused_calls = 0;
+  EventLoop::TimerId m_gone_timer;
+  std::optional<MonotonicTime>
+      m_gone_refused_at;  ///< when the last call to the gone worker was made, if it was refused
 
   struct KeptEnds {
     MonotonicTime kept_until;
--- a/src/workflow/orders.h
+++ b/src/workflow/orders.h
@@ -45,6 +45,8 @@
   kDraining,
   kLate,        ///< the lease in the order had passed
   kOtherLife,   ///< the worker has another life
+  kUnreached,   ///< no call reached a worker before the agent gave up
+  kWithdrawn,   ///< a stop was ordered before a call reached the worker
   kStaleOwner,  ///< a newer owner has given orders
 };
 
@@ -58,6 +60,8 @@
     {StartRefusal::kDraining, "draining"},
     {StartRefusal::kLate, "late"},
     {StartRefusal::kOtherLife, "other-life"},
+    {StartRefusal::kUnreached, "unreached"},
+    {StartRefusal::kWithdrawn, "withdrawn"},
     {StartRefusal::kStaleOwner, "stale-owner"},
 });
 
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -241,6 +241,8 @@
   /// A run of the worker's former life, until the lists of the present one tell whether that carried its start out.
   void CarryOver(PoolWorker& worker, TaskRef task, MonotonicTime now);
   void LoseOrphansOfHost(const std::string& agent, const std::string& present_worker, MonotonicTime now);
+  /// The worker was gone before this owner met it: what certainly began in no later life is over.
+  void LoseOrphansOfGoneWorker(const std::string& agent, const WorkerReport& report, MonotonicTime now);
   void LoseAllRuns(PoolWorker& worker, RunLoss reason, MonotonicTime now);
   void LoseRuns(PoolWorker& worker, const std::vector<TaskRef>& tasks, RunLoss reason, MonotonicTime now);
   /// Gives up what ended with the worker's process. Starts with a call without an answer stay: the next life may carry
--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -43,7 +43,8 @@
       LogLevel::kInfo, "start_refused",
       {{"task", task}, {"run", run}, {"worker", life.worker}, {"reason", kStartRefusalNames.NameOf(answer.refusal)}});
   if (PoolWorker* worker = m_workers.FindLife(life)) {
-    const bool is_unfit = answer.refusal == StartRefusal::kUnhealthy || answer.refusal == StartRefusal::kRoom;
+    const bool is_unfit = answer.refusal == StartRefusal::kUnhealthy || answer.refusal == StartRefusal::kRoom ||
+                          answer.refusal == StartRefusal::kUnreached;
     if (is_unfit) worker->avoid_until = now + m_options.refusal_pause;
   }
   m_late_calls.Remove(task, run);
--- a/src/workflow/scheduler_workers.cc
+++ b/src/workflow/scheduler_workers.cc
@@ -32,6 +32,7 @@
   if (report.life.worker.empty()) {
     // The agent waits for the first lists of a life, so orders for a former one would have no effect.
     if (PoolWorker* known = m_workers.Find(agent)) known->reconciled = false;
+    if (report.is_announced_gone) LoseOrphansOfGoneWorker(agent, report, now);
     return;
   }
   PoolWorker& worker = m_workers.Add(agent);
@@ -67,6 +68,7 @@
     ApplyEnd(report.life, end, now);
   }
   if (report.condition == WorkerCondition::kGone) {
+    ApplyLateCalls(agent, report, now);
     LoseSettledRuns(worker, now);
     worker.reconciled = false;
     return;
@@ -174,6 +176,20 @@
   for (const TaskRef task : lost) LoseRun(task, RunLoss::kFormerWorkerReplaced, now);
 }
 
+void Scheduler::LoseOrphansOfGoneWorker(const std::string& agent, const WorkerReport& report, MonotonicTime now) {
+  ApplyLateCalls(agent, report, now);
+  std::vector<TaskRef> lost;
+  for (const auto& [worker, tasks] : m_orphans) {
+    if (worker != report.announced.worker) continue;
+    std::copy_if(tasks.begin(), tasks.end(), std::back_inserter(lost), [&](TaskRef task) {
+      const std::size_t i = static_cast<std::size_t>(task.index);
+      return task.step->tasks[i].agent == agent && task.step->runtimes[i].is_start_settled;
+    });
+  }
+  for (const TaskRef task : lost) LoseRun(task, RunLoss::kWorkerGone, now);
+  absl::erase_if(m_orphans, [](const auto& entry) { return entry.second.empty(); });
+}
+
 void Scheduler::LoseAllRuns(PoolWorker& worker, RunLoss reason, MonotonicTime now) {
   std::vector<TaskRef> tasks;
   for (const auto& [task, held] : worker.runs) tasks.push_back(task);
--- a/src/workflow/worker_report.h
+++ b/src/workflow/worker_report.h
@@ -54,7 +54,8 @@
 /// What an agent says of the worker beside it.
 struct WorkerReport {
   Incarnation agent_incarnation = 0;
-  WorkerLife announced;  ///< newest life that the agent has heard of; it may not have answered any call yet
+  WorkerLife announced;            ///< newest life that the agent has heard of; it may not have answered any call yet
+  bool is_announced_gone = false;  ///< that life has left, or its process does not exist any more
   WorkerLife life;  ///< the same once it has answered with the owner's fence token; else empty, as all that follows
   WorkerCondition condition = WorkerCondition::kReady;
   std::string service;
--- a/tests/unit/control/agent_node_test.cc
+++ b/tests/unit/control/agent_node_test.cc
@@ -344,6 +344,47 @@
   CHECK(absl::Now() - begun < absl::Seconds(3));
 }
 
+struct CertainRow {
+  const char* name;
+  int refused_calls;  ///< after which the agent takes the worker for gone
+  bool is_stopped;
+  bool was_sent;
+  StartRefusal refusal;
+};
+
+// Guards against a task that has nothing running for 36 s, because its start counted as one that may have begun it: no
+// call of it found a listener (review/11).
+TEST_CASE("a start that no call of has reached a worker is certain not to run", "[agent]") {
+  const CertainRow row =
+      GENERATE(CertainRow{"the worker is gone", 2, false, false, StartRefusal::kOtherLife},
+               CertainRow{"the agent gives up", 1'000'000, false, false, StartRefusal::kUnreached},
+               CertainRow{"a stop is ordered", 1'000'000, true, false, StartRefusal::kWithdrawn},
+               CertainRow{"a former process may have made a call", 2, false, true, StartRefusal::kEnded});
+  INFO(row.name);
+  AgentWorld world(row.refused_calls);
+  world.Announce();
+  world.worker().refuses_connections = true;
+  std::optional<OrdersAnswer> answer;
+  world.loop().RunSync([&] {
+    OrdersRequest request = AgentWorld::StartRequest(row.was_sent);
+    request.epoch = 5;
+    request.life = world.life();
+    world.agent().OnOrders(request, [&](std::optional<OrdersAnswer> given) { answer = std::move(given); });
+  });
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return world.worker().refused_starts > 0; }));
+  if (row.is_stopped) {
+    world.loop().RunSync([&] {
+      OrdersRequest stop{.epoch = 5, .life = world.life(), .stops = {{.task = "a.0.0.0", .run = 1}}};
+      world.agent().OnOrders(stop, [](const std::optional<OrdersAnswer>&) {});
+    });
+  }
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] { return answer.has_value(); }));
+  CHECK(answer->starts.at(0).answer.refusal == row.refusal);
+  const std::optional<WatchAnswer> watch = world.Watch({.epoch = 5, .life = {}});
+  REQUIRE(watch.has_value());
+  CHECK(watch->report.late_calls.empty() != row.was_sent);
+}
+
 // Guards against an end that is noted, and so against a start after it that counts as one too many, while a call
 // without an answer may begin the run again in the worker's next life (review/12).
 TEST_CASE("an end as done is acknowledged only once no call without an answer may be carried out", "[agent]") {
@@ -398,6 +439,55 @@
   }));
 }
 
+// Guards against a task that waits for a late call of a worker that no life follows under its id.
+TEST_CASE("a worker that has left as planned takes no late call", "[agent]") {
+  AgentWorld world;
+  world.Announce();
+  world.worker().unanswered_starts = 1;
+  REQUIRE(world.StartTask(5).has_value());
+  world.Announce(true);
+  REQUIRE(world.Watch({.epoch = 5, .life = {}})->report.late_calls.size() == 1);
+  world.loop().RunSync([&] { world.agent().OnLeave(world.life()); });
+  std::optional<WatchAnswer> answer;
+  const auto is_gone = [&] {
+    world.agent().OnWatch({.epoch = 5, .life = {}}, [&](const std::optional<WatchAnswer>& given) { answer = given; });
+    return answer && answer->report.condition == WorkerCondition::kGone;
+  };
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), is_gone));
+  CHECK(answer->report.late_calls.empty());
+}
+
+// Guards against a task that waits for 40 s for a worker that is gone for good: nothing listens there after the last
+// time at which its start could have been carried out, so no life has begun it.
+TEST_CASE("a worker that is gone once a call is too late has not carried it out", "[agent]") {
+  const bool is_back = GENERATE(true, false);
+  INFO("another life, which has not announced itself, listens: " << is_back);
+  AgentWorld world;
+  world.Announce();
+  world.worker().unanswered_starts = 1;
+  REQUIRE(world.StartTask(5).has_value());
+  world.loop().RunSync([&] { world.worker().refuses_connections = true; });
+  const auto report = [&] { return world.Watch({.epoch = 5, .life = {}})->report; };
+  REQUIRE(WaitUntil(world.loop(), absl::Seconds(5), [&] {
+    bool is_gone = false;
+    world.agent().OnWatch({.epoch = 5, .life = {}}, [&](const std::optional<WatchAnswer>& answer) {
+      is_gone = answer && answer->report.condition == WorkerCondition::kGone;
+    });
+    return is_gone;
+  }));
+  CHECK(report().late_calls.size() == 1);
+  if (is_back) {
+    world.loop().RunSync([&] {
+      world.worker().Restart(2000);
+      world.worker().refuses_connections = false;
+    });
+  }
+  absl::SleepFor(kLateCallLimit + absl::Milliseconds(900));
+  CHECK(report().late_calls.empty() != is_back);
+  // The calls must not give the other life a lease of the former one.
+  if (is_back) world.loop().RunSync([&] { CHECK(world.worker().lease_end_ms == 0); });
+}
+
 struct UnconfirmedRow {
   const char* name;
   bool announced;
@@ -1038,6 +1128,7 @@
   report.report.late_calls = {{.task = "t", .run = 2, .worker = "w", .age_ms = 5}};
   report.report.calls_known_ms = 13;
   report.report.knows_former_calls = true;
+  report.report.is_announced_gone = true;
   report.report.past_ends = {
       {.life = {.worker = "v", .born = 8}, .ends = {{.number = 3, .task = "t", .run = 2, .kind = RunEndKind::kDone}}}};
   const Result<WatchAnswer> read_report = DecodeWatchAnswer(EncodeWatchAnswer(report));
@@ -1048,6 +1139,7 @@
   CHECK(read_report->report.late_calls == report.report.late_calls);
   CHECK(read_report->report.calls_known_ms == 13);
   CHECK(read_report->report.knows_former_calls);
+  CHECK(read_report->report.is_announced_gone);
   CHECK(read_report->report.past_ends == report.report.past_ends);
   OrdersAnswer started;
   started.starts = {{.task = "t", .run = 1, .answer = {.is_settled = true}}};
--- a/tests/unit/workflow/interleaving_world.cc
+++ b/tests/unit/workflow/interleaving_world.cc
@@ -368,6 +368,7 @@
   agent.read_ends = std::exchange(agent.last_ends, {});
   agent.is_leaving = false;
   agent.is_gone = true;
+  agent.late_calls = {};  // no worker has that id again
 }
 
 void InterleavingWorld::RestartAgent() {
@@ -452,6 +453,7 @@
   FollowOwner(worker.agent, m_epoch);
   Hear(worker, m_epoch);
   Agent& agent = worker.agent;
+  if (agent.is_gone && !worker.is_up) agent.late_calls.RemoveSentUntil(m_now - kLateCalls);
   const bool is_refused = !worker.is_up && !agent.is_leaving && !agent.life.worker.empty();
   if (is_refused && Random(3) == 0) agent.is_gone = true;
   if (agent.life.worker.empty() || agent.is_other || !agent.is_confirmed) {
@@ -563,7 +565,7 @@
 }
 
 void InterleavingWorld::ReportPastEnds(Worker& worker) {
-  WorkerReport report{.announced = worker.agent.life};
+  WorkerReport report{.announced = worker.agent.life, .is_announced_gone = worker.agent.is_gone};
   report.past_ends = PastEndsOf(worker.agent);
   ReportLateCalls(worker.agent, report);
   m_scheduler->OnReport(worker.host, report, m_now);
--- a/tests/unit/workflow/late_calls_test.cc
+++ b/tests/unit/workflow/late_calls_test.cc
@@ -203,6 +203,55 @@
   CHECK(world.RunningTasks() == 1);
 }
 
+struct OrphanRow {
+  const char* name;
+  bool has_late_call;
+  bool knows_former_calls;
+  bool is_lost;
+};
+
+// Guards against a task that waits for 44 s after a change of the owner although its agent knows that no call of its
+// start may be carried out and that the worker's process is gone (review/11).
+TEST_CASE("a successor is told by the agent which runs are over with a worker that it never met", "[late-call]") {
+  const OrphanRow row = GENERATE(OrphanRow{"all calls are known", false, true, true},
+                                 OrphanRow{"a call has no answer", true, true, false},
+                                 OrphanRow{"the agent was started again", false, false, false});
+  INFO(row.name);
+  SchedulerWorld world;
+  PlayedWorker& worker = PlaceWithLateCall(world);
+  world.AddWorker("w2");
+  world.Replace();
+  WorkerReport report{.announced = worker.life, .is_announced_gone = true};
+  report.calls_known_ms = 2000;
+  report.knows_former_calls = row.knows_former_calls;
+  if (row.has_late_call) report.late_calls = {{.task = kTask, .run = 1, .worker = "w1", .age_ms = 1000}};
+  world.scheduler().OnReport(worker.agent, report, world.now());
+  worker.runs.clear();
+  world.SettleWithout("w1");
+  CHECK((world.PlaceOf(kTask) == "w2") == row.is_lost);
+  world.Sleep(absl::Seconds(45));
+  world.SettleWithout("w1");
+  CHECK(world.PlaceOf(kTask) == "w2");
+}
+
+// Guards against a task that waits for 40 s although none of the calls of its start has reached a worker (review/11).
+TEST_CASE("a run that certainly never began is placed again at once", "[late-call]") {
+  const StartRefusal refusal =
+      GENERATE(StartRefusal::kOtherLife, StartRefusal::kUnreached, StartRefusal::kWithdrawn, StartRefusal::kLate);
+  INFO(kStartRefusalNames.NameOf(refusal));
+  SchedulerWorld world;
+  PlayedWorker& worker = world.AddWorker("w1");
+  worker.answers_starts = false;
+  world.Submit(SingleStepJob("a0", LastingStep(1)));
+  REQUIRE(world.scheduler().PlacedTasks() == 1);
+  world.AddWorker("w2");
+  worker.late_calls = {};
+  worker.condition = WorkerCondition::kGone;
+  world.scheduler().OnStartAnswer(kTask, 1, worker.life, {.refusal = refusal}, world.now());
+  world.Settle();
+  CHECK(world.PlaceOf(kTask) == "w2");
+}
+
 TEST_CASE("calls are remembered by task and run", "[late-call]") {
   const MonotonicTime start{absl::Hours(1)};
   LateCalls calls;
