Share the search for a task and the record of its worker between placement and late calls

AdoptRun repeated what Place records of the worker, and five functions parsed a task's name and searched its step. Assign and FindTask do that once.

--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -239,16 +239,20 @@
   return number < steps->second.size() ? steps->second[number].get() : nullptr;
 }
 
-std::optional<TaskRef> Scheduler::FindNewestRun(const std::string& task, int run) {
+std::optional<TaskRef> Scheduler::FindTask(const std::string& task) {
   const std::optional<TaskName> name = TaskName::Parse(task);
-  if (!name) return std::nullopt;
-  WorkflowStep* step = FindStep(name->step);
+  WorkflowStep* step = name ? FindStep(name->step) : nullptr;
   if (step == nullptr || name->index >= static_cast<int>(step->tasks.size())) return std::nullopt;
-  const TaskProgress& progress = step->tasks[static_cast<std::size_t>(name->index)];
-  if (progress.state != TaskState::kPlaced || progress.run != run) return std::nullopt;
   return TaskRef{.step = step, .index = name->index};
 }
 
+std::optional<TaskRef> Scheduler::FindNewestRun(const std::string& task, int run) {
+  const std::optional<TaskRef> ref = FindTask(task);
+  if (!ref) return std::nullopt;
+  const TaskProgress& progress = ref->step->tasks[static_cast<std::size_t>(ref->index)];
+  return progress.state == TaskState::kPlaced && progress.run == run ? ref : std::nullopt;
+}
+
 std::optional<TaskRef> Scheduler::FindRun(const std::string& task, int run, const WorkerLife& life) {
   const std::optional<TaskRef> ref = FindNewestRun(task, run);
   if (!ref) return std::nullopt;
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -199,6 +199,7 @@
                      MonotonicTime now);
   void RefreshReadySteps(std::vector<std::unique_ptr<WorkflowStep>>& steps, MonotonicTime now);
   WorkflowStep* FindStep(const StepName& name);
+  std::optional<TaskRef> FindTask(const std::string& task);
   std::optional<TaskRef> FindRun(const std::string& task, int run, const WorkerLife& life);
   /// The task if that run of it is placed, at whatever worker.
   std::optional<TaskRef> FindNewestRun(const std::string& task, int run);
@@ -356,6 +357,8 @@
   MonotonicTime QuarantineEndsFor(const WorkflowStep& step, int index, MonotonicTime now) const;
   void LogLongWaits(MonotonicTime now);
   void Place(WorkflowStep& step, int index, PoolWorker& worker, int run, MonotonicTime now);
+  /// Records the worker of a waiting task and takes its room there.
+  void Assign(TaskRef task, PoolWorker& worker, int run);
   static StartOrder MakeStartOrder(TaskRef task);
   void OrderStop(TaskRef task);
   void MarkChanged(WorkflowStep& step);
--- a/src/workflow/scheduler_late_calls.cc
+++ b/src/workflow/scheduler_late_calls.cc
@@ -75,8 +75,7 @@
   }
   for (const ReportedLateCall& reported : report.late_calls) {
     if (is_under_way(reported.task, reported.run)) continue;
-    const std::optional<TaskName> name = TaskName::Parse(reported.task);
-    const WorkflowStep* step = name ? FindStep(name->step) : nullptr;
+    const std::optional<TaskRef> ref = FindTask(reported.task);
     const MonotonicTime sent_at = now - absl::Milliseconds(reported.age_ms);
     m_late_calls.Replace({.task = reported.task,
                           .run = reported.run,
@@ -84,7 +83,7 @@
                           .worker = reported.worker,
                           .sent_at = sent_at,
                           .first_sent_at = sent_at,
-                          .demand = step == nullptr ? Resources{} : HeldDemand(*step->definition)});
+                          .demand = ref ? HeldDemand(*ref->step->definition) : Resources{}});
   }
 }
 
@@ -110,14 +109,13 @@
 void Scheduler::OnLateCallsOver(const std::vector<std::string>& tasks) {
   for (const std::string& task : tasks) {
     m_placement_due = true;
-    const std::optional<TaskName> name = TaskName::Parse(task);
-    WorkflowStep* step = name ? FindStep(name->step) : nullptr;
-    if (step == nullptr || name->index >= static_cast<int>(step->tasks.size())) continue;
-    TaskProgress& progress = step->tasks[static_cast<std::size_t>(name->index)];
+    const std::optional<TaskRef> ref = FindTask(task);
+    if (!ref) continue;
+    TaskProgress& progress = ref->step->tasks[static_cast<std::size_t>(ref->index)];
     if (progress.late_worker.empty()) continue;
     progress.late_worker.clear();
     progress.late_agent.clear();
-    MarkChanged(*step);
+    MarkChanged(*ref->step);
   }
 }
 
@@ -189,23 +187,16 @@
 }
 
 bool Scheduler::AdoptRun(PoolWorker& worker, const ActiveRun& run, MonotonicTime now) {
-  const std::optional<TaskName> name = TaskName::Parse(run.task);
-  WorkflowStep* step = name ? FindStep(name->step) : nullptr;
-  if (step == nullptr || name->index >= static_cast<int>(step->tasks.size())) return false;
-  const TaskRef task{.step = step, .index = name->index};
-  TaskProgress& progress = step->tasks[static_cast<std::size_t>(task.index)];
+  const std::optional<TaskRef> task = FindTask(run.task);
+  if (!task) return false;
+  WorkflowStep& step = *task->step;
+  const TaskProgress& progress = step.tasks[static_cast<std::size_t>(task->index)];
   const bool is_newest = progress.state == TaskState::kWaiting && progress.run == run.run;
-  if (!is_newest || !step->job->TakesRuns() || step->definition->gang) return false;
+  if (!is_newest || !step.job->TakesRuns() || step.definition->gang) return false;
   LogEvent(LogLevel::kWarning, "late_run_adopted",
            {{"task", run.task}, {"run", run.run}, {"worker", worker.life.worker}, {"born", worker.life.born}});
-  progress.state = TaskState::kPlaced;
-  progress.worker = worker.life.worker;
-  progress.worker_born = worker.life.born;
-  progress.agent = worker.agent;
-  progress.bound = RunBound::kNone;
-  progress.late_worker.clear();
-  progress.late_agent.clear();
-  TaskRuntime& runtime = step->runtimes[static_cast<std::size_t>(task.index)];
+  Assign(*task, worker, run.run);
+  TaskRuntime& runtime = step.runtimes[static_cast<std::size_t>(task->index)];
   runtime.stage = RunStage::kRunning;
   runtime.is_start_settled = false;
   runtime.is_order_answered = true;
@@ -213,13 +204,10 @@
   runtime.started_at = now;
   runtime.started_clock_ms = worker.clock_ms;
   runtime.percent = run.percent;
-  m_workers.Attach(worker, task);
-  ++step->job->placed;
-  --step->job->waiting;
-  NoteBegun(&worker, task);
-  NoteAtWork(*step->job, now);
-  UpdateWaiting(*step);
-  MarkChanged(*step);
+  NoteBegun(&worker, *task);
+  NoteAtWork(*step.job, now);
+  UpdateWaiting(step);
+  MarkChanged(step);
   return true;
 }
 
--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -252,9 +252,8 @@
   return true;
 }
 
-void Scheduler::Place(WorkflowStep& step, int index, PoolWorker& worker, int run, MonotonicTime now) {
-  const auto i = static_cast<std::size_t>(index);
-  TaskProgress& progress = step.tasks[i];
+void Scheduler::Assign(TaskRef task, PoolWorker& worker, int run) {
+  TaskProgress& progress = task.step->tasks[static_cast<std::size_t>(task.index)];
   progress.state = TaskState::kPlaced;
   progress.run = run;
   progress.worker = worker.life.worker;
@@ -263,14 +262,19 @@
   progress.bound = RunBound::kNone;
   progress.late_worker.clear();
   progress.late_agent.clear();
+  m_workers.Attach(worker, task);
+  ++task.step->job->placed;
+  --task.step->job->waiting;
+}
+
+void Scheduler::Place(WorkflowStep& step, int index, PoolWorker& worker, int run, MonotonicTime now) {
+  const auto i = static_cast<std::size_t>(index);
+  Assign({.step = &step, .index = index}, worker, run);
   step.runtimes[i].start_repeats = 0;
   step.runtimes[i].stage = RunStage::kRecording;
-  m_workers.Attach(worker, {.step = &step, .index = index});
   const bool is_out = m_quarantine.OutSince(WorkerId(worker.life.worker)) != InfiniteFuture();
   if (is_out) ++m_counts.trials;
   m_quarantine.RecordPlaced(WorkerId(worker.life.worker), now);
-  ++step.job->placed;
-  --step.job->waiting;
   step.job->last_placed = now;
   ++m_counts.placements;
   CountLocality(step, index, worker, now);
--- a/src/workflow/scheduler_runs.cc
+++ b/src/workflow/scheduler_runs.cc
@@ -160,10 +160,9 @@
 }
 
 std::optional<TaskProgress> Scheduler::RecordedProgress(const std::string& task) {
-  const std::optional<TaskName> name = TaskName::Parse(task);
-  const WorkflowStep* step = name ? FindStep(name->step) : nullptr;
-  if (step == nullptr || name->index >= static_cast<int>(step->tasks.size())) return std::nullopt;
-  return step->tasks[static_cast<std::size_t>(name->index)];
+  const std::optional<TaskRef> ref = FindTask(task);
+  if (!ref) return std::nullopt;
+  return ref->step->tasks[static_cast<std::size_t>(ref->index)];
 }
 
 void Scheduler::FinishRun(TaskRef task, RunEndKind kind, const std::string& checkpoint, MonotonicTime now) {
