Tell for each step that lasts how many tasks are at work and what the others wait for

The owner writes lasting_step for each such step whenever its figures change, and lasting_shares for each queue every 2 s: the part of the tasks at work by size, the step that is served worst, free processors in sum and in one piece. No decision changes.

--- a/src/control/entry_node.cc
+++ b/src/control/entry_node.cc
@@ -1,5 +1,6 @@
 #include "control/entry_node.h"
 
+#include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -47,6 +48,22 @@
 constexpr const char* kLostRunsMetric = "berylgauge_scheduler_lost_runs";
 constexpr const char* kLostRunsHelp = "Runs given up without an end since this entry became the owner";
 
+constexpr const char* kLastingShareMetric = "berylgauge_lasting_share_permille";
+constexpr const char* kLastingShareHelp =
+    "Part of the tasks that last which are at work, mean over the steps of a queue by size, at the owner";
+
+struct LastingShareFigure {
+  const char* size;
+  double workflow::LastingShares::*value;
+};
+
+constexpr LastingShareFigure kLastingShareFigures[] = {
+    {"all", &workflow::LastingShares::all},
+    {"largest-tenth", &workflow::LastingShares::largest_tenth},
+    {"next-fifth", &workflow::LastingShares::next_fifth},
+    {"least", &workflow::LastingShares::least},
+};
+
 struct DecisionCount {
   const char* label;
   std::uint64_t workflow::SchedulerCounts::*value;
@@ -174,6 +191,15 @@
     m_metrics.GetGauge(kDecisionsMetric, kDecisionsHelp, count.label)
         .Set(static_cast<std::int64_t>(scheduler->counts().*count.value));
   }
+  constexpr double kPerMille = 1000;
+  for (const auto& [queue, shares] : scheduler->lasting_shares()) {
+    for (const LastingShareFigure& figure : kLastingShareFigures) {
+      m_metrics
+          .GetGauge(kLastingShareMetric, kLastingShareHelp,
+                    absl::StrCat("queue=\"", absl::Utf8SafeCEscape(queue), "\",size=\"", figure.size, "\""))
+          .Set(static_cast<std::int64_t>(shares.*figure.value * kPerMille));
+    }
+  }
   for (const auto& [reason, name] : workflow::kRunLossNames.entries()) {
     m_metrics.GetGauge(kLostRunsMetric, kLostRunsHelp, absl::StrCat("reason=\"", ToAbsl(name), "\""))
         .Set(static_cast<std::int64_t>(scheduler->counts().lost_runs[static_cast<std::size_t>(reason)]));
--- a/src/workflow/scheduler.cc
+++ b/src/workflow/scheduler.cc
@@ -271,6 +271,7 @@
   MoveSlowFillers(now);
   if (m_placement_due || now >= m_next_retry) PlaceWaiting(now);
   LogLongWaits(now);
+  NoteLastingSteps(now);
 }
 
 void Scheduler::CreateDueOccurrences(MonotonicTime now, std::int64_t unix_now_ms) {
--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -18,6 +19,8 @@
 #include "schedule/worker_quarantine.h"
 #include "workflow/interference_model.h"
 #include "workflow/job_index.h"
+#include "workflow/lasting_shares.h"
+#include "workflow/lasting_step_state.h"
 #include "workflow/late_calls.h"
 #include "workflow/locality_history.h"
 #include "workflow/locality_policy.h"
@@ -123,9 +126,9 @@
 /// Decides which task runs where; the heart of the owner.
 ///
 /// Its functions stand in scheduler.cc (jobs and batches), scheduler_workers.cc, scheduler_runs.cc,
-/// scheduler_late_calls.cc, scheduler_locality.cc and scheduler_placement.cc. It does no I/O: events go in, batches of
-/// records and orders come out. The caller writes a batch to the store, calls `OnBatchDurable`, and only then sends the
-/// orders of that batch. One batch is under way at a time.
+/// scheduler_late_calls.cc, scheduler_locality.cc, scheduler_lasting.cc and scheduler_placement.cc. It does no I/O:
+/// events go in, batches of records and orders come out. The caller writes a batch to the store, calls
+/// `OnBatchDurable`, and only then sends the orders of that batch. One batch is under way at a time.
 class Scheduler {
  public:
   explicit Scheduler(const SchedulerOptions& options, MonotonicTime now);
@@ -189,6 +192,8 @@
   std::size_t QuarantinedWorkers() const;
   /// How long the task that waits longest has waited; zero if none waits.
   absl::Duration LongestWait(MonotonicTime now) const;
+  /// Parts of the tasks that last which are at work, by queue; up to two seconds old.
+  const std::map<std::string, LastingShares>& lasting_shares() const { return m_lasting_shares; }
 
  private:
   /// The job's cancellation was stored before the job, or stored again. The submission may be under way, and must not
@@ -359,6 +364,10 @@
   /// When the quarantine no longer keeps the task from any worker; see `WorkflowStep::PatienceEnds`.
   MonotonicTime QuarantineEndsFor(const WorkflowStep& step, int index, MonotonicTime now) const;
   void LogLongWaits(MonotonicTime now);
+  /// Keeps and logs, every two seconds, how far the steps that last are served.
+  void NoteLastingSteps(MonotonicTime now);
+  LastingStepState StateOf(const WorkflowStep& step, MonotonicTime now) const;
+  void LogLastingShares(MonotonicTime now) const;
   void Place(WorkflowStep& step, int index, PoolWorker& worker, int run, MonotonicTime now);
   /// Records the worker of a waiting task and takes its room there.
   void Assign(TaskRef task, PoolWorker& worker, int run);
@@ -404,6 +413,16 @@
   MonotonicTime m_next_retirement;
   MonotonicTime m_next_move;
   MonotonicTime m_next_wait_check;
+  /// What the newest `lasting_step` line of a step says; another one follows when that changes.
+  struct LoggedLastingStep {
+    int at_work = 0;
+    int waiting = 0;
+
+    friend bool operator==(const LoggedLastingStep&, const LoggedLastingStep&) = default;
+  };
+  absl::flat_hash_map<std::string, LoggedLastingStep> m_logged_lasting_steps;  ///< by name of the step
+  std::map<std::string, LastingShares> m_lasting_shares;                       ///< by queue
+  MonotonicTime m_next_lasting_check;
 };
 
 }  // namespace berylgauge::workflow
