--- a/tests/unit/workflow/scheduler_world.cc
+++ b/tests/unit/workflow/scheduler_world.cc
@@ -120,7 +120,7 @@
     report.runs.push_back({.task = task,
                            .run = run,
                            .checkpoint = {},
-                           .percent = percent == worker.percents.end() ? 0 : percent->second,
+                           .percent = percent == worker.percents.end() ? worker.usual_percent : percent->second,
                            .measured = measured == worker.measured.end() ? 0 : measured->second});
   }
   m_scheduler->OnReport(worker.agent, report, m_now);
--- a/tests/unit/workflow/scheduler_world.h
+++ b/tests/unit/workflow/scheduler_world.h
@@ -26,7 +26,8 @@
   std::string rack = "r1-1";
   Resources capacity = {.cpu_millis = 16000, .memory_mb = 64000};
   std::map<std::string, int> runs;      ///< run by task
-  std::map<std::string, int> percents;  ///< of their work, by task; 0 if absent
+  std::map<std::string, int> percents;  ///< of their work, by task; the usual one if absent
+  int usual_percent = 0;
   std::vector<RunEnd> ends;
   std::int64_t last_end = 0;
   std::size_t most_listed_ends = 500;
