Clear the runs of workers that leave in the test of shared room

The first form kept them, so that tasks seemed to run twice: 16 of the 59 checks that failed were faults of the test. 43 checks fail on the present code.

--- a/tests/unit/workflow/lasting_fairness_test.cc
+++ b/tests/unit/workflow/lasting_fairness_test.cc
@@ -75,7 +75,11 @@
   }
   if (shortage == Shortage::kNeverThere) AddWorkers(world, before);
   Pass(world, absl::Seconds(5));
-  for (int i = kWorkers; i < before; ++i) world.worker(WorkerName(i)).condition = WorkerCondition::kGone;
+  for (int i = kWorkers; i < before; ++i) {
+    PlayedWorker& worker = world.worker(WorkerName(i));
+    worker.condition = WorkerCondition::kGone;
+    worker.runs.clear();
+  }
   if (shortage == Shortage::kAllRunsLost) {
     for (int i = 0; i < kWorkers; ++i) world.Restart(WorkerName(i));
   }
