Give room to tasks that last by the share that their step has

Cause: steps that last took room one after the other by deadline, each until it was whole or nothing was left.

Change: the steps of one priority take turns, one task at a time, the step with the least part of its tasks placed first (LastingOrder).

--- a/src/workflow/scheduler.h
+++ b/src/workflow/scheduler.h
@@ -308,6 +308,13 @@
     QuarantineAccess access = QuarantineAccess::kNone;
   };
   void PlaceTasks(WorkflowStep& step, QuarantineFilter& filter, std::vector<FailedSearch>& failed, MonotonicTime now);
+  /// Waiting tasks of the step that may have a run now, in the order in which they get one.
+  std::vector<std::size_t> PlaceableTasks(const WorkflowStep& step, const QuarantineFilter& filter, MonotonicTime now);
+  /// Whether the tasks of the step get room one by one, by the share that the step has; the members of a gang do not.
+  static bool SharesRoom(const StepDefinition& definition) { return definition.long_running && !definition.gang; }
+  /// Places tasks of those steps of that priority which share room, the least served step first.
+  void PlaceLastingSteps(const std::vector<WorkflowStep*>& waiting, int priority, QuarantineFilter& filter,
+                         MonotonicTime now);
   /// Returns false if no worker has room for the task; true if it was placed, or waits for room near its data although
   /// another worker has some.
   bool PlaceTask(WorkflowStep& step, int index, QuarantineAccess access, QuarantineFilter& filter, MonotonicTime now);
--- a/src/workflow/scheduler_lasting.cc
+++ b/src/workflow/scheduler_lasting.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cstddef>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <string>
@@ -7,6 +8,7 @@
 #include <vector>
 
 #include "base/event_log.h"
+#include "workflow/lasting_order.h"
 #include "workflow/lasting_shares.h"
 #include "workflow/lasting_step_state.h"
 #include "workflow/scheduler.h"
@@ -40,6 +42,28 @@
 
 }  // namespace
 
+void Scheduler::PlaceLastingSteps(const std::vector<WorkflowStep*>& waiting, int priority, QuarantineFilter& filter,
+                                  MonotonicTime now) {
+  std::vector<WorkflowStep*> steps;
+  std::copy_if(waiting.begin(), waiting.end(), std::back_inserter(steps), [&](const WorkflowStep* step) {
+    return SharesRoom(*step->definition) && step->job->definition.queue.priority == priority;
+  });
+  LastingOrder order;
+  for (WorkflowStep* step : steps) order.Add(*step, PlaceableTasks(*step, filter, now));
+  while (!order.IsEmpty()) {
+    const auto [step, index] = order.Next();
+    if (PlaceTask(*step, index, AccessOf(*step, index, filter, now), filter, now)) {
+      order.Advance(step->tasks[static_cast<std::size_t>(index)].state == TaskState::kPlaced);
+    } else {
+      order.DropStep();
+    }
+  }
+  for (WorkflowStep* step : steps) {
+    UpdateWaiting(*step);
+    if (m_waiting.contains(step)) ScheduleRetry(*step, filter, now);
+  }
+}
+
 void Scheduler::NoteLastingSteps(MonotonicTime now) {
   if (now < m_next_lasting_check) return;
   m_next_lasting_check = now + kLastingCheckInterval;
--- a/src/workflow/scheduler_placement.cc
+++ b/src/workflow/scheduler_placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -57,8 +58,15 @@
   SortByUrgency(waiting, now);
   std::vector<FailedSearch> failed;
   const WorkerReach reach(m_workers.workers());
+  std::erase_if(waiting, [&](const WorkflowStep* step) { return !reach.Includes(*step); });
+  std::set<int> lasting_placed;  // priorities
   for (WorkflowStep* step : waiting) {
-    if (!reach.Includes(*step)) continue;
+    if (SharesRoom(*step->definition)) {
+      // Those of one priority are placed together, when the turn of the most urgent one comes.
+      const int priority = step->job->definition.queue.priority;
+      if (lasting_placed.insert(priority).second) PlaceLastingSteps(waiting, priority, filter, now);
+      continue;
+    }
     const QuarantineAccess access = WidestAccessOf(*step, filter, now);
     const bool is_hopeless =
         m_policy.AnySpeedFrom(*step, now) > now && std::any_of(failed.begin(), failed.end(), [&](const auto& other) {
@@ -103,8 +111,8 @@
   m_next_retry = std::min(m_next_retry, ends > now ? ends : filter.NextEarlyTrial());
 }
 
-void Scheduler::PlaceTasks(WorkflowStep& step, QuarantineFilter& filter, std::vector<FailedSearch>& failed,
-                           MonotonicTime now) {
+std::vector<std::size_t> Scheduler::PlaceableTasks(const WorkflowStep& step, const QuarantineFilter& filter,
+                                                   MonotonicTime now) {
   std::vector<std::size_t> order;
   for (std::size_t i = 0; i < step.tasks.size(); ++i) {
     if (step.tasks[i].state != TaskState::kWaiting) continue;
@@ -119,7 +127,12 @@
     if (step.definition->long_running) return step.runtimes[a].waiting_since < step.runtimes[b].waiting_since;
     return filter.HasQuarantined() && step.tasks[a].failures < step.tasks[b].failures;
   });
-  for (const std::size_t i : order) {
+  return order;
+}
+
+void Scheduler::PlaceTasks(WorkflowStep& step, QuarantineFilter& filter, std::vector<FailedSearch>& failed,
+                           MonotonicTime now) {
+  for (const std::size_t i : PlaceableTasks(step, filter, now)) {
     const int index = static_cast<int>(i);
     const QuarantineAccess access = AccessOf(step, index, filter, now);
     if (PlaceTask(step, index, access, filter, now)) continue;
--- a/tests/unit/workflow/lasting_fairness_test.cc
+++ b/tests/unit/workflow/lasting_fairness_test.cc
@@ -86,14 +86,7 @@
   Pass(world, kSettlingTime);
 }
 
-// Guards against lasting jobs that get no room while others are whole: by the order of acceptance alone, and where
-// their tasks are larger than the holes that smaller ones leave.
-TEST_CASE("lasting jobs share room that is short, whatever their size", "[.short][lasting]") {
-  const ShortageRow row = GENERATE(ShortageRow{"jobs come late", Shortage::kJobsComeLate},
-                                   ShortageRow{"room was never there", Shortage::kNeverThere},
-                                   ShortageRow{"workers are lost", Shortage::kWorkersLost},
-                                   ShortageRow{"all runs are lost", Shortage::kAllRunsLost});
-  const unsigned seed = GENERATE(range(1U, 9U));
+void CheckShares(const ShortageRow& row, unsigned seed) {
   INFO(row.name << ", seed " << seed);
   std::mt19937 random(seed);
   SchedulerWorld world;
@@ -107,5 +100,20 @@
   CHECK(world.violations().empty());
 }
 
+// Guards against jobs that are placed whole one after the other, so that the last ones get nothing.
+TEST_CASE("lasting jobs share room that is placed anew, whatever their size", "[lasting]") {
+  const ShortageRow row = GENERATE(ShortageRow{"room was never there", Shortage::kNeverThere},
+                                   ShortageRow{"all runs are lost", Shortage::kAllRunsLost});
+  CheckShares(row, GENERATE(range(1U, 9U)));
+}
+
+// Guards against jobs that get nothing because others hold all room, or because what is free is in pieces that are
+// smaller than their tasks.
+TEST_CASE("lasting jobs without room get some from those that are served better", "[.short][lasting]") {
+  const ShortageRow row = GENERATE(ShortageRow{"jobs come late", Shortage::kJobsComeLate},
+                                   ShortageRow{"workers are lost", Shortage::kWorkersLost});
+  CheckShares(row, GENERATE(range(1U, 9U)));
+}
+
 }  // namespace
 }  // namespace berylgauge::workflow
