--- a/src/workflow/scheduler_lasting.cc
+++ b/src/workflow/scheduler_lasting.cc
@@ -83,23 +83,18 @@
 }
 
 bool Scheduler::PlaceLastingTask(WorkflowStep& step, int index, QuarantineFilter& filter, MonotonicTime now) {
-  std::vector<RoomHold> own;
-  for (const RoomHold& hold : m_room_holds) {
-    if (hold.step != &step) continue;
-    own.push_back(hold);
-    m_workers.FindLife(hold.life)->kept -= hold.kept;
-  }
+  // A step has one hold at most; the search may use that room.
+  const auto hold = std::find_if(m_room_holds.begin(), m_room_holds.end(),
+                                 [&](const RoomHold& other) { return other.step == &step; });
+  PoolWorker* holder = hold == m_room_holds.end() ? nullptr : m_workers.FindLife(hold->life);
+  if (holder != nullptr) holder->kept -= hold->kept;
   const bool is_settled = PlaceTask(step, index, AccessOf(step, index, filter, now), filter, now);
-  const TaskProgress& task = step.tasks[static_cast<std::size_t>(index)];
-  if (task.state == TaskState::kPlaced && !own.empty()) {
-    auto used =
-        std::find_if(own.begin(), own.end(), [&](const RoomHold& hold) { return hold.life.worker == task.worker; });
-    if (used == own.end()) used = own.begin();
-    own.erase(used);
-    std::erase_if(m_room_holds, [&](const RoomHold& hold) { return hold.step == &step; });
-    m_room_holds.insert(m_room_holds.end(), own.begin(), own.end());
+  if (holder == nullptr) return is_settled;
+  if (step.tasks[static_cast<std::size_t>(index)].state == TaskState::kPlaced) {
+    m_room_holds.erase(hold);
+  } else {
+    holder->kept += hold->kept;
   }
-  for (const RoomHold& hold : own) m_workers.FindLife(hold.life)->kept += hold.kept;
   return is_settled;
 }
 
