--- a/tests/unit/workflow/lasting_fairness_test.cc
+++ b/tests/unit/workflow/lasting_fairness_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <map>
 #include <random>
 #include <set>
@@ -41,7 +42,8 @@
   std::int64_t asked = 0;
   while (static_cast<double>(asked) * kRoom < kWorkers * kWorkerCores * 1000) {
     StepDefinition step = LastingStep(between(4, 28));
-    step.demand = {.cpu_millis = 100 * between(30, 100), .memory_mb = 1000 * between(5, 20)};
+    step.demand = {.cpu_millis = std::int64_t{100} * between(30, 100),
+                   .memory_mb = std::int64_t{1000} * between(5, 20)};
     step.max_per_worker = between(0, 2);
     asked += step.demand.cpu_millis * step.task_count;
     jobs.push_back(SingleStepJob("j" + std::to_string(jobs.size()), step));
