Stop nothing for a task that waits for something else than room

A task that lasts and fills idle processors may wait for these on a worker with room; RoomPlanner would then stop a task there for nothing. No deployment has such tasks; found while reading the change. The row 'nothing where the task has room already' failed before.

--- a/src/workflow/room_planner.cc
+++ b/src/workflow/room_planner.cc
@@ -43,6 +43,8 @@
     const bool is_taken = worker->kept != Resources{} || m_claims.contains(worker);
     if (is_taken || m_now - worker->clock_read_at > kListValidity) continue;
     if (!m_policy.IsEligible(step, *worker, m_limits, m_now)) continue;
+    // Where there is room, the task waits for something that no stop gives it, such as idle processors.
+    if (HeldDemand(*step.definition).FitsIn(worker->Free())) continue;
     std::optional<RoomPlan> plan = PlanAt(step, *worker);
     if (IsBetter(plan, best)) best = std::move(plan);
   }
